Lay the workspace, shared types, settings reader and sealed datagrams

Cause: several slices are to be built side by side and need one set of names, result codes, log events, settings and document types. Ruled out: one central table of codes and events, since every slice would edit the same file; each slice owns a range of numbers instead.

--- /dev/null
+++ b/papaya-lab/src/lib.rs
@@ -0,0 +1,35 @@
+//! Stand-ins, load tool and experiments for papayaproxy. Used on test machines only.
+
+use clap::{ArgMatches, Command};
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+/// One subcommand: how it is described and what it does.
+pub struct Subcommand {
+    /// Builds its description.
+    pub command: fn() -> Command,
+    /// Runs it to its end.
+    pub run: fn(&ArgMatches) -> ExitCode,
+}
+
+/// Every subcommand of the lab.
+const SUBCOMMANDS: &[Subcommand] = &[];
+
+/// Parses `args` and runs the subcommand that they name.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = command().get_matches_from(args);
+    let Some((name, inner)) = matches.subcommand() else {
+        return ExitCode::FAILURE;
+    };
+    let found = SUBCOMMANDS.iter().find(|s| (s.command)().get_name() == name);
+    found.map_or(ExitCode::FAILURE, |s| (s.run)(inner))
+}
+
+fn command() -> Command {
+    Command::new("papaya-lab")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Stand-ins, load tool and experiments for papayaproxy")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(SUBCOMMANDS.iter().map(|s| (s.command)()))
+}
--- /dev/null
+++ b/papayaproxy/src/agent/mod.rs
@@ -0,0 +1,4 @@
+//! The agent process: the only gate to its upstream.
+
+pub(crate) mod codes;
+pub(crate) mod events;
--- /dev/null
+++ b/papayaproxy/src/base/mod.rs
@@ -0,0 +1,11 @@
+//! What every slice builds on: names, digests, incarnations, result codes, log events and constants.
+
+pub(crate) mod clock;
+pub(crate) mod code;
+pub mod constants;
+pub(crate) mod digest;
+pub(crate) mod event;
+pub(crate) mod name;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/papayaproxy/src/ctl/mod.rs
@@ -0,0 +1,4 @@
+//! Commands of the operators' shell tool.
+
+pub(crate) mod codes;
+pub(crate) mod events;
--- /dev/null
+++ b/papayaproxy/src/fleet/events.rs
@@ -0,0 +1,5 @@
+//! Log events of this slice: 1300 to 1399.
+
+use crate::base::event::events;
+
+events! {}
--- /dev/null
+++ b/papayaproxy/src/lib.rs
@@ -0,0 +1,69 @@
+//! papayaproxy balances load over expert-parallel model groups and the plain services beside them.
+//!
+//! The library holds every role; the daemons under `src/bin` only open and run its handles.
+
+pub(crate) mod base;
+
+pub mod agent;
+pub mod console;
+pub mod ctl;
+pub mod delivery;
+pub mod drain;
+pub mod entry;
+pub mod experts;
+pub mod fleet;
+pub mod limits;
+pub mod membership;
+pub mod orders;
+pub mod routing;
+pub mod settings;
+pub mod streams;
+pub mod telemetry;
+pub mod wire;
+
+pub use base::clock::Clock;
+pub use base::code::{Code, CodeRow, Outcome, row as code_row};
+pub use base::constants;
+pub use base::digest::Digest;
+pub use base::event::Event;
+pub use base::name::{Incarnation, Name, is_name};
+
+/// The result codes of every slice.
+pub const CODE_TABLES: &[&[CodeRow]] = &[
+    agent::codes::ROWS,
+    console::codes::ROWS,
+    ctl::codes::ROWS,
+    delivery::codes::ROWS,
+    drain::codes::ROWS,
+    entry::codes::ROWS,
+    experts::codes::ROWS,
+    fleet::codes::ROWS,
+    limits::codes::ROWS,
+    membership::codes::ROWS,
+    orders::codes::ROWS,
+    routing::codes::ROWS,
+    settings::codes::ROWS,
+    streams::codes::ROWS,
+    telemetry::codes::ROWS,
+    wire::codes::ROWS,
+];
+
+/// The log events of every slice.
+pub const EVENT_TABLES: &[&[Event]] = &[
+    agent::events::ROWS,
+    console::events::ROWS,
+    ctl::events::ROWS,
+    delivery::events::ROWS,
+    drain::events::ROWS,
+    entry::events::ROWS,
+    experts::events::ROWS,
+    fleet::events::ROWS,
+    limits::events::ROWS,
+    membership::events::ROWS,
+    orders::events::ROWS,
+    routing::events::ROWS,
+    settings::events::ROWS,
+    streams::events::ROWS,
+    telemetry::events::ROWS,
+    wire::events::ROWS,
+];
--- /dev/null
+++ b/papayaproxy/src/orders/events.rs
@@ -0,0 +1,5 @@
+//! Log events of this slice: 1800 to 1899.
+
+use crate::base::event::events;
+
+events! {}
--- /dev/null
+++ b/papayaproxy/src/settings/mod.rs
@@ -0,0 +1,14 @@
+//! Settings of a process: INI files and overrides, checked into plain structs.
+
+pub(crate) mod codes;
+pub(crate) mod error;
+pub(crate) mod events;
+pub(crate) mod reader;
+pub(crate) mod value;
+
+#[cfg(test)]
+mod tests;
+
+pub use error::{Problem, SettingsError};
+pub use reader::{Reader, SettingRow};
+pub use value::{parse_duration, parse_name, parse_size};
--- /dev/null
+++ b/papayaproxy/src/streams/events.rs
@@ -0,0 +1,5 @@
+//! Log events of this slice: 2000 to 2099.
+
+use crate::base::event::events;
+
+events! {}
--- /dev/null
+++ b/papayaproxy/src/wire/error.rs
@@ -0,0 +1,66 @@
+//! Errors of frames, datagrams and links.
+
+use super::codes;
+use crate::base::code::Code;
+use snafu::Snafu;
+
+/// Why a message or link failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum WireError {
+    /// The message is too short to hold a seal.
+    #[snafu(display("message of {length} bytes is too short for a seal"))]
+    Short {
+        /// Length of the message in bytes.
+        length: usize,
+    },
+    /// The sealing key is not in force here.
+    #[snafu(display("sealing key {id} is not in force"))]
+    KeyUnknown {
+        /// Number of the key.
+        id: u8,
+    },
+    /// The authentication code does not match.
+    #[snafu(display("authentication code does not match"))]
+    Broken,
+    /// The message cannot be encoded or decoded.
+    #[snafu(display("malformed message: {source}"))]
+    Malformed {
+        /// What the codec found.
+        source: postcard::Error,
+    },
+    /// A link key has the wrong form.
+    #[snafu(display("expected a link key of the form id:64-hex-digits"))]
+    SecretInvalid,
+    /// The link closed.
+    #[snafu(display("link closed"))]
+    Closed,
+    /// No link could be made.
+    #[snafu(display("cannot connect: {source}"))]
+    Refused {
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The peer did not complete the handshake.
+    #[snafu(display("handshake failed: {reason}"))]
+    Handshake {
+        /// What was missing.
+        reason: &'static str,
+    },
+}
+
+impl WireError {
+    /// The result code.
+    pub fn code(&self) -> Code {
+        match self {
+            Self::Short { .. } => codes::SEAL_SHORT,
+            Self::KeyUnknown { .. } => codes::SEAL_KEY_UNKNOWN,
+            Self::Broken => codes::SEAL_BROKEN,
+            Self::Malformed { .. } => codes::MESSAGE_MALFORMED,
+            Self::SecretInvalid => codes::SECRET_INVALID,
+            Self::Closed => codes::LINK_CLOSED,
+            Self::Refused { .. } => codes::LINK_REFUSED,
+            Self::Handshake { .. } => codes::HANDSHAKE_FAILED,
+        }
+    }
+}
