--- /dev/null
+++ b/papayaproxy/src/experts/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the agreement, popularity and placement.
+
+mod agreement;
+mod agreement_runs;
