Agree on expert maps over all ranks and plan incremental moves

Cause: a lock-step group must run each step on one map, and its map has to follow the drift of expert popularity without moving more than it gains.

The agent of a rank that is held for longer than the lead timeout now sends a notice, and the lead asks anew.

Ruled out: a keepalive from the lead to every rank, which would cost a group of 256 ranks more than the budget of control traffic; a hold that lapses by a timeout, since another rank may have had the commit.

--- a/papayaproxy/src/experts/constants.rs
+++ b/papayaproxy/src/experts/constants.rs
@@ -17,8 +17,53 @@
 /// Steps by which a held step lies ahead of the ranks at least.
 pub const HOLD_STEPS_MIN: u64 = 2;
 
-/// Share of the horizon in which the load of the fast average is smoothed.
+/// Smoothing time of the fast average.
 pub const FAST_TIME: Duration = Duration::from_secs(60);
 
 /// Smoothing time of the slow average.
 pub const SLOW_TIME: Duration = Duration::from_secs(1800);
+
+/// Time over which gains are weighed against the cost of moves.
+pub const HORIZON: Duration = Duration::from_secs(1800);
+
+/// Windows for which an incomplete window is kept open.
+pub const WINDOWS_MAX: u64 = 3;
+
+/// Windows that must be counted before the first plan.
+pub const WARM_WINDOWS: u32 = 6;
+
+/// Earlier states of the fast average that are kept.
+pub const SNAPSHOT_AGES: usize = 24;
+
+/// Total variation distance within which popularity counts as unchanged.
+pub const SETTLED_DISTANCE: f32 = 0.08;
+
+/// Weight of the newest report in a rank's pace.
+pub const PACE_GAIN: f64 = 0.25;
+
+/// Relative time per token above which a rank is a straggler.
+pub const STRAGGLER_ENTER: f64 = 1.15;
+
+/// Relative time per token below which a rank is a straggler no longer.
+pub const STRAGGLER_LEAVE: f64 = 1.08;
+
+/// Ranks with the least load that a search considers as targets.
+pub const COOL_RANKS: usize = 32;
+
+/// Squarings that make the power of the search's potential: 2^4 = 16.
+pub const POTENTIAL_SQUARINGS: u32 = 4;
+
+/// Least reduction of the search's potential per load.
+pub const SEARCH_GAIN_MIN: f64 = 1e-4;
+
+/// Changes that a search makes in one layer at most.
+pub const SEARCH_STEPS: usize = 24;
+
+/// Least expected reduction of a layer's skew that moves are made for.
+pub const GAIN_MIN: f64 = 0.01;
+
+/// Layers whose slots each rank has buffers for while it loads.
+pub const FLIGHT_LAYERS: usize = 1;
+
+/// Share by which a rank is slower while it loads.
+pub const LOAD_SLOWDOWN: f64 = 0.05;
--- a/papayaproxy/src/experts/events.rs
+++ b/papayaproxy/src/experts/events.rs
@@ -11,9 +11,9 @@
     SWITCH_DONE = 1705, "All ranks have the map. Fields: term, map, step.";
     SWITCH_RELEASED = 1706, "Holds are released and the map in force stays. Fields: term, map, step.";
     SWITCH_FINISHED = 1707, "A commit of an earlier lead was found and is finished. Fields: term, map, step.";
-    MOVE_CHOSEN = 1710, "A move of the plan. Fields: layer, rank, slot, expert, evicted, gain, payback_s.";
+    MOVE_CHOSEN = 1710, "A move of the plan. Fields: layer, rank, slot, expert, evicted, payback_s.";
     MOVES_PLANNED = 1711, "A plan is made. Fields: moves, bytes, gain, cost, skew, horizon_s.";
-    MOVES_DECLINED = 1712, "No move is made. Fields: reason, skew, gain, cost, horizon_s.";
+    MOVES_DECLINED = 1712, "No move is made. Fields: reason, skew, gain.";
     STRAGGLER_FOUND = 1713, "A rank is slow by itself, whatever its experts. Fields: rank, pace.";
     STRAGGLER_GONE = 1714, "A rank is no longer slow by itself. Fields: rank, pace.";
     REPORT_DROPPED = 1715, "A popularity report was late, repeated or malformed. Fields: rank, window, reason.";
--- a/papayaproxy/src/experts/lead.rs
+++ b/papayaproxy/src/experts/lead.rs
@@ -156,6 +156,19 @@
         }
     }
 
+    /// Takes the word of an agent whose engine has held a step for longer than
+    /// [`LEAD_TIMEOUT`](super::constants::LEAD_TIMEOUT). A lead that has rested since learns by it
+    /// that another one took over or left a hold behind.
+    pub fn notice(&mut self, now: Duration, state: RankState) {
+        self.seen = self.seen.max(state.term);
+        if state.term > self.term && self.phase != Phase::Idle {
+            return self.depose(now);
+        }
+        if state.hold.is_some() && self.phase == Phase::Ready {
+            self.ask_anew(now);
+        }
+    }
+
     /// Takes a rank's answer. Answers to anything but the request in progress change nothing.
     pub fn receive(&mut self, now: Duration, from: u16, reply: Reply) {
         self.seen = self.seen.max(reply.state.term);
@@ -163,8 +176,7 @@
             return;
         }
         if reply.state.term > self.term {
-            tracing::info!(event = events::LEAD_DEPOSED, term = ?self.term, seen = ?self.seen, "deposed");
-            return self.stop(now);
+            return self.depose(now);
         }
         let rank = usize::from(from);
         if self.pending.get(rank).copied().flatten() != Some(reply.request) {
@@ -177,6 +189,11 @@
         }
     }
 
+    fn depose(&mut self, now: Duration) {
+        tracing::info!(event = events::LEAD_DEPOSED, term = ?self.term, seen = ?self.seen, "deposed");
+        self.stop(now);
+    }
+
     fn accept(&mut self, now: Duration, rank: usize, state: RankState) {
         self.pending[rank] = None;
         self.states[rank] = Some(state);
--- /dev/null
+++ b/papayaproxy/src/experts/plan.rs
@@ -0,0 +1,322 @@
+//! Decides which moves are worth their bytes.
+
+use super::constants::{
+    FLIGHT_LAYERS, GAIN_MIN, HORIZON, LOAD_SLOWDOWN, SEARCH_STEPS, SETTLED_DISTANCE, WARM_WINDOWS,
+};
+use super::events;
+use super::layout::{bound, lay_out};
+use super::map::{ExpertMap, LayerMap, Move, Shape};
+use super::popularity::Popularity;
+use super::search::{Demand, Search};
+use std::time::Duration;
+
+/// What an operator weighs a group's placement by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Weight of step-time skew.
+    pub skew: f64,
+    /// Weight of moved bytes.
+    pub moved: f64,
+}
+
+/// What loads cost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadCost {
+    /// Bytes of one expert's weights.
+    pub bytes: u64,
+    /// Bytes a second that one rank may load.
+    pub rate: f64,
+}
+
+/// What a decision is made from.
+pub struct Situation<'a> {
+    /// The map in force.
+    pub map: &'a ExpertMap,
+    /// Popularity of the experts.
+    pub popularity: &'a Popularity,
+    /// Slowdown of each rank.
+    pub pace: &'a [f32],
+    /// The deployment's weights.
+    pub weights: Weights,
+    /// What loads cost.
+    pub load: LoadCost,
+}
+
+/// Why no move is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Declined {
+    /// Popularity is not known well enough yet.
+    Warming,
+    /// No layer could gain enough to be worth one load.
+    Balanced,
+    /// Moves would gain less than they cost under the weights.
+    Unprofitable,
+    /// Popularity changes too quickly for the moves to pay back.
+    Unsettled,
+}
+
+/// Moves to be made under one switch.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The moves.
+    pub moves: Vec<Move>,
+    /// Bytes that they load.
+    pub bytes: u64,
+    /// Expected reduction of the step's skew over the horizon.
+    pub gain: f64,
+    /// Weighted cost, in units of weighted gain.
+    pub cost: f64,
+    /// Time in which the gain makes up for the delay by loading.
+    pub payback: Duration,
+    /// Further moves wait for the limit of bytes in flight.
+    pub partial: bool,
+}
+
+/// A decision with its reason.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// Make these moves.
+    Move(Plan),
+    /// Keep the map.
+    Keep(Declined),
+}
+
+/// Changes of one layer that stand or fall together.
+struct Segment {
+    layer: usize,
+    order: usize,
+    moves: Vec<Move>,
+    gain: f64,
+}
+
+impl Segment {
+    fn worth(&self) -> f64 {
+        self.gain / self.moves.len().max(1) as f64
+    }
+}
+
+/// Decides on moves for the present situation.
+pub fn decide(now: Duration, at: &Situation<'_>) -> Decision {
+    if at.popularity.folds() < WARM_WINDOWS {
+        return decline(Declined::Warming, 0.0, 0.0);
+    }
+    let settled = at.popularity.settled(now, SETTLED_DISTANCE);
+    let lasting = (settled.as_secs_f32() / HORIZON.as_secs_f32()).min(1.0);
+    let mut skew = 0.0;
+    let mut segments = Vec::new();
+    for layer in 0..at.map.layers.len() {
+        let demand = Demand {
+            fast: at.popularity.fast(layer),
+            slow: at.popularity.slow(layer),
+            lasting,
+            pace: at.pace,
+        };
+        skew += consider(at, layer, demand, &mut segments);
+    }
+    skew /= at.map.layers.len() as f64;
+    choose(at, settled, skew, segments)
+}
+
+/// Lists what a layer could gain by. Gives its skew.
+fn consider(
+    at: &Situation<'_>,
+    layer: usize,
+    demand: Demand<'_>,
+    segments: &mut Vec<Segment>,
+) -> f64 {
+    let shape = at.map.shape;
+    let placed = &at.map.layers[layer];
+    let mut search = Search::new(layer as u16, placed, demand, shape);
+    let skew = f64::from(search.skew());
+    let room = skew - floor(demand, shape);
+    if room < GAIN_MIN || room * at.weights.skew < load_price(at) {
+        return skew;
+    }
+    if *placed == LayerMap::initial(shape) {
+        segments.extend(lay_out_anew(layer, placed, demand, shape, skew));
+        return skew;
+    }
+    let changes = search.run(SEARCH_STEPS);
+    let mut points = vec![(0usize, skew)];
+    let mut loads = 0;
+    for change in &changes {
+        loads += change.moves.len();
+        points.push((loads, f64::from(change.skew)));
+    }
+    let moves: Vec<Move> = changes.into_iter().flat_map(|c| c.moves).collect();
+    segments.extend(hull(layer, &points, &moves));
+    skew
+}
+
+/// The lowest skew that the layer's slots allow.
+fn floor(demand: Demand<'_>, shape: Shape) -> f64 {
+    let ranks = f32::from(shape.ranks);
+    let low = |share: &[f32]| bound(share, shape) * ranks;
+    let mixed = demand.lasting * low(demand.fast) + (1.0 - demand.lasting) * low(demand.slow);
+    f64::from(mixed)
+}
+
+/// Price of one load, in units of weighted skew of one layer.
+fn load_price(at: &Situation<'_>) -> f64 {
+    at.weights.moved / at.map.shape.layer_slots() as f64
+}
+
+fn lay_out_anew(
+    layer: usize,
+    placed: &LayerMap,
+    demand: Demand<'_>,
+    shape: Shape,
+    skew: f64,
+) -> Option<Segment> {
+    let lasting = demand.lasting;
+    let pairs = demand.fast.iter().zip(demand.slow);
+    let mixed: Vec<f32> = pairs.map(|(f, s)| lasting * f + (1.0 - lasting) * s).collect();
+    let fresh = lay_out(&mixed, demand.pace, shape);
+    let mut search = Search::new(layer as u16, &fresh, demand, shape);
+    search.run(SEARCH_STEPS);
+    let gain = skew - f64::from(search.skew());
+    let moves = difference(layer, placed, &search.into_layer(), shape);
+    (gain > GAIN_MIN).then_some(Segment { layer, order: 0, moves, gain })
+}
+
+/// The loads that turn one layout into another, without moving experts that a rank keeps.
+fn difference(layer: usize, old: &LayerMap, new: &LayerMap, shape: Shape) -> Vec<Move> {
+    let slots = usize::from(shape.slots);
+    let mut moves = Vec::new();
+    for (rank, (have, want)) in old.slots.chunks(slots).zip(new.slots.chunks(slots)).enumerate() {
+        let mut missing: Vec<u16> = want.to_vec();
+        let mut free = Vec::new();
+        for (slot, expert) in have.iter().enumerate() {
+            match missing.iter().position(|e| e == expert) {
+                Some(at) => drop(missing.swap_remove(at)),
+                None => free.push(slot),
+            }
+        }
+        for (slot, expert) in free.into_iter().zip(missing) {
+            let (layer, rank, slot) = (layer as u16, rank as u16, slot as u16);
+            moves.push(Move { layer, rank, slot, expert });
+        }
+    }
+    moves
+}
+
+/// Cuts a series of changes where its gain per load falls: the upper hull of gain over loads.
+fn hull(layer: usize, points: &[(usize, f64)], moves: &[Move]) -> Vec<Segment> {
+    let mut segments = Vec::new();
+    let mut from = 0;
+    while from + 1 < points.len() {
+        let slope =
+            |to: &usize| (points[from].1 - points[*to].1) / (points[*to].0 - points[from].0) as f64;
+        let later = from + 1..points.len();
+        let Some(to) = later.max_by(|a, b| slope(a).total_cmp(&slope(b)).then(b.cmp(a))) else {
+            break;
+        };
+        let gain = points[from].1 - points[to].1;
+        if gain <= 0.0 {
+            break;
+        }
+        let part = moves[points[from].0..points[to].0].to_vec();
+        segments.push(Segment { layer, order: segments.len(), moves: part, gain });
+        from = to;
+    }
+    segments
+}
+
+fn choose(at: &Situation<'_>, settled: Duration, skew: f64, segments: Vec<Segment>) -> Decision {
+    if segments.is_empty() {
+        return decline(Declined::Balanced, skew, 0.0);
+    }
+    let price = load_price(at);
+    let best = segments.iter().map(|s| s.gain).fold(0.0, f64::max);
+    let worthy = profitable(at, price, segments);
+    if worthy.is_empty() {
+        return decline(Declined::Unprofitable, skew, best);
+    }
+    let layers = f64::from(at.map.shape.layers);
+    let (taken, partial) = within_flight(at.map.shape, worthy);
+    let gain = taken.iter().map(|s| s.gain).sum::<f64>() / layers;
+    let moves: Vec<Move> = taken.into_iter().flat_map(|s| s.moves).collect();
+    let loading = loading_time(at, &moves);
+    let payback = loading.mul_f64(LOAD_SLOWDOWN * skew / gain.max(f64::MIN_POSITIVE));
+    if payback > settled {
+        return decline(Declined::Unsettled, skew, gain);
+    }
+    moves.iter().for_each(|m| log_move(at.map, m, payback));
+    let cost = price * moves.len() as f64 / layers;
+    let bytes = moves.len() as u64 * at.load.bytes;
+    tracing::info!(
+        event = events::MOVES_PLANNED,
+        moves = moves.len(),
+        bytes,
+        gain,
+        cost,
+        skew,
+        horizon_s = settled.as_secs(),
+        "moves pay back"
+    );
+    Decision::Move(Plan { moves, bytes, gain, cost, payback, partial })
+}
+
+/// Keeps the segments that gain more than they cost, in layers that gain enough altogether.
+fn profitable(at: &Situation<'_>, price: f64, segments: Vec<Segment>) -> Vec<Segment> {
+    let pays = |s: &Segment| s.gain * at.weights.skew > price * s.moves.len() as f64;
+    let mut kept: Vec<Segment> = segments.into_iter().filter(pays).collect();
+    let mut total = vec![0.0; at.map.layers.len()];
+    kept.iter().for_each(|s| total[s.layer] += s.gain);
+    kept.retain(|s| total[s.layer] >= GAIN_MIN);
+    kept.sort_by(|a, b| b.worth().total_cmp(&a.worth()).then(a.layer.cmp(&b.layer)));
+    kept
+}
+
+/// Takes segments in order while no rank has more loads than it has buffers for.
+fn within_flight(shape: Shape, segments: Vec<Segment>) -> (Vec<Segment>, bool) {
+    let limit = FLIGHT_LAYERS * usize::from(shape.slots);
+    let mut loads = vec![0; usize::from(shape.ranks)];
+    let mut blocked = vec![false; usize::from(shape.layers)];
+    let mut taken = Vec::new();
+    let mut partial = false;
+    for segment in segments {
+        let mut after = loads.clone();
+        segment.moves.iter().for_each(|m| after[usize::from(m.rank)] += 1);
+        let over = after.iter().any(|l| *l > limit);
+        if over || blocked[segment.layer] {
+            blocked[segment.layer] = true;
+            partial = true;
+            continue;
+        }
+        debug_assert!(
+            segment.order == 0 || taken.iter().any(|s: &Segment| s.layer == segment.layer)
+        );
+        loads = after;
+        taken.push(segment);
+    }
+    (taken, partial)
+}
+
+fn loading_time(at: &Situation<'_>, moves: &[Move]) -> Duration {
+    let mut loads = vec![0u32; usize::from(at.map.shape.ranks)];
+    moves.iter().for_each(|m| loads[usize::from(m.rank)] += 1);
+    let most = loads.into_iter().max().unwrap_or_default();
+    Duration::from_secs_f64(f64::from(most) * at.load.bytes as f64 / at.load.rate)
+}
+
+fn log_move(map: &ExpertMap, change: &Move, payback: Duration) {
+    let Move { layer, rank, slot, expert } = *change;
+    let evicted = map.expert(layer, rank, slot);
+    let payback_s = payback.as_secs_f64();
+    tracing::info!(
+        event = events::MOVE_CHOSEN,
+        layer,
+        rank,
+        slot,
+        expert,
+        evicted,
+        payback_s,
+        "lowers the skew"
+    );
+}
+
+fn decline(reason: Declined, skew: f64, gain: f64) -> Decision {
+    tracing::info!(event = events::MOVES_DECLINED, ?reason, skew, gain, "the map stays");
+    Decision::Keep(reason)
+}
