Add links between entry and agent, the control thread, ops endpoint and logs

Cause: calls need one authenticated, multiplexed connection per entry and agent. Change: hello exchange with fresh nonces and session keys; frames carry a code over a running count; replies echo (incarnation, call, workspace) and run under the entry's credit; a lost link says whether a byte of a call may have been written. Ruled out: a code per frame without a count, which would allow replays.

--- a/papayaproxy/src/base/mod.rs
+++ b/papayaproxy/src/base/mod.rs
@@ -3,8 +3,10 @@
 pub(crate) mod clock;
 pub(crate) mod code;
 pub mod constants;
+pub(crate) mod control;
 pub(crate) mod digest;
 pub(crate) mod event;
+pub(crate) mod http;
 pub(crate) mod name;
 
 #[cfg(test)]
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub use base::clock::Clock;
 pub use base::code::{Code, CodeRow, Outcome, row as code_row};
 pub use base::constants;
+pub use base::control::Control;
 pub use base::digest::Digest;
 pub use base::event::Event;
 pub use base::name::{Incarnation, Name, is_name};
--- a/papayaproxy/src/telemetry/codes.rs
+++ b/papayaproxy/src/telemetry/codes.rs
@@ -2,4 +2,8 @@
 
 use crate::base::code::codes;
 
-codes! {}
+codes! {
+    LISTEN_FAILED = 2200, NotRun, 500, "An address cannot be bound; another process may hold it.";
+    LOG_INVALID = 2201, NotRun, 500, "The log filter or format is not understood.";
+    METRICS_FAILED = 2202, NotRun, 500, "The metrics exporter cannot be set up.";
+}
--- a/papayaproxy/src/telemetry/mod.rs
+++ b/papayaproxy/src/telemetry/mod.rs
@@ -2,3 +2,15 @@
 
 pub(crate) mod codes;
 pub(crate) mod events;
+pub(crate) mod log;
+pub(crate) mod metrics;
+pub(crate) mod ops;
+pub(crate) mod status;
+
+#[cfg(test)]
+mod tests;
+
+pub use log::{LogFormat, open_log};
+pub use metrics::Metrics;
+pub use ops::{Ops, StatusSource};
+pub use status::Status;
--- /dev/null
+++ b/papayaproxy/src/telemetry/ops.rs
@@ -0,0 +1,68 @@
+//! The operators' HTTP endpoint: `/live`, `/ready`, `/status` and `/metrics`.
+
+use super::metrics::Metrics;
+use super::status::Status;
+use crate::base::http::{Body, full, serve, text};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, Response, StatusCode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+/// Gives the present state of the process.
+pub type StatusSource = Arc<dyn Fn() -> Status + Send + Sync>;
+
+/// The running endpoint. Dropping it closes it.
+pub struct Ops {
+    address: SocketAddr,
+    _stop: DropGuard,
+}
+
+impl Ops {
+    /// Binds the endpoint to `address` and serves it.
+    ///
+    /// # Errors
+    /// Returns what the system reported where the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        metrics: Metrics,
+        status: StatusSource,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        let handler = move |request| {
+            let response = answer(&request, &metrics, &status);
+            std::future::ready(response)
+        };
+        tokio::spawn(serve(listener, handler, stop.clone()));
+        Ok(Self { address, _stop: stop.drop_guard() })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+fn answer(request: &Request<Incoming>, metrics: &Metrics, status: &StatusSource) -> Response<Body> {
+    if request.method() != Method::GET {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "only GET\n");
+    }
+    match request.uri().path() {
+        "/live" => text(StatusCode::OK, "live\n"),
+        "/ready" if status().ready => text(StatusCode::OK, "ready\n"),
+        "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/status" => typed("application/json", serde_json::to_vec(&status()).unwrap_or_default()),
+        "/metrics" => typed("text/plain; version=0.0.4", metrics.render()),
+        _ => text(StatusCode::NOT_FOUND, "paths: /live /ready /status /metrics\n"),
+    }
+}
+
+fn typed(kind: &'static str, content: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(full(content));
+    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/papayaproxy/src/telemetry/tests.rs
@@ -0,0 +1,23 @@
+//! Tests of metrics and status.
+
+use super::metrics::Metrics;
+use super::status::Status;
+use rstest::rstest;
+
+#[test]
+fn metrics_render_counter() {
+    let metrics = Metrics::open().unwrap();
+    metrics.meter().u64_counter("papaya_test").build().add(3, &[]);
+    let text = String::from_utf8(metrics.render()).unwrap();
+    let line = "papaya_test_total{otel_scope_name=\"papayaproxy\"} 3";
+    assert!(text.contains(line), "{text}");
+}
+
+#[rstest]
+#[case::serving(false, 0, false)]
+#[case::busy(true, 2, false)]
+#[case::done(true, 0, true)]
+fn status_drained(#[case] leaving: bool, #[case] calls: u64, #[case] expected: bool) {
+    let status = Status { leaving, calls, ..Status::default() };
+    assert_eq!(status.is_drained(), expected);
+}
--- a/papayaproxy/src/wire/error.rs
+++ b/papayaproxy/src/wire/error.rs
@@ -35,12 +35,18 @@
     /// The link closed.
     #[snafu(display("link closed"))]
     Closed,
-    /// No link could be made.
-    #[snafu(display("cannot connect: {source}"))]
+    /// The socket failed, or no link could be made.
+    #[snafu(display("socket failed: {source}"))]
     Refused {
         /// What the system reported.
         source: std::io::Error,
     },
+    /// A message exceeds the largest size.
+    #[snafu(display("message of {length} bytes is too large"))]
+    Oversized {
+        /// Length of the message in bytes.
+        length: usize,
+    },
     /// The peer did not complete the handshake.
     #[snafu(display("handshake failed: {reason}"))]
     Handshake {
@@ -60,7 +66,14 @@
             Self::SecretInvalid => codes::SECRET_INVALID,
             Self::Closed => codes::LINK_CLOSED,
             Self::Refused { .. } => codes::LINK_REFUSED,
+            Self::Oversized { .. } => codes::FRAME_OVERSIZED,
             Self::Handshake { .. } => codes::HANDSHAKE_FAILED,
         }
     }
 }
+
+impl From<std::io::Error> for WireError {
+    fn from(source: std::io::Error) -> Self {
+        Self::Refused { source }
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/wire/link.rs
@@ -0,0 +1,285 @@
+//! A link as the entry holds it: many calls at a time over one connection to an agent.
+
+use super::codec::FrameDecoder;
+use super::constants::{CONNECT_LIMIT, PING_INTERVAL, REPLY_WINDOW_BYTES, SILENCE_LIMIT};
+use super::context::LinkContext;
+use super::error::WireError;
+use super::frame::{CallHead, CallTag, Envelope, Frame, Reply};
+use super::handshake::{self, Identity, Session};
+use super::outbox::{Outbox, write_frames};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+use tokio_util::codec::FramedRead;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Calls in progress by number; `None` once the link has closed.
+type Calls = Mutex<Option<HashMap<u64, Waiter>>>;
+
+struct Waiter {
+    tag: CallTag,
+    replies: mpsc::UnboundedSender<Reply>,
+}
+
+struct Shared {
+    context: Arc<LinkContext>,
+    peer: Identity,
+    outbox: Outbox,
+    calls: Calls,
+    closed: CancellationToken,
+}
+
+/// A running link to an agent.
+#[derive(Clone)]
+pub struct Link {
+    shared: Arc<Shared>,
+}
+
+/// Why a call got no further reply from its link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkLost {
+    /// Whether any byte of the call may have reached the agent.
+    pub written: bool,
+}
+
+/// A call in progress. Dropping it before its end cancels it at the agent.
+pub struct Call {
+    tag: CallTag,
+    link: Arc<Shared>,
+    replies: mpsc::UnboundedReceiver<Reply>,
+    written: Arc<AtomicBool>,
+    consumed: u32,
+    ended: bool,
+}
+
+impl Link {
+    /// Connects to the agent at `address`.
+    ///
+    /// # Errors
+    /// `Refused` or `Handshake`; no call was sent in either case.
+    pub async fn open(address: SocketAddr, context: Arc<LinkContext>) -> Result<Self, WireError> {
+        let (stream, session) = timeout(CONNECT_LIMIT, establish(address, &context))
+            .await
+            .map_err(|_| WireError::Handshake { reason: "no answer in time" })??;
+        Ok(Self::spawn(stream, session, context))
+    }
+
+    fn spawn(stream: TcpStream, session: Session, context: Arc<LinkContext>) -> Self {
+        let (read, write) = stream.into_split();
+        let (outbox, queue) = Outbox::new();
+        let shared = Arc::new(Shared {
+            context: context.clone(),
+            peer: session.peer,
+            outbox,
+            calls: Mutex::new(Some(HashMap::new())),
+            closed: CancellationToken::new(),
+        });
+        let writer = write_frames(write, session.encoder, queue, context);
+        tokio::spawn(run(shared.clone(), read, session.decoder, writer));
+        Self { shared }
+    }
+
+    /// The agent at the other end.
+    pub fn peer(&self) -> &Identity {
+        &self.shared.peer
+    }
+
+    /// Whether the link has closed.
+    pub fn is_closed(&self) -> bool {
+        self.shared.closed.is_cancelled()
+    }
+
+    /// Closes the link. Calls in progress see it as lost.
+    pub fn close(&self) {
+        self.shared.closed.cancel();
+    }
+
+    /// Sends a call.
+    ///
+    /// # Errors
+    /// `LinkLost`, with whether a byte of the call may have been written.
+    pub async fn call(&self, head: CallHead, body: Bytes) -> Result<Call, LinkLost> {
+        let tag = CallTag {
+            caller: self.shared.context.identity.incarnation,
+            call: self.shared.context.next_call(),
+            workspace: xxh3_64(head.workspace.as_bytes()),
+        };
+        let (sender, replies) = mpsc::unbounded_channel();
+        let written = Arc::new(AtomicBool::new(false));
+        let call = Call {
+            tag,
+            link: self.shared.clone(),
+            replies,
+            written: written.clone(),
+            consumed: 0,
+            ended: false,
+        };
+        if !self.shared.register(tag, sender) {
+            return Err(LinkLost { written: false });
+        }
+        let frame = Frame::Call { tag, head, body };
+        let sent = self.shared.outbox.send_tracked(frame, written).await;
+        sent.map_err(|_| LinkLost { written: false })?;
+        Ok(call)
+    }
+}
+
+impl Call {
+    /// Waits for the next part of the reply.
+    ///
+    /// # Errors
+    /// `LinkLost` once the link has closed.
+    pub async fn next(&mut self) -> Result<Reply, LinkLost> {
+        let Some(reply) = self.replies.recv().await else {
+            self.ended = true;
+            return Err(LinkLost { written: self.written.load(Ordering::SeqCst) });
+        };
+        if matches!(reply, Reply::End(_) | Reply::Failure(_)) {
+            self.finish();
+        }
+        Ok(reply)
+    }
+
+    /// Whether any byte of the call may have reached the agent.
+    pub fn is_written(&self) -> bool {
+        self.written.load(Ordering::SeqCst)
+    }
+
+    /// Allows the agent to send `bytes` more, after the caller has taken as many.
+    pub fn consume(&mut self, bytes: usize) {
+        self.consumed += bytes as u32;
+        if self.consumed >= REPLY_WINDOW_BYTES / 2 {
+            let frame = Frame::Credit { tag: self.tag, bytes: self.consumed };
+            // A credit that finds no room is kept and sent with the next one.
+            if self.link.outbox.try_send(frame) {
+                self.consumed = 0;
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        self.link.remove(self.tag.call);
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.finish();
+        if !self.link.outbox.try_send(Frame::Cancel(self.tag)) {
+            let outbox = self.link.outbox.clone();
+            let tag = self.tag;
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move { outbox.send(Frame::Cancel(tag)).await });
+            }
+        }
+    }
+}
+
+impl Shared {
+    fn register(&self, tag: CallTag, replies: mpsc::UnboundedSender<Reply>) -> bool {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(calls) = calls.as_mut() else {
+            return false;
+        };
+        calls.insert(tag.call, Waiter { tag, replies });
+        true
+    }
+
+    fn remove(&self, call: u64) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(calls) = calls.as_mut() {
+            calls.remove(&call);
+        }
+    }
+
+    /// Gives a reply to the call that it echoes; any other reply is dropped and counted.
+    fn deliver(&self, tag: CallTag, reply: Reply) {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let waiter = calls.as_ref().and_then(|c| c.get(&tag.call));
+        match waiter.filter(|w| w.tag == tag) {
+            Some(waiter) => {
+                let _ = waiter.replies.send(reply);
+            }
+            None => self.context.count_dropped(),
+        }
+    }
+
+    fn receive(&self, envelope: Envelope) {
+        self.context.observe(envelope.generation);
+        match envelope.frame {
+            Frame::Reply { tag, reply } => self.deliver(tag, reply),
+            Frame::Ping(number) => {
+                self.outbox.try_send(Frame::Pong(number));
+            }
+            _ => {}
+        }
+    }
+}
+
+async fn establish(
+    address: SocketAddr,
+    context: &LinkContext,
+) -> Result<(TcpStream, Session), WireError> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let session = handshake::connect(&mut stream, &context.identity, &context.secrets).await?;
+    Ok((stream, session))
+}
+
+/// Runs a link to its end, then fails the calls that are still in progress.
+async fn run(
+    shared: Arc<Shared>,
+    read: OwnedReadHalf,
+    decoder: FrameDecoder,
+    writer: impl Future<Output = Result<(), WireError>>,
+) {
+    // The writer ends with this block: what it has not taken by then is never written.
+    tokio::select! {
+        _ = writer => {}
+        _ = read_frames(&shared, read, decoder) => {}
+        () = shared.closed.cancelled() => {}
+    }
+    shared.closed.cancel();
+    shared.context.stats.closed.fetch_add(1, Ordering::Relaxed);
+    let calls = shared.calls.lock().unwrap_or_else(PoisonError::into_inner).take();
+    drop(calls);
+}
+
+/// Reads frames, and pings the agent; ends when the agent has been silent for too long.
+async fn read_frames(
+    shared: &Shared,
+    read: OwnedReadHalf,
+    decoder: FrameDecoder,
+) -> Result<(), WireError> {
+    let mut frames = FramedRead::new(read, decoder);
+    let mut pings = tokio::time::interval(PING_INTERVAL);
+    let mut heard = Instant::now();
+    let mut number = 0;
+    loop {
+        tokio::select! {
+            frame = frames.next() => {
+                heard = Instant::now();
+                shared.receive(frame.ok_or(WireError::Closed)??);
+            }
+            _ = pings.tick() => {
+                if heard.elapsed() > SILENCE_LIMIT {
+                    return Err(WireError::Closed);
+                }
+                number += 1;
+                shared.outbox.try_send(Frame::Ping(number));
+            }
+        }
+    }
+}
