Add the lab's stand-ins: engine, plain service, platform, forwarder

Cause: the whole path has nothing to talk to. Change: four stand-ins, each a library handle and a subcommand, on one small hyper server and client.

--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -1,5 +1,12 @@
 //! Stand-ins, load tool and experiments for papayaproxy. Used on test machines only.
 
+pub(crate) mod daemon;
+pub mod engine;
+pub mod forward;
+pub mod http;
+pub mod plain;
+pub mod platform;
+
 use clap::{ArgMatches, Command};
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -13,7 +20,12 @@
 }
 
 /// Every subcommand of the lab.
-const SUBCOMMANDS: &[Subcommand] = &[];
+const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand { command: engine::command, run: engine::run },
+    Subcommand { command: plain::command, run: plain::run },
+    Subcommand { command: platform::command, run: platform::run },
+    Subcommand { command: forward::command, run: forward::run },
+];
 
 /// Parses `args` and runs the subcommand that they name.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
--- /dev/null
+++ b/papaya-lab/src/platform/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the engine stand-in.
