--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod forward;
 pub mod http;
+pub mod load;
 pub mod plain;
 pub mod platform;
 
@@ -25,6 +26,7 @@
     Subcommand { command: plain::command, run: plain::run },
     Subcommand { command: platform::command, run: platform::run },
     Subcommand { command: forward::command, run: forward::run },
+    Subcommand { command: load::command, run: load::run },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
--- a/papaya-lab/src/platform/routes.rs
+++ b/papaya-lab/src/platform/routes.rs
@@ -88,7 +88,8 @@
         shared.counts().reads += 1;
         let seen = request.headers().get(IF_NONE_MATCH).and_then(|v| v.to_str().ok());
         let current = shared.config().current().cloned();
-        return Ok(reply(current.filter(|r| Some(r.etag.as_str()) != seen), seen.is_some()));
+        let newer = current.filter(|r| Some(bare(&r.etag)) != seen.map(bare));
+        return Ok(reply(newer, seen.is_some()));
     };
     shared.counts().watches += 1;
     let wait = query::value(query, "wait").and_then(|w| parse_duration(w).ok());
@@ -105,8 +106,8 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let current = shared.config().current().cloned();
-        let bare = after.trim_matches('"');
-        if let Some(newer) = current.filter(|r| r.etag.trim_matches('"') != bare) {
+
+        if let Some(newer) = current.filter(|r| bare(&r.etag) != bare(after)) {
             return Ok(reply(Some(newer), true));
         }
         if timeout_at(until, changes.changed()).await.is_err() {
@@ -126,3 +127,8 @@
     }
     reply
 }
+
+/// A revision without its quotes.
+fn bare(etag: &str) -> &str {
+    etag.trim_matches('"')
+}
