Add the cores of routing and limits

Cause: the entry needs an upstream for each request, and a gate before it. Ruled out: a lock-free score table.

--- a/papayaproxy/src/routing/mod.rs
+++ b/papayaproxy/src/routing/mod.rs
@@ -1,4 +1,23 @@
 //! The choice of an upstream for each request.
 
+pub(crate) mod cache;
+pub(crate) mod candidates;
 pub(crate) mod codes;
+pub(crate) mod constants;
+pub(crate) mod decision;
 pub(crate) mod events;
+pub(crate) mod home;
+pub(crate) mod load;
+pub(crate) mod prefix;
+pub(crate) mod request;
+pub(crate) mod router;
+pub(crate) mod score;
+pub(crate) mod settings;
+
+pub use candidates::{Candidate, Candidates, Distance, Presence};
+pub use constants::{BLOCK_BYTES, BLOCK_TOKENS, BLOCKS_MAX, SCORED_MAX};
+pub use decision::{Decision, Reason, Refusal, Scored, ScoredList};
+pub use prefix::prompt_blocks;
+pub use request::{ModelKey, Moment, Request};
+pub use router::{CacheEvent, Change, End, Overdue, Router, Ticket};
+pub use settings::{SETTINGS, Settings};
