Add the agent process and the feed of document and live view

Cause: an upstream needs its one gate; slices need one way to read the fleet. Ruled out: the client's own re-sending of calls on closed connections, which would run a call twice. Not measured yet.

--- a/papayaproxy/src/agent/codes.rs
+++ b/papayaproxy/src/agent/codes.rs
@@ -2,4 +2,14 @@
 
 use crate::base::code::codes;
 
-codes! {}
+codes! {
+    COMPLETED = 2400, Completed, 200, "The upstream answered and the whole answer is attached.";
+    UPSTREAM_REFUSED = 2401, NotRun, 503, "The upstream accepts no connection; nothing of the call was sent to it.";
+    UPSTREAM_LOST = 2402, Unknown, 502, "The upstream closed the connection before its answer was whole.";
+    UPSTREAM_LATE = 2403, Unknown, 504, "The upstream did not answer before the deadline.";
+    AGENT_LEAVING = 2404, NotRun, 503, "The upstream is leaving and takes no new work.";
+    SERVICE_FOREIGN = 2405, NotRun, 503, "The upstream does not offer this service.";
+    CALL_MALFORMED = 2406, NotRun, 400, "The method, path or a header of the call is not valid HTTP.";
+    AGENT_FULL = 2407, NotRun, 503, "The agent has as many calls in progress as it may.";
+    CALL_CANCELLED = 2408, Unknown, 499, "The caller went away before the answer was whole.";
+}
--- /dev/null
+++ b/papayaproxy/src/agent/constants.rs
@@ -0,0 +1,24 @@
+//! Limits and intervals of an agent.
+
+use std::time::Duration;
+
+/// Most calls in progress at one agent.
+pub(crate) const CALLS_MAX: usize = 4096;
+
+/// Interval between readings of the upstream's load report.
+pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time allowed for one reading of the load report.
+pub(crate) const LOAD_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time allowed for a connection to the upstream.
+pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time after which an idle connection to the upstream is closed.
+pub(crate) const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Part of the deadline that an agent leaves for its answer to reach the caller.
+pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(5);
+
+/// Wait after a failed accept, so that a shortage of descriptors does not spin.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/papayaproxy/src/agent/mod.rs
+++ b/papayaproxy/src/agent/mod.rs
@@ -1,4 +1,14 @@
 //! The agent process: the only gate to its upstream.
 
+pub(crate) mod call;
+pub(crate) mod client;
 pub(crate) mod codes;
+pub(crate) mod constants;
 pub(crate) mod events;
+pub(crate) mod links;
+pub(crate) mod load;
+pub(crate) mod process;
+pub(crate) mod settings;
+
+pub use process::Agent;
+pub use settings::{AgentSettings, TABLES};
--- /dev/null
+++ b/papayaproxy/src/agent/settings.rs
@@ -0,0 +1,66 @@
+//! Settings of an agent.
+
+use crate::base::name::Name;
+use crate::settings::process;
+use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, parse_name};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Rows of the agent's own settings.
+pub(crate) const ROWS: &[SettingRow] = &[
+    SettingRow {
+        section: "agent",
+        key: "address",
+        default: None,
+        meaning: "address and port of the upstream host's slot, as in the fleet document",
+    },
+    SettingRow {
+        section: "upstream",
+        key: "name",
+        default: None,
+        meaning: "name of the upstream in the fleet document",
+    },
+    SettingRow {
+        section: "upstream",
+        key: "address",
+        default: None,
+        meaning: "address and port of the upstream's HTTP service",
+    },
+];
+
+/// Every table of settings that an agent reads.
+pub const TABLES: &[&[SettingRow]] = &[process::ROWS, ROWS];
+
+/// The checked settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Common settings.
+    pub process: ProcessSettings,
+    /// Address of the slot, for links (TCP) and heartbeats (UDP).
+    pub address: SocketAddr,
+    /// Name of the upstream.
+    pub upstream: Name,
+    /// Address of the upstream's HTTP service.
+    pub target: SocketAddr,
+}
+
+impl AgentSettings {
+    /// Reads settings from a file and overrides.
+    ///
+    /// # Errors
+    /// Returns every mistake found.
+    pub fn open(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
+        let mut reader = Reader::open(file, overrides, TABLES);
+        let settings = Self::read(&mut reader);
+        reader.finish(settings)
+    }
+
+    /// Reads the settings; `None` if one is wrong, which the reader then reports.
+    pub fn read(reader: &mut Reader) -> Option<Self> {
+        let process = ProcessSettings::read(reader);
+        let address = process::read_address(reader, "agent");
+        let upstream = reader.value("upstream", "name", parse_name);
+        let target = process::read_address(reader, "upstream");
+        Some(Self { process: process?, address: address?, upstream: upstream?, target: target? })
+    }
+}
--- a/papayaproxy/src/base/mod.rs
+++ b/papayaproxy/src/base/mod.rs
@@ -5,6 +5,7 @@
 pub mod constants;
 pub(crate) mod control;
 pub(crate) mod digest;
+pub(crate) mod error;
 pub(crate) mod event;
 pub(crate) mod http;
 pub(crate) mod name;
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub use base::constants;
 pub use base::control::Control;
 pub use base::digest::Digest;
+pub use base::error::ProcessError;
 pub use base::event::Event;
 pub use base::name::{Incarnation, Name, is_name};
 
--- /dev/null
+++ b/papayaproxy/src/settings/process.rs
@@ -0,0 +1,148 @@
+//! Settings that every daemon has: identity, link keys, operators' endpoint, platform, log, threads.
+
+use super::reader::{Reader, SettingRow};
+use super::value::parse_name;
+use crate::base::name::{Incarnation, Name};
+use crate::telemetry::log::{LogFormat, parse_filter};
+use crate::wire::{Identity, Secret, Secrets};
+use std::net::SocketAddr;
+
+/// Rows of the common settings.
+pub(crate) const ROWS: &[SettingRow] = &[
+    SettingRow {
+        section: "process",
+        key: "name",
+        default: None,
+        meaning: "name of the process, unique in the fleet",
+    },
+    SettingRow {
+        section: "process",
+        key: "zone",
+        default: None,
+        meaning: "availability zone of the host",
+    },
+    SettingRow {
+        section: "process",
+        key: "threads",
+        default: Some("2"),
+        meaning: "threads for traffic, 1 to 256",
+    },
+    SettingRow {
+        section: "link",
+        key: "key",
+        default: None,
+        meaning: "key that seals what this process sends, as id:64-hex-digits",
+    },
+    SettingRow {
+        section: "link",
+        key: "other_key",
+        default: Some(""),
+        meaning: "second key that is accepted while the key is rolled, as id:64-hex-digits",
+    },
+    SettingRow {
+        section: "ops",
+        key: "address",
+        default: None,
+        meaning: "address and port of /live, /ready, /status and /metrics",
+    },
+    SettingRow {
+        section: "platform",
+        key: "address",
+        default: None,
+        meaning: "address and port of the platform's service",
+    },
+    SettingRow { section: "log", key: "format", default: Some("text"), meaning: "text or json" },
+    SettingRow {
+        section: "log",
+        key: "filter",
+        default: Some("info"),
+        meaning: "log filter such as info or papayaproxy=debug",
+    },
+];
+
+/// Most threads for traffic.
+const THREADS_MAX: usize = 256;
+
+/// The checked common settings.
+#[derive(Clone, Debug)]
+pub struct ProcessSettings {
+    /// Name of the process.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Threads for traffic.
+    pub threads: usize,
+    /// Link keys in force.
+    pub secrets: Secrets,
+    /// Address of the operators' endpoint.
+    pub ops: SocketAddr,
+    /// Address of the platform's service.
+    pub platform: SocketAddr,
+    /// Form of log lines.
+    pub format: LogFormat,
+    /// Log filter.
+    pub filter: String,
+}
+
+impl ProcessSettings {
+    /// Reads the common settings; `None` if one is wrong, which the reader then reports.
+    pub fn read(reader: &mut Reader) -> Option<Self> {
+        let name = reader.value("process", "name", parse_name);
+        let zone = reader.value("process", "zone", parse_name);
+        let threads = reader.value("process", "threads", parse_threads);
+        let secrets = read_secrets(reader);
+        let ops = read_address(reader, "ops");
+        let platform = read_address(reader, "platform");
+        let format = reader.value("log", "format", LogFormat::parse);
+        let filter = reader.value("log", "filter", parse_filter);
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            threads: threads?,
+            secrets: secrets?,
+            ops: ops?,
+            platform: platform?,
+            format: format?,
+            filter: filter?,
+        })
+    }
+
+    /// Makes the identity of this run of the process.
+    pub fn identity(&self) -> Identity {
+        Identity { name: self.name.clone(), incarnation: Incarnation::generate() }
+    }
+}
+
+/// Reads the key `address` of a section.
+pub(crate) fn read_address(reader: &mut Reader, section: &str) -> Option<SocketAddr> {
+    reader.parsed(section, "address", "an IP address and port such as 127.0.0.1:7400")
+}
+
+fn parse_threads(text: &str) -> Result<usize, String> {
+    let threads = text.parse().ok().filter(|n| (1..=THREADS_MAX).contains(n));
+    threads.ok_or_else(|| format!("a number from 1 to {THREADS_MAX}"))
+}
+
+/// Reads the link keys. Their text is never repeated in a report.
+fn read_secrets(reader: &mut Reader) -> Option<Secrets> {
+    let current = read_secret(reader, "key");
+    let other = read_secret(reader, "other_key");
+    let (current, other) = (current?, other);
+    if other.as_ref().is_some_and(|o| o.id == current.id) {
+        let detail = "the keys must have different ids".to_owned();
+        reader.report(super::codes::VALUE_CLASH, "link", "other_key", detail);
+        return None;
+    }
+    Some(Secrets { current, other })
+}
+
+fn read_secret(reader: &mut Reader, key: &str) -> Option<Secret> {
+    let text = reader.value("link", key, |text| Ok(text.to_owned()))?;
+    match Secret::parse(&text) {
+        Ok(secret) => Some(secret),
+        Err(error) => {
+            reader.report(super::codes::VALUE_INVALID, "link", key, error.to_string());
+            None
+        }
+    }
+}
--- a/papayaproxy/src/wire/context.rs
+++ b/papayaproxy/src/wire/context.rs
@@ -4,6 +4,9 @@
 use super::secret::Secrets;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+/// Gives the generation of the document in force.
+pub type GenerationSource = Box<dyn Fn() -> u64 + Send + Sync>;
+
 /// Called with the generation of a peer whose document is newer than the one in force here.
 pub type NewerHook = Box<dyn Fn(u64) + Send + Sync>;
 
@@ -24,31 +27,32 @@
     pub secrets: Secrets,
     /// Counters.
     pub stats: LinkStats,
-    generation: AtomicU64,
+    generation: GenerationSource,
     next_call: AtomicU64,
     newer: NewerHook,
 }
 
 impl LinkContext {
-    /// Makes the context. `newer` is called when a peer has a newer document.
-    pub fn new(identity: Identity, secrets: Secrets, newer: NewerHook) -> Self {
+    /// Makes the context. Frames carry what `generation` gives; `newer` is called when a peer has
+    /// a newer document.
+    pub fn new(
+        identity: Identity,
+        secrets: Secrets,
+        generation: GenerationSource,
+        newer: NewerHook,
+    ) -> Self {
         Self {
             identity,
             secrets,
             stats: LinkStats::default(),
-            generation: AtomicU64::new(0),
+            generation,
             next_call: AtomicU64::new(1),
             newer,
         }
     }
 
-    /// States the generation in force, which all further frames carry.
-    pub fn set_generation(&self, generation: u64) {
-        self.generation.fetch_max(generation, Ordering::Relaxed);
-    }
-
     pub(crate) fn generation(&self) -> u64 {
-        self.generation.load(Ordering::Relaxed)
+        (self.generation)()
     }
 
     pub(crate) fn next_call(&self) -> u64 {
--- a/papayaproxy/src/wire/mod.rs
+++ b/papayaproxy/src/wire/mod.rs
@@ -17,7 +17,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use context::{LinkContext, LinkStats, NewerHook};
+pub use context::{GenerationSource, LinkContext, LinkStats, NewerHook};
 pub use error::WireError;
 pub use frame::{CallFailure, CallHead, CallTag, Header, Reply, ReplyEnd, ReplyHead};
 pub use handshake::Identity;
