--- a/papayaproxy/src/entry/codes.rs
+++ b/papayaproxy/src/entry/codes.rs
@@ -2,4 +2,19 @@
 
 use crate::base::code::codes;
 
-codes! {}
+codes! {
+    PATH_UNKNOWN = 2300, NotRun, 404, "The path is none of an entry's; services stand under /v1/services/{service}/.";
+    WORKSPACE_MISSING = 2301, NotRun, 401, "The header papaya-workspace is missing or is no name.";
+    CREDENTIAL_WRONG = 2302, NotRun, 401, "The credential is missing or is not the workspace's.";
+    SERVICE_UNKNOWN = 2303, NotRun, 404, "The fleet document has no such service.";
+    DEADLINE_INVALID = 2304, NotRun, 400, "The header papaya-deadline is no duration from 1 ms to 600 s, such as 500ms.";
+    PRIORITY_INVALID = 2305, NotRun, 400, "The header papaya-priority is no number from 0 to 9.";
+    BODY_OVERSIZED = 2306, NotRun, 413, "The request body is larger than 1 MiB.";
+    BODY_BROKEN = 2307, NotRun, 400, "The request body ended early.";
+    ENTRY_STOPPING = 2308, NotRun, 503, "The entry is stopping; another entry takes the request.";
+    ENTRY_NOT_READY = 2309, NotRun, 503, "The entry has no fleet document yet.";
+    REPLY_CORRUPT = 2310, Unknown, 502, "The reply's pieces, length or checksum do not fit together.";
+    REPLY_LATE = 2311, Unknown, 504, "The reply was not whole before the deadline.";
+    REPLY_OVERSIZED = 2312, Unknown, 502, "A reply that must be whole before it is passed on is too large.";
+    CALLER_GONE = 2313, Unknown, 499, "The caller went away before its answer was whole.";
+}
--- /dev/null
+++ b/papayaproxy/src/entry/links.rs
@@ -0,0 +1,70 @@
+//! The links of an entry, one to each agent that it has called.
+
+use super::events;
+use crate::wire::{Link, LinkContext, WireError};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Holds the link to one agent, and lets only one task at a time make it.
+type Slot = Arc<tokio::sync::Mutex<Option<Link>>>;
+
+/// Links by address of the agent.
+pub(crate) struct Links {
+    context: Arc<LinkContext>,
+    open: Mutex<HashMap<SocketAddr, Link>>,
+    slots: Mutex<HashMap<SocketAddr, Slot>>,
+}
+
+impl Links {
+    pub(crate) fn new(context: Arc<LinkContext>) -> Self {
+        Self { context, open: Mutex::default(), slots: Mutex::default() }
+    }
+
+    /// Gives the open link to `address`, or makes one.
+    ///
+    /// # Errors
+    /// Why no link could be made; nothing of any call was sent.
+    pub(crate) async fn get(&self, address: SocketAddr) -> Result<Link, WireError> {
+        if let Some(link) = self.find(address) {
+            return Ok(link);
+        }
+        let slot = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        let slot = { slot }.entry(address).or_default().clone();
+        let mut slot = slot.lock().await;
+        if let Some(link) = slot.as_ref().filter(|l| !l.is_closed()) {
+            return Ok(link.clone());
+        }
+        let link = self.connect(address).await?;
+        *slot = Some(link.clone());
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(address, link.clone());
+        Ok(link)
+    }
+
+    /// Closes links to agents that `keep` does not name.
+    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|address, link| keep(address) && !link.is_closed());
+    }
+
+    fn find(&self, address: SocketAddr) -> Option<Link> {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.get(&address).filter(|l| !l.is_closed()).cloned()
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Link, WireError> {
+        match Link::open(address, self.context.clone()).await {
+            Ok(link) => {
+                let agent = &link.peer().name;
+                let incarnation = link.peer().incarnation;
+                tracing::info!(event = events::LINK_OPENED, %address, %agent, %incarnation, "link open");
+                Ok(link)
+            }
+            Err(error) => {
+                let code = error.code();
+                tracing::warn!(event = events::LINK_FAILED, %address, %code, "{error}");
+                Err(error)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/entry/settings.rs
@@ -0,0 +1,67 @@
+//! Settings of an entry.
+
+use crate::routing;
+use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, process};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Most requests that an entry may be set to run at a time.
+const CAPACITY_MAX: u32 = 1 << 20;
+
+/// Rows of the entry's own settings.
+pub(crate) const ROWS: &[SettingRow] = &[
+    SettingRow {
+        section: "entry",
+        key: "address",
+        default: None,
+        meaning: "address and port for callers, and for peers' heartbeats (UDP)",
+    },
+    SettingRow {
+        section: "entry",
+        key: "capacity",
+        default: Some("4096"),
+        meaning: "requests that run at a time, 1 to 1048576",
+    },
+];
+
+/// Every table of settings that an entry reads.
+pub const TABLES: &[&[SettingRow]] = &[process::ROWS, ROWS, routing::SETTINGS, crate::limits::SETTINGS];
+
+/// The checked settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Common settings.
+    pub process: ProcessSettings,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Requests that run at a time.
+    pub capacity: u32,
+    /// Settings of routing.
+    pub routing: routing::Settings,
+}
+
+impl EntrySettings {
+    /// Reads settings from a file and overrides.
+    ///
+    /// # Errors
+    /// Returns every mistake found.
+    pub fn open(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
+        let mut reader = Reader::open(file, overrides, TABLES);
+        let settings = Self::read(&mut reader);
+        reader.finish(settings)
+    }
+
+    /// Reads the settings; `None` if one is wrong, which the reader then reports.
+    pub fn read(reader: &mut Reader) -> Option<Self> {
+        let process = ProcessSettings::read(reader);
+        let address = process::read_address(reader, "entry");
+        let capacity = reader.value("entry", "capacity", parse_capacity);
+        let routing = routing::Settings::read(reader);
+        Some(Self { process: process?, address: address?, capacity: capacity?, routing: routing? })
+    }
+}
+
+fn parse_capacity(text: &str) -> Result<u32, String> {
+    let capacity = text.parse().ok().filter(|n| (1..=CAPACITY_MAX).contains(n));
+    capacity.ok_or_else(|| format!("a number from 1 to {CAPACITY_MAX}"))
+}
