--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins, load tool and experiments for papayaproxy. Used on test machines only.
 
+mod routing;
+
 use clap::{ArgMatches, Command};
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -13,7 +15,7 @@
 }
 
 /// Every subcommand of the lab.
-const SUBCOMMANDS: &[Subcommand] = &[];
+const SUBCOMMANDS: &[Subcommand] = &[Subcommand { command: routing::command, run: routing::run }];
 
 /// Parses `args` and runs the subcommand that they name.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
