Expect a home to hold what is known of a prefix

Cause: each of nine entries sees a ninth of the requests and learns of a cache late. Change: a home is credited with 0.8 of what this entry has seen of the prefix anywhere.

--- a/papayaproxy/src/routing/constants.rs
+++ b/papayaproxy/src/routing/constants.rs
@@ -17,6 +17,9 @@
 /// Homes of a prompt that are scored.
 pub(crate) const HOMES: usize = 2;
 
+/// Part of a known prefix that the home of the prompt is expected to hold.
+pub(crate) const HOME_TRUST: f64 = 0.8;
+
 /// Upstreams remembered for each block.
 pub(crate) const HOLDERS_MAX: usize = 4;
 
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -3,10 +3,12 @@
 //! It has no I/O, clock or randomness of its own. One entry shares one router behind a mutex; a
 //! choice takes microseconds.
 
-use super::cache::{Matches, PrefixIndex};
+use super::cache::{Match, Matches, PrefixIndex};
 use super::candidates::{Candidates, Pool};
 use super::codes;
-use super::constants::{DRAWS, INDEX_BLOCKS, SAMPLES, STALL_FACTOR, STALL_FLOOR};
+use super::constants::{
+    DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, SAMPLES, STALL_FACTOR, STALL_FLOOR,
+};
 use super::decision::{Decision, Reason, Refusal, Scored, ScoredList};
 use super::home::{home_key, homes};
 use super::load::{Attempt, Load};
@@ -214,8 +216,9 @@
         let candidates = self.candidates.clone();
         let pool = candidates.pools.get(request.service).ok_or_else(Refusal::unknown_service)?;
         let tag = workspace_tag(request.workspace);
-        let choice =
-            Choice { router: self, request, at, matches: self.index.matches(tag, request.prefix) };
+        let matches = self.index.matches(tag, request.prefix);
+        let mut choice = Choice { router: self, request, at, matches, homes: [None; HOMES] };
+        choice.find_homes(pool);
         let mut scored = ScoredList::new();
         choice.score_all(pool, &mut scored, rng);
         let best = scored.best().copied().ok_or_else(|| choice.refuse(pool))?;
@@ -370,18 +373,21 @@
     request: &'a Request<'a>,
     at: Moment,
     matches: Matches,
+    homes: [Option<u32>; HOMES],
 }
 
 impl Choice<'_> {
+    fn find_homes(&mut self, pool: &Pool) {
+        let Some(key) = home_key(self.request.prefix) else { return };
+        self.homes = homes(&self.router.candidates, &pool.members, key, |i| self.fits(i));
+    }
+
     fn score_all(&self, pool: &Pool, scored: &mut ScoredList, rng: &mut impl Rng) {
         let (near, far) = pool.members.split_at(pool.near);
         for found in self.matches.iter().filter(|m| pool.members.contains(&m.upstream)) {
             self.score(found.upstream, Reason::Cached, scored);
         }
-        if let Some(key) = home_key(self.request.prefix) {
-            let best = homes(&self.router.candidates, &pool.members, key, |i| self.fits(i));
-            best.iter().flatten().for_each(|&i| self.score(i, Reason::Home, scored));
-        }
+        self.homes.iter().flatten().for_each(|&i| self.score(i, Reason::Home, scored));
         self.draw(near, Reason::Drawn, scored, rng);
         self.draw(far, Reason::Spilled, scored, rng);
         if scored.iter().next().is_none() {
@@ -427,10 +433,14 @@
         });
     }
 
+    /// Tokens of the prompt that an upstream's cache is expected to hold. A home is expected to hold
+    /// whatever this entry has seen before of the prefix, since the other entries send it there too.
     fn cached(&self, index: u32) -> f64 {
-        let found = self.matches.find(index);
-        let credit = found.map_or(0.0, |m| self.router.index.credit(m, self.at.now));
-        credit.min(f64::from(self.request.prompt))
+        let credit = |m: &Match| self.router.index.credit(m, self.at.now);
+        let own = self.matches.find(index).map_or(0.0, credit);
+        let shared = self.matches.iter().map(credit).fold(0.0, f64::max);
+        let home = if self.homes.contains(&Some(index)) { HOME_TRUST * shared } else { 0.0 };
+        own.max(home).min(f64::from(self.request.prompt))
     }
 
     fn forecast(&self, index: u32) -> Forecast {
