Send a prompt to one of the two homes of its prefix

Cause: a request that leaves its home costs the others prefill time, and the caches of engines that are no home lose what they hold. Past about 0.6 of the capacity this feeds itself. Change: random candidates are drawn only for a prompt without a home. The time that a prompt's computation takes from others counts in the score, and caches outside the homes are not trusted.

--- a/papayaproxy/src/routing/constants.rs
+++ b/papayaproxy/src/routing/constants.rs
@@ -18,7 +18,10 @@
 pub(crate) const HOMES: usize = 2;
 
 /// Part of a known prefix that the home of the prompt is expected to hold.
-pub(crate) const HOME_TRUST: f64 = 0.8;
+pub(crate) const HOME_TRUST: [f64; HOMES] = [0.9, 0.9];
+
+/// Trust in the cache of an upstream that is no home of the prompt.
+pub(crate) const STRAY_TRUST: f64 = 0.0;
 
 /// Upstreams remembered for each block.
 pub(crate) const HOLDERS_MAX: usize = 4;
@@ -80,6 +83,9 @@
 /// Score of each second that the expected output takes.
 pub(crate) const DECODE_WEIGHT: f64 = 0.1;
 
+/// Weight of the time that computing a prompt takes from other requests.
+pub(crate) const MISS_WEIGHT: f64 = 2.0;
+
 /// Score added to an upstream that has not reported yet, in seconds.
 pub(crate) const UNKNOWN_SECONDS: f64 = 1.0;
 
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -7,7 +7,7 @@
 use super::candidates::{Candidates, Pool};
 use super::codes;
 use super::constants::{
-    DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, SAMPLES, STALL_FACTOR, STALL_FLOOR,
+    DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, SAMPLES, STALL_FACTOR, STALL_FLOOR, STRAY_TRUST,
 };
 use super::decision::{Decision, Reason, Refusal, Scored, ScoredList};
 use super::home::{home_key, homes};
@@ -384,10 +384,10 @@
 
     fn score_all(&self, pool: &Pool, scored: &mut ScoredList, rng: &mut impl Rng) {
         let (near, far) = pool.members.split_at(pool.near);
-        for found in self.matches.iter().filter(|m| pool.members.contains(&m.upstream)) {
-            self.score(found.upstream, Reason::Cached, scored);
-        }
         self.homes.iter().flatten().for_each(|&i| self.score(i, Reason::Home, scored));
+        if scored.best().is_some() {
+            return;
+        }
         self.draw(near, Reason::Drawn, scored, rng);
         self.draw(far, Reason::Spilled, scored, rng);
         if scored.iter().next().is_none() {
@@ -439,7 +439,9 @@
         let credit = |m: &Match| self.router.index.credit(m, self.at.now);
         let own = self.matches.find(index).map_or(0.0, credit);
         let shared = self.matches.iter().map(credit).fold(0.0, f64::max);
-        let home = if self.homes.contains(&Some(index)) { HOME_TRUST * shared } else { 0.0 };
+        let rank = self.homes.iter().position(|h| *h == Some(index));
+        let home = rank.map_or(0.0, |r| HOME_TRUST.get(r).copied().unwrap_or(0.0) * shared);
+        let own = if rank.is_some() { own } else { own * STRAY_TRUST };
         own.max(home).min(f64::from(self.request.prompt))
     }
 
--- a/papayaproxy/src/routing/score.rs
+++ b/papayaproxy/src/routing/score.rs
@@ -1,7 +1,9 @@
 //! The score of one candidate: a predicted time in seconds, so that every part has one unit.
 
 use super::candidates::Distance;
-use super::constants::{CROWD_SECONDS, DECODE_WEIGHT, SLOW_START_FLOOR, UNKNOWN_SECONDS};
+use super::constants::{
+    CROWD_SECONDS, DECODE_WEIGHT, MISS_WEIGHT, SLOW_START_FLOOR, UNKNOWN_SECONDS,
+};
 use super::load::Load;
 use super::request::Request;
 use super::settings::Settings;
@@ -55,7 +57,8 @@
     let slot_wait = excess / slots * output * step;
     let first = ahead / load.rate + slot_wait + step;
     let last = first + output * step;
-    let score = first + DECODE_WEIGHT * output * step + CROWD_SECONDS * requests / slots;
+    let others = MISS_WEIGHT * tokens / load.rate;
+    let score = first + others + DECODE_WEIGHT * output * step + CROWD_SECONDS * requests / slots;
     Forecast { first, last, score }
 }
 
