--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+mod routing;
 
 use clap::{ArgMatches, Command};
 use std::ffi::OsString;
@@ -28,6 +29,7 @@
     Subcommand { command: forward::command, run: forward::run },
     Subcommand { command: load::command, run: load::run },
 ];
+const SUBCOMMANDS: &[Subcommand] = &[Subcommand { command: routing::command, run: routing::run }];
 
 /// Parses `args` and runs the subcommand that they name.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
