Key the engine's prefix cache by the router's block hashes

Cause: cache events named prefixes by a hash that the router does not use. Change: the engine caches and publishes the hashes of routing::prompt_blocks.

--- a/papaya-lab/src/engine/cache.rs
+++ b/papaya-lab/src/engine/cache.rs
@@ -2,30 +2,27 @@
 
 use super::journal::{Change, Kind};
 use indexmap::IndexMap;
-use xxhash_rust::xxh3::Xxh3;
+use papayaproxy::routing::{BLOCK_TOKENS, ModelKey, prompt_blocks};
 
 /// Bytes of prompt that count as one token.
 pub(crate) const TOKEN_BYTES: usize = 4;
 
-/// Tokens of one cached block.
-pub(crate) const BLOCK_TOKENS: u32 = 16;
-
 /// Tokens of a prompt.
 pub(crate) fn token_count(prompt: &str) -> u32 {
     prompt.len().div_ceil(TOKEN_BYTES) as u32
 }
 
-/// A workspace's prompt prefix: hash of all its bytes up to the block's end.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Debug)]
 struct Block {
     workspace: String,
-    prefix: u64,
+    /// Tokens of the prompt up to the block's end.
+    tokens: u32,
 }
 
-/// Cached blocks, least recently used first.
+/// Cached blocks by the hash of all that they depend on, least recently used first.
 #[derive(Debug)]
 pub(crate) struct Cache {
-    blocks: IndexMap<Block, u32>,
+    blocks: IndexMap<u64, Block>,
     limit: usize,
 }
 
@@ -48,15 +45,16 @@
     pub(crate) fn touch(
         &mut self,
         workspace: &str,
+        model: ModelKey,
         prompt: &str,
         changes: &mut Vec<Change>,
     ) -> u32 {
         let mut cached = 0;
         let mut missed = false;
-        for (i, prefix) in prefixes(prompt).enumerate() {
+        let hashes = prompt_blocks(workspace, model, prompt.as_bytes());
+        for (i, prefix) in hashes.into_iter().enumerate() {
             let tokens = (i as u32 + 1) * BLOCK_TOKENS;
-            let block = Block { workspace: workspace.to_owned(), prefix };
-            let known = self.blocks.shift_remove(&block).is_some();
+            let known = self.blocks.shift_remove(&prefix).is_some();
             missed |= !known;
             if !missed {
                 cached = tokens;
@@ -64,7 +62,7 @@
             if !known {
                 changes.push(Change::new(Kind::Stored, workspace, prefix, tokens));
             }
-            self.blocks.insert(block, tokens);
+            self.blocks.insert(prefix, Block { workspace: workspace.to_owned(), tokens });
         }
         self.evict(changes);
         cached
@@ -78,18 +76,8 @@
 
     fn evict(&mut self, changes: &mut Vec<Change>) {
         let excess = self.blocks.len().saturating_sub(self.limit);
-        for (block, tokens) in self.blocks.drain(..excess) {
-            changes.push(Change::new(Kind::Evicted, &block.workspace, block.prefix, tokens));
+        for (prefix, block) in self.blocks.drain(..excess) {
+            changes.push(Change::new(Kind::Evicted, &block.workspace, prefix, block.tokens));
         }
     }
 }
-
-/// Hashes of the prompt's prefixes, one for each whole block.
-fn prefixes(prompt: &str) -> impl Iterator<Item = u64> {
-    let size = BLOCK_TOKENS as usize * TOKEN_BYTES;
-    let mut hash = Xxh3::new();
-    prompt.as_bytes().chunks_exact(size).map(move |block| {
-        hash.update(block);
-        hash.digest()
-    })
-}
--- a/papaya-lab/src/engine/state.rs
+++ b/papaya-lab/src/engine/state.rs
@@ -9,6 +9,7 @@
 use super::stream::Stream;
 use super::text::{Ask, prior_text};
 use indexmap::IndexMap;
+use papayaproxy::routing::ModelKey;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -117,8 +118,9 @@
         }
         let ask = &completion.ask;
         let hash = ask.hash();
+        let model = ModelKey::new(&ask.model, ask.version, ask.adapter.as_deref());
         let mut changes = Vec::new();
-        let cached = self.cache.touch(workspace, &ask.prompt, &mut changes);
+        let cached = self.cache.touch(workspace, model, &ask.prompt, &mut changes);
         self.journal.write(now, changes);
         let prompt = token_count(&ask.prompt);
         self.count(completion, prompt, cached, hash);
--- a/papaya-lab/src/engine/tests.rs
+++ b/papaya-lab/src/engine/tests.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
+use papayaproxy::routing::ModelKey;
 use rstest::rstest;
 use std::time::Duration;
 
@@ -113,25 +114,28 @@
     assert_eq!(batch.plan(), None);
 }
 
+fn touch(cache: &mut Cache, workspace: &str, prompt: &str) -> u32 {
+    let model = ModelKey::new("assistant", 1, None);
+    cache.touch(workspace, model, prompt, &mut Vec::new())
+}
+
 #[test]
 fn cache_per_workspace() {
     let mut cache = Cache::new(1024);
-    let prompt = "x".repeat(200);
-    let mut changes = Vec::new();
-    assert_eq!(cache.touch("a", &prompt, &mut changes), 0);
-    assert_eq!(cache.touch("a", &prompt, &mut changes), 48);
-    assert_eq!(cache.touch("b", &prompt, &mut changes), 0);
+    let prompt = "x".repeat(800);
+    assert_eq!(touch(&mut cache, "a", &prompt), 0);
+    assert_eq!(touch(&mut cache, "a", &prompt), 192);
+    assert_eq!(touch(&mut cache, "b", &prompt), 0);
 }
 
 #[test]
 fn cache_evicts_oldest() {
-    let mut cache = Cache::new(32);
-    let mut changes = Vec::new();
+    let mut cache = Cache::new(128);
     for letter in ["x", "y", "z"] {
-        cache.touch("a", &letter.repeat(64), &mut changes);
+        touch(&mut cache, "a", &letter.repeat(256));
     }
-    assert_eq!(cache.tokens(), 32);
-    assert_eq!(cache.touch("a", &"x".repeat(64), &mut changes), 0);
+    assert_eq!(cache.tokens(), 128);
+    assert_eq!(touch(&mut cache, "a", &"x".repeat(256)), 0);
 }
 
 #[test]
