Add issued idempotency keys, the agent's key state and the attempt policy

Cause: a non-idempotent call must run at most once with nothing stored outside of the processes, and what a caller is told must be true.

Change: keys are tokens under an authentication code, bound to upstream, incarnation, sequence, workspace, service and issue time. An issued key takes no memory: while its age is below start_life + retention, the absence of a record proves that it never started. A refusal under a key revokes it, since a delayed copy of the same call could start it otherwise. An entry never says not-run of a call under a key by itself: another entry may have brought the key to its agent before.

Ruled out: a record for each issued key (memory for keys that are never used); refusing without revoking; calling a key under a retired secret altered, as the request may have run under it.

--- a/papayaproxy/src/delivery/codes.rs
+++ b/papayaproxy/src/delivery/codes.rs
@@ -2,4 +2,36 @@
 
 use crate::base::code::codes;
 
-codes! {}
+codes! {
+    KEY_FOREIGN = 1200, NotRun, 400, "The idempotency key was not issued by this fleet. Get one with POST /v1/keys.";
+    KEY_ALTERED = 1201, NotRun, 400, "The idempotency key was altered after it was issued.";
+    KEY_SECRET_RETIRED = 1202, Unknown, 409, "The key that this idempotency key was issued under is no longer in force, so its outcome cannot be told.";
+    KEY_WORKSPACE = 1203, NotRun, 403, "The idempotency key belongs to another workspace.";
+    KEY_SERVICE = 1204, NotRun, 422, "The idempotency key was issued for another service.";
+    KEY_ELSEWHERE = 1205, Unknown, 421, "The idempotency key belongs to another upstream, which alone knows its outcome.";
+    KEY_INCARNATION_GONE = 1206, Unknown, 410, "The agent that issued the idempotency key has restarted; the request may have run before.";
+    KEY_BODY_CLASH = 1207, Unknown, 422, "The idempotency key was already used with another request, whose outcome GET /v1/keys tells.";
+    KEY_EXPIRED = 1208, NotRun, 410, "The idempotency key was not used in time; it never ran and never will.";
+    KEY_FORGOTTEN = 1209, Unknown, 410, "The outcome of the idempotency key is no longer kept.";
+    KEY_REVOKED = 1210, NotRun, 409, "The idempotency key was revoked before it started; it never ran and never will.";
+    KEY_REPLY_DROPPED = 1211, Unknown, 410, "The request ran to its end, but its reply is no longer kept.";
+    KEY_STARTED = 1212, Unknown, 409, "The request has started and can no longer be revoked.";
+    KEYS_FULL = 1213, NotRun, 503, "The agent has issued as many idempotency keys as it can keep; ask again later.";
+    KEY_COUNT = 1214, NotRun, 400, "The number of keys asked for at a time lies outside its range.";
+    KEY_DEADLINE = 1215, NotRun, 504, "The deadline had passed before the request started; its key is revoked.";
+    KEY_PENDING = 1216, Unknown, 202, "The idempotency key has not been used yet and may still start.";
+    KEY_RUNNING = 1217, Unknown, 202, "The request has started and its outcome is not known yet.";
+    RUN_ABANDONED = 1218, Unknown, 502, "The agent lost the call to the upstream after it had started.";
+    KEY_NEEDED = 1219, NotRun, 400, "The agent takes calls of this service only under an issued idempotency key.";
+    KEY_UNISSUED = 1220, Unknown, 500, "The idempotency key is authentic, but this incarnation has not issued it.";
+    INVARIANT_SECOND_START = 1230, Unknown, 500, "Invariant: an idempotency key would have started twice.";
+    INVARIANT_FALSE_NOT_RUN = 1231, Unknown, 500, "Invariant: not-run would have been said of a key that has started or may start.";
+    INVARIANT_OUTCOME_CHANGED = 1232, Unknown, 500, "Invariant: the outcome of a finished key would have changed.";
+    INVARIANT_SIZE = 1233, Unknown, 500, "Invariant: the kept replies would exceed their limit.";
+    DEADLINE_BEFORE_SEND = 1240, NotRun, 504, "The deadline passed before anything was sent to an upstream.";
+    DEADLINE_AFTER_SEND = 1241, Unknown, 504, "The deadline passed while the request may have been running.";
+    ATTEMPTS_SPENT = 1242, NotRun, 503, "No upstream took the request within the allowed attempts.";
+    BUDGET_SPENT = 1243, NotRun, 503, "The workspace's retry budget is spent and the last attempt did not run.";
+    OUTCOME_LOST = 1244, Unknown, 502, "The upstream went out of reach after the request may have been sent to it.";
+    KEY_HOME_UNREACHABLE = 1245, Unknown, 503, "The agent that issued the idempotency key is out of reach; repeat the request under the same key.";
+}
--- a/papayaproxy/src/delivery/mod.rs
+++ b/papayaproxy/src/delivery/mod.rs
@@ -1,4 +1,20 @@
 //! At-most-once delivery: idempotency keys, outcomes, deadlines and retries.
 
+pub(crate) mod attempt;
 pub(crate) mod codes;
+pub(crate) mod constants;
 pub(crate) mod events;
+pub(crate) mod keys;
+pub(crate) mod record;
+pub(crate) mod settings;
+pub(crate) mod token;
+pub(crate) mod window;
+
+#[cfg(test)]
+mod tests;
+
+pub use attempt::{Attempts, CallKind, Failure, Next, Place};
+pub use keys::{Claim, KeyCore};
+pub use record::{Begin, Finish, Lookup, StoredHeader, StoredReply};
+pub use settings::{KeySettings, SETTINGS};
+pub use token::Token;
--- /dev/null
+++ b/papayaproxy/src/delivery/tests/machine.rs
@@ -0,0 +1,1 @@
+//! Randomised runs of the key state.
