Add whole-reply checks, event splitting and the plan for broken streams

Cause: an answer must be whole and the caller's own, even when engines die or frames come late, twice or crossed.

Change: pieces are numbered and checked against the end's length and XXH3; an engine's events are forwarded whole and once; a broken stream is resumed on its engine, else goes on at a replica of the same model, version and adapter, else fails with a code. Only an idempotent service goes on elsewhere.

Ruled out: forwarding partial events (a resumption could repeat their bytes).

--- /dev/null
+++ b/papayaproxy/src/streams/assembler.rs
@@ -0,0 +1,108 @@
+//! Checks that the frames of one reply make up the whole of it, and belong to its call.
+
+use super::codes;
+use crate::base::code::Code;
+use crate::wire::{CallTag, ReplyEnd};
+use xxhash_rust::xxh3::Xxh3;
+
+/// What is to be done with a piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is the next one: pass it on.
+    Next,
+    /// It came late, twice, or for another call: drop it.
+    Dropped,
+    /// Pieces before it are missing: the reply has broken off.
+    Gap,
+}
+
+/// Counts of dropped pieces.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Drops {
+    /// Pieces that had been taken before.
+    pub repeated: u64,
+    /// Pieces of another call.
+    pub crossed: u64,
+    /// Pieces after the end.
+    pub late: u64,
+}
+
+/// Follows the pieces of one reply of one call.
+pub struct Assembler {
+    tag: CallTag,
+    next: u64,
+    length: u64,
+    checksum: Xxh3,
+    ended: bool,
+    drops: Drops,
+}
+
+impl Assembler {
+    /// Expects the first piece of the reply to `tag`.
+    pub fn new(tag: CallTag) -> Self {
+        Self {
+            tag,
+            next: 0,
+            length: 0,
+            checksum: Xxh3::new(),
+            ended: false,
+            drops: Drops::default(),
+        }
+    }
+
+    /// Takes the piece numbered `sequence`.
+    pub fn piece(&mut self, tag: CallTag, sequence: u64, data: &[u8]) -> Taken {
+        if tag != self.tag {
+            self.drops.crossed += 1;
+            return Taken::Dropped;
+        }
+        if self.ended {
+            self.drops.late += 1;
+            return Taken::Dropped;
+        }
+        if sequence < self.next {
+            self.drops.repeated += 1;
+            return Taken::Dropped;
+        }
+        if sequence > self.next {
+            return Taken::Gap;
+        }
+        self.next += 1;
+        self.length += data.len() as u64;
+        self.checksum.update(data);
+        Taken::Next
+    }
+
+    /// Checks the end marker. `Ok(false)` for a marker that is to be dropped.
+    ///
+    /// # Errors
+    /// `LENGTH_MISMATCH` or `CHECKSUM_MISMATCH`.
+    pub fn end(&mut self, tag: CallTag, end: &ReplyEnd) -> Result<bool, Code> {
+        if tag != self.tag {
+            self.drops.crossed += 1;
+            return Ok(false);
+        }
+        if self.ended {
+            self.drops.late += 1;
+            return Ok(false);
+        }
+        if end.length != self.length {
+            return Err(codes::LENGTH_MISMATCH);
+        }
+        if end.checksum != self.checksum.digest() {
+            return Err(codes::CHECKSUM_MISMATCH);
+        }
+        self.ended = true;
+        Ok(true)
+    }
+
+    /// Whether the reply is whole.
+    pub fn is_whole(&self) -> bool {
+        self.ended
+    }
+
+    /// What was dropped so far.
+    pub fn drops(&self) -> Drops {
+        self.drops
+    }
+}
--- a/papayaproxy/src/streams/events.rs
+++ b/papayaproxy/src/streams/events.rs
@@ -2,4 +2,8 @@
 
 use crate::base::event::events;
 
-events! {}
+events! {
+    STREAM_RESUMED = 2000, "A broken stream is resumed on its engine: upstream, from.";
+    STREAM_CONTINUED = 2001, "A broken stream goes on at another replica: upstream, from.";
+    STREAM_FAILED = 2002, "A broken stream cannot go on: upstream, from, code.";
+}
--- a/papayaproxy/src/streams/mod.rs
+++ b/papayaproxy/src/streams/mod.rs
@@ -1,4 +1,17 @@
 //! Whole answers: numbered pieces, end markers, resumption and continuation of streams.
 
+pub(crate) mod assembler;
 pub(crate) mod codes;
+pub(crate) mod constants;
 pub(crate) mod events;
+pub(crate) mod progress;
+pub(crate) mod resume;
+pub(crate) mod splitter;
+
+#[cfg(test)]
+mod tests;
+
+pub use assembler::{Assembler, Drops, Taken};
+pub use progress::{EventTaken, Progress};
+pub use resume::{Break, ModelRef, Plan, Replica, Resumes};
+pub use splitter::{EngineEvent, EventSplitter, TextPiece, read_event};
--- /dev/null
+++ b/papayaproxy/src/streams/tests/assembler.rs
@@ -0,0 +1,67 @@
+//! Tests of assembled replies, some of them randomised.
+
+use super::super::assembler::{Assembler, Taken};
+use super::super::codes;
+use crate::base::code::Code;
+use crate::base::name::Incarnation;
+use crate::wire::{CallTag, ReplyEnd};
+use proptest::prelude::*;
+use rstest::rstest;
+use xxhash_rust::xxh3::xxh3_64;
+
+const TAG: CallTag = CallTag { caller: Incarnation(1), call: 5, workspace: 9 };
+
+fn end_of(content: &[u8]) -> ReplyEnd {
+    let checksum = xxh3_64(content);
+    ReplyEnd { length: content.len() as u64, checksum, code: Code(0) }
+}
+
+#[rstest]
+#[case::caller(CallTag { caller: Incarnation(2), ..TAG })]
+#[case::call(CallTag { call: 6, ..TAG })]
+#[case::workspace(CallTag { workspace: 8, ..TAG })]
+fn piece_crossed(#[case] other: CallTag) {
+    let mut assembler = Assembler::new(TAG);
+    assert_eq!(assembler.piece(other, 0, b"x"), Taken::Dropped);
+    assert_eq!(assembler.end(other, &end_of(b"")), Ok(false));
+    assert_eq!(assembler.drops().crossed, 2);
+    assert!(!assembler.is_whole());
+}
+
+#[test]
+fn end_wrong_length_and_checksum() {
+    let mut assembler = Assembler::new(TAG);
+    assembler.piece(TAG, 0, b"pear");
+    assert_eq!(assembler.end(TAG, &end_of(b"pears")), Err(codes::LENGTH_MISMATCH));
+    assert_eq!(assembler.end(TAG, &end_of(b"peas")), Err(codes::CHECKSUM_MISMATCH));
+    assert_eq!(assembler.end(TAG, &end_of(b"pear")), Ok(true));
+    assert_eq!(assembler.piece(TAG, 1, b"s"), Taken::Dropped);
+    assert_eq!(assembler.drops().late, 1);
+}
+
+proptest! {
+    /// Whatever is repeated, crossed or lost: a reply that passes as whole is the one that was sent.
+    #[test]
+    fn assembler_whole_or_not(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..8), 0..12),
+        steps in prop::collection::vec((0usize..14, 0u8..4), 0..40),
+    ) {
+        let sent: Vec<u8> = pieces.concat();
+        let mut got = Vec::new();
+        let mut assembler = Assembler::new(TAG);
+        for (i, kind) in steps {
+            let tag = if kind == 0 { CallTag { call: 77, ..TAG } } else { TAG };
+            let Some(piece) = pieces.get(i) else {
+                if assembler.end(tag, &end_of(&sent)) == Ok(true) {
+                    prop_assert_eq!(&got, &sent);
+                }
+                continue;
+            };
+            if assembler.piece(tag, i as u64, piece) == Taken::Next {
+                got.extend_from_slice(piece);
+            }
+            prop_assert!(sent.starts_with(&got));
+        }
+        prop_assert!(!assembler.is_whole() || got == sent);
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/streams/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of assembled replies and broken streams.
+
+mod assembler;
+mod resume;
+mod splitter;
--- /dev/null
+++ b/papayaproxy/src/streams/tests/splitter.rs
@@ -0,0 +1,65 @@
+//! Tests of event streams and progress.
+
+use super::super::codes;
+use super::super::progress::{EventTaken, Progress};
+use super::super::splitter::{EngineEvent, EventSplitter, TextPiece, read_event};
+use crate::base::code::Code;
+use rstest::rstest;
+
+fn piece(index: u64, text: &str) -> EngineEvent {
+    EngineEvent::Piece(TextPiece { index, text: text.into() })
+}
+
+#[rstest]
+#[case::piece("data: {\"index\":0,\"text\":\"pear \"}\n\n", Ok(piece(0, "pear ")))]
+#[case::crlf("data: {\"index\":1,\"text\":\"\"}\r\n\r\n", Ok(piece(1, "")))]
+#[case::done("data: [DONE]\n\n", Ok(EngineEvent::Done))]
+#[case::comment(": alive\n\n", Ok(EngineEvent::Idle))]
+#[case::no_index("data: {\"text\":\"x\"}\n\n", Err(codes::EVENT_MALFORMED))]
+#[case::other_field("event: error\n\n", Err(codes::EVENT_MALFORMED))]
+fn read_event_forms(#[case] raw: &str, #[case] expected: Result<EngineEvent, Code>) {
+    assert_eq!(read_event(raw.as_bytes()), expected);
+}
+
+#[test]
+fn splitter_every_cut() {
+    let whole = b"data: a\n\ndata: b\r\n\r\n: c\n\n";
+    for cut in 0..whole.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for part in [&whole[..cut], &whole[cut..]] {
+            splitter.push(part);
+            while let Some(event) = splitter.next_event().unwrap() {
+                events.push(event);
+            }
+        }
+        assert_eq!(events.concat(), whole, "cut at {cut}");
+        assert_eq!(events.len(), 3, "cut at {cut}");
+    }
+}
+
+#[test]
+fn splitter_endless_event() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; 65 << 10]);
+    assert_eq!(splitter.next_event(), Err(codes::EVENT_OVERSIZED));
+}
+
+#[test]
+fn progress_repeats_and_gap() {
+    let mut progress = Progress::default();
+    assert_eq!(progress.take(&piece(0, "a")), Ok(EventTaken::Forward));
+    assert_eq!(progress.take(&piece(0, "a")), Ok(EventTaken::Drop));
+    assert_eq!(progress.take(&piece(2, "c")), Err(codes::PIECE_MISSING));
+    assert_eq!(progress.take(&piece(1, "b")), Ok(EventTaken::Forward));
+    assert_eq!((progress.prior(), progress.pieces(), progress.repeated()), (Ok("ab"), 2, 1));
+    assert_eq!(progress.take(&EngineEvent::Done), Ok(EventTaken::Whole));
+    assert!(progress.is_whole());
+}
+
+#[test]
+fn progress_oversized_text() {
+    let mut progress = Progress::default();
+    progress.take(&piece(0, &"x".repeat((1 << 20) + 1))).unwrap();
+    assert_eq!(progress.prior(), Err(codes::PRIOR_OVERSIZED));
+}
