--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -28,8 +28,8 @@
     Subcommand { command: platform::command, run: platform::run },
     Subcommand { command: forward::command, run: forward::run },
     Subcommand { command: load::command, run: load::run },
+    Subcommand { command: routing::command, run: routing::run },
 ];
-const SUBCOMMANDS: &[Subcommand] = &[Subcommand { command: routing::command, run: routing::run }];
 
 /// Parses `args` and runs the subcommand that they name.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
--- /dev/null
+++ b/papayaproxy/src/entry/attempt.rs
@@ -0,0 +1,140 @@
+//! One attempt: a call to one agent, up to the whole reply or the start of a streamed one.
+
+use super::codes;
+use super::constants::WHOLE_BYTES_MAX;
+use super::links::Links;
+use super::request::Ask;
+use super::verify::Verifier;
+use crate::base::code::Code;
+use crate::delivery::Failure;
+use crate::wire::{Call, CallHead, LinkLost, Reply, ReplyHead};
+use bytes::{Bytes, BytesMut};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// A reply that is whole.
+pub(crate) struct WholeReply {
+    pub(crate) head: ReplyHead,
+    pub(crate) body: Bytes,
+    pub(crate) code: Code,
+}
+
+/// A reply that is passed on as it comes.
+pub(crate) struct OpenReply {
+    pub(crate) head: ReplyHead,
+    /// What has come of the body already.
+    pub(crate) begun: Bytes,
+    pub(crate) call: Call,
+    pub(crate) verifier: Verifier,
+}
+
+/// What an attempt brought.
+pub(crate) enum Brought {
+    Whole(WholeReply),
+    Open(Box<OpenReply>),
+}
+
+/// Makes one attempt at `agent`, which may take until `deadline`.
+///
+/// # Errors
+/// How it failed; nothing of a reply was passed on.
+pub(crate) async fn attempt(
+    ask: &Ask,
+    agent: SocketAddr,
+    links: &Links,
+    remaining: Duration,
+    deadline: Instant,
+) -> Result<Brought, Failure> {
+    let link = links.get(agent).await.map_err(|e| Failure::Unsent(e.code()))?;
+    let sent = link.call(call_head(ask, remaining), ask.body.clone()).await;
+    let mut call = sent.map_err(lost)?;
+    match timeout_at(deadline, receive(&mut call)).await {
+        Ok(received) => received.map(|r| r.brought(call)),
+        Err(_) if call.is_written() => Err(Failure::Lost(codes::REPLY_LATE)),
+        Err(_) => Err(Failure::Unsent(codes::REPLY_LATE)),
+    }
+}
+
+/// A reply as far as it was received.
+struct Received {
+    head: ReplyHead,
+    body: BytesMut,
+    verifier: Verifier,
+    end: Option<Code>,
+}
+
+impl Received {
+    fn brought(self, call: Call) -> Brought {
+        let body = self.body.freeze();
+        match self.end {
+            Some(code) => Brought::Whole(WholeReply { head: self.head, body, code }),
+            None => Brought::Open(Box::new(OpenReply {
+                head: self.head,
+                begun: body,
+                call,
+                verifier: self.verifier,
+            })),
+        }
+    }
+}
+
+/// Receives a reply until it is whole, or has to be passed on as it comes.
+async fn receive(call: &mut Call) -> Result<Received, Failure> {
+    let head = match call.next().await.map_err(lost)? {
+        Reply::Head(head) => head,
+        Reply::Failure(failure) => return Err(Failure::Refused(failure.code)),
+        Reply::Piece { .. } | Reply::End(_) => return Err(Failure::Lost(codes::REPLY_CORRUPT)),
+    };
+    let streams = is_event_stream(&head);
+    let mut received =
+        Received { head, body: BytesMut::new(), verifier: Verifier::new(), end: None };
+    while !streams && received.end.is_none() && received.body.len() <= WHOLE_BYTES_MAX {
+        received.take(call).await?;
+    }
+    Ok(received)
+}
+
+impl Received {
+    async fn take(&mut self, call: &mut Call) -> Result<(), Failure> {
+        match call.next().await.map_err(lost)? {
+            Reply::Piece { sequence, data } => {
+                self.verifier.piece(sequence, &data).map_err(Failure::Lost)?;
+                call.consume(data.len());
+                self.body.extend_from_slice(&data);
+            }
+            Reply::End(end) => {
+                self.verifier.end(&end).map_err(Failure::Lost)?;
+                self.end = Some(end.code);
+            }
+            Reply::Failure(failure) => return Err(Failure::Refused(failure.code)),
+            Reply::Head(_) => return Err(Failure::Lost(codes::REPLY_CORRUPT)),
+        }
+        Ok(())
+    }
+}
+
+/// Whether the reply is an event stream.
+pub(crate) fn is_event_stream(head: &ReplyHead) -> bool {
+    let kind = head.headers.iter().find(|h| h.name == "content-type");
+    kind.is_some_and(|h| h.value.starts_with(b"text/event-stream"))
+}
+
+fn lost(lost: LinkLost) -> Failure {
+    let code = crate::wire::codes::LINK_CLOSED;
+    if lost.written { Failure::Lost(code) } else { Failure::Unsent(code) }
+}
+
+fn call_head(ask: &Ask, remaining: Duration) -> CallHead {
+    CallHead {
+        request: ask.id,
+        workspace: ask.caller.workspace.clone(),
+        service: ask.service.clone(),
+        method: ask.method.clone(),
+        path: ask.path.clone(),
+        headers: ask.headers.clone(),
+        key: ask.key.clone(),
+        priority: ask.priority,
+        remaining,
+    }
+}
--- a/papayaproxy/src/entry/codes.rs
+++ b/papayaproxy/src/entry/codes.rs
@@ -11,7 +11,6 @@
     PRIORITY_INVALID = 2305, NotRun, 400, "The header papaya-priority is no number from 0 to 9.";
     BODY_OVERSIZED = 2306, NotRun, 413, "The request body is larger than 1 MiB.";
     BODY_BROKEN = 2307, NotRun, 400, "The request body ended early.";
-    ENTRY_STOPPING = 2308, NotRun, 503, "The entry is stopping; another entry takes the request.";
     ENTRY_NOT_READY = 2309, NotRun, 503, "The entry has no fleet document yet.";
     REPLY_CORRUPT = 2310, Unknown, 502, "The reply's pieces, length or checksum do not fit together.";
     REPLY_LATE = 2311, Unknown, 504, "The reply was not whole before the deadline.";
--- a/papayaproxy/src/entry/mod.rs
+++ b/papayaproxy/src/entry/mod.rs
@@ -1,4 +1,20 @@
 //! The entry process: callers' HTTP in, routed calls out, answers by the deadline.
 
+pub(crate) mod attempt;
 pub(crate) mod codes;
+pub(crate) mod constants;
 pub(crate) mod events;
+pub(crate) mod gate;
+pub(crate) mod links;
+pub(crate) mod meters;
+pub(crate) mod process;
+pub(crate) mod pump;
+pub(crate) mod reply;
+pub(crate) mod request;
+pub(crate) mod route;
+pub(crate) mod serve;
+pub(crate) mod settings;
+pub(crate) mod verify;
+
+pub use process::Entry;
+pub use settings::{EntrySettings, TABLES};
--- /dev/null
+++ b/papayaproxy/src/entry/route.rs
@@ -0,0 +1,144 @@
+//! The entry's router: the routing core behind a mutex, fed from the document and the live view.
+
+use super::request::Ask;
+use crate::base::clock::Clock;
+use crate::base::name::Name;
+use crate::fleet::Role;
+use crate::membership::{Feed, View};
+use crate::routing::{Candidates, Decision, End, Moment, Presence, Refusal, Request, Router, Ticket};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime};
+
+/// The router with its source of randomness.
+struct Core {
+    router: Router,
+    rng: SmallRng,
+    /// Number of the last report taken from each upstream, by index.
+    taken: Vec<Duration>,
+}
+
+/// Chooses upstreams for the requests of one entry.
+pub(crate) struct Routes {
+    core: Mutex<Core>,
+    feed: Feed,
+    zone: Name,
+    clock: Clock,
+}
+
+/// An attempt that was routed.
+pub(crate) struct Routed {
+    pub(crate) decision: Decision,
+    pub(crate) ticket: Ticket,
+}
+
+impl Routes {
+    pub(crate) fn new(router: Router, feed: Feed, zone: Name, clock: Clock) -> Self {
+        let rng = SmallRng::from_rng(&mut rand::rng());
+        let core = Core { router, rng, taken: Vec::new() };
+        Self { core: Mutex::new(core), feed, zone, clock }
+    }
+
+    /// Chooses an upstream and notes that the request goes there.
+    ///
+    /// # Errors
+    /// The refusal, after which the request has not run.
+    pub(crate) fn choose(
+        &self,
+        ask: &Ask,
+        left: Duration,
+        excluded: &[Name],
+    ) -> Result<Routed, Refusal> {
+        let request = request(ask, left, excluded);
+        let id = format!("{:016x}", ask.id);
+        let at = Moment { now: self.clock.now(), wall: SystemTime::now() };
+        let mut core = self.lock();
+        let Core { router, rng, .. } = &mut *core;
+        let chosen = router.choose(&request, at, rng);
+        let candidates = router.candidates().clone();
+        let routed = chosen.map(|decision| {
+            let ticket = router.sent(&decision, &request, at.now);
+            Routed { decision, ticket }
+        });
+        drop(core);
+        match &routed {
+            Ok(routed) => routed.decision.log(&id, &candidates),
+            Err(refusal) => refusal.log(&id),
+        }
+        routed
+    }
+
+    /// Notes the first piece of a reply.
+    pub(crate) fn started(&self, ticket: &Ticket) {
+        self.lock().router.started(ticket, self.clock.now());
+    }
+
+    /// Settles an attempt.
+    pub(crate) fn finished(&self, ticket: Ticket, end: End) {
+        self.lock().router.finished(ticket, end, self.clock.now());
+        self.log_changes();
+    }
+
+    /// Takes the present document and view, and finds overdue attempts.
+    pub(crate) fn refresh(&self) {
+        let document = self.feed.document.load();
+        let view = self.feed.view.load();
+        let presence = |name: &Name| presence(&view, name);
+        let next = Candidates::prepare(&document, &self.zone, presence);
+        let now = self.clock.now();
+        let mut core = self.lock();
+        core.router.install(Arc::new(next), now);
+        core.take_reports(&view, now);
+        let _ = core.router.sweep(now);
+        drop(core);
+        self.log_changes();
+    }
+
+    fn log_changes(&self) {
+        let changes = self.lock().router.take_changes();
+        changes.iter().for_each(|c| c.log());
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Core {
+    fn take_reports(&mut self, view: &View, now: Duration) {
+        let candidates = self.router.candidates().clone();
+        self.taken.resize(candidates.upstreams.len(), Duration::MAX);
+        for (index, candidate) in candidates.upstreams.iter().enumerate() {
+            let Some(known) = view.upstreams.get(&candidate.name) else { continue };
+            let Some(report) = &known.report else { continue };
+            if self.taken[index] != known.received {
+                self.taken[index] = known.received;
+                self.router.reported(index as u32, report, now);
+            }
+        }
+    }
+}
+
+fn presence(view: &View, name: &Name) -> Presence {
+    let known = view.upstreams.get(name);
+    Presence {
+        live: known.is_some_and(|u| u.live),
+        incarnation: known.and_then(|u| u.incarnation),
+    }
+}
+
+fn request<'a>(ask: &'a Ask, left: Duration, excluded: &'a [Name]) -> Request<'a> {
+    let prompt = ask.prompt.as_ref();
+    Request {
+        service: &ask.service,
+        model: prompt.map(|p| p.model),
+        role: Role::Mixed,
+        workspace: &ask.caller.workspace,
+        prefix: prompt.map_or(&[], |p| &p.prefix),
+        prompt: prompt.map_or(0, |p| p.tokens),
+        output: prompt.map_or(0, |p| p.output),
+        left,
+        excluded,
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/entry/serve.rs
@@ -0,0 +1,248 @@
+//! One request: checked, admitted, routed, attempted and answered.
+
+use super::attempt::{Brought, OpenReply, WholeReply, attempt};
+use super::codes;
+use super::constants::{ANSWER_MARGIN, BODY_PIECES};
+use super::events;
+use super::gate::Pass;
+use super::process::Shared;
+use super::pump::pump;
+use super::reply;
+use super::request::{Ask, authenticate, check};
+use super::route::Routed;
+use crate::base::code::{Code, Outcome};
+use crate::base::http::Body;
+use crate::base::name::Name;
+use crate::delivery::{Attempts, Failure, Next};
+use crate::routing::{End, Ticket};
+use http_body_util::BodyExt;
+use http_body_util::channel::Channel;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Why a request gets no reply of an upstream.
+pub(crate) struct Rejection {
+    code: Code,
+    retry: Option<Duration>,
+}
+
+impl From<Code> for Rejection {
+    fn from(code: Code) -> Self {
+        Self { code, retry: None }
+    }
+}
+
+/// A request in progress.
+struct Progress {
+    shared: Arc<Shared>,
+    ask: Ask,
+    started: Instant,
+    attempts: Attempts,
+    made: u32,
+    upstream: Name,
+}
+
+/// Answers a caller's request.
+pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let id = rand::random();
+    match serve(id, shared.clone(), request).await {
+        Ok(response) => response,
+        Err(rejection) => {
+            shared.meters.rejected(rejection.code);
+            reply::error(id, rejection.code, rejection.retry)
+        }
+    }
+}
+
+async fn serve(
+    id: u64,
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Rejection> {
+    let started = Instant::now();
+    let (parts, body) = request.into_parts();
+    let document = shared.feed.document.load_full();
+    if document.generation == 0 {
+        return Err(codes::ENTRY_NOT_READY.into());
+    }
+    let caller = authenticate(&parts, &document)?;
+    let ask = check(id, caller, parts, body, &document).await?;
+    let deadline = shared.clock.now() + ask.limit.saturating_sub(ANSWER_MARGIN);
+    let pass = shared.gate.enter(&ask).await;
+    let pass = pass.map_err(|r| Rejection { code: r.code, retry: Some(r.retry) })?;
+    shared.retries.lock().earn(&ask.caller.workspace);
+    let attempts = Attempts::new(ask.kind, deadline);
+    let upstream = Name::new();
+    let mut progress = Progress { shared, ask, started, attempts, made: 0, upstream };
+    let result = progress.run().await;
+    match result {
+        Ok((Brought::Whole(whole), ticket)) => Ok(progress.finish_whole(whole, ticket)),
+        Ok((Brought::Open(open), ticket)) => Ok(progress.finish_open(*open, ticket, pass)),
+        Err(rejection) => {
+            progress.log_end(rejection.code);
+            Err(rejection)
+        }
+    }
+}
+
+impl Progress {
+    /// Makes attempts until one brings a reply or nothing more may be tried.
+    async fn run(&mut self) -> Result<(Brought, Ticket), Rejection> {
+        let mut excluded: Vec<Name> = Vec::new();
+        let mut last = None;
+        loop {
+            let left = self.attempts.open(self.shared.clock.now())?;
+            let routed = self.shared.routes.choose(&self.ask, left, &excluded);
+            let routed = routed.map_err(|refusal| match last {
+                // What an earlier attempt left behind weighs more than the want of another upstream.
+                Some(code) => Rejection { code, retry: Some(refusal.retry) },
+                None => Rejection { code: refusal.code, retry: Some(refusal.retry) },
+            })?;
+            self.made += 1;
+            self.upstream = routed.decision.name.clone();
+            match self.attempt(routed, left).await {
+                Ok(brought) => return Ok(brought),
+                Err(failure) => {
+                    last = Some(self.decide(failure)?);
+                    excluded.push(self.upstream.clone());
+                }
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        routed: Routed,
+        left: Duration,
+    ) -> Result<(Brought, Ticket), Failure> {
+        let agent = routed.decision.agent;
+        let deadline = Instant::now() + left;
+        let ticket = TicketGuard::new(self.shared.clone(), routed.ticket);
+        match attempt(&self.ask, agent, &self.shared.links, left, deadline).await {
+            Ok(brought) => {
+                let ticket = ticket.keep();
+                self.shared.routes.started(&ticket);
+                Ok((brought, ticket))
+            }
+            Err(failure) => {
+                ticket.settle(end_of(failure));
+                Err(failure)
+            }
+        }
+    }
+
+    /// Decides what follows a failed attempt: `Ok` to retry.
+    fn decide(&mut self, failure: Failure) -> Result<Code, Rejection> {
+        let now = self.shared.clock.now();
+        let workspace = &self.ask.caller.workspace;
+        let budget = || self.shared.retries.lock().try_take(workspace);
+        let next = self.attempts.failed(failure, now, budget);
+        let (code, written) = match failure {
+            Failure::Unsent(code) => (code, false),
+            Failure::Refused(code) | Failure::Lost(code) => (code, true),
+        };
+        tracing::info!(
+            event = events::ATTEMPT_FAILED,
+            request = format_args!("{:016x}", self.ask.id),
+            upstream = %self.upstream,
+            %code,
+            written,
+            next = ?next,
+            "attempt failed"
+        );
+        match next {
+            Next::Retry(_) => Ok(code),
+            Next::Answer(code) => Err(code.into()),
+        }
+    }
+
+    fn finish_whole(self, whole: WholeReply, ticket: Ticket) -> Response<Body> {
+        self.shared.routes.finished(ticket, end_of_status(whole.head.status));
+        self.log_end(whole.code);
+        reply::whole(self.ask.id, whole.head, whole.body, whole.code)
+    }
+
+    fn finish_open(self, open: OpenReply, ticket: Ticket, pass: Pass) -> Response<Body> {
+        let (sender, body) = Channel::new(BODY_PIECES);
+        let response = reply::streamed(self.ask.id, open.head.clone(), body.boxed());
+        let deadline = self.started + self.ask.limit.saturating_sub(ANSWER_MARGIN);
+        let status = open.head.status;
+        let work = self.shared.work.clone();
+        work.spawn(async move {
+            let code = pump(self.ask.id, open, sender, deadline).await;
+            let end = match (reply::outcome(code), code) {
+                (Outcome::Completed, _) => end_of_status(status),
+                (_, codes::CALLER_GONE) => End::Cancelled,
+                _ => End::Failed,
+            };
+            self.shared.routes.finished(ticket, end);
+            self.log_end(code);
+            drop(pass);
+        });
+        response
+    }
+
+    fn log_end(&self, code: Code) {
+        let took = self.started.elapsed();
+        self.shared.meters.ended(&self.ask.service, code, took);
+        tracing::info!(
+            event = events::REQUEST_ENDED,
+            request = format_args!("{:016x}", self.ask.id),
+            workspace = %self.ask.caller.workspace,
+            service = %self.ask.service,
+            upstream = %self.upstream,
+            outcome = reply::outcome(code).as_str(),
+            %code,
+            attempts = self.made,
+            ms = took.as_millis() as u64,
+            "request ended"
+        );
+    }
+}
+
+/// Settles a ticket as cancelled if its request is dropped.
+struct TicketGuard {
+    shared: Arc<Shared>,
+    ticket: Option<Ticket>,
+}
+
+impl TicketGuard {
+    fn new(shared: Arc<Shared>, ticket: Ticket) -> Self {
+        Self { shared, ticket: Some(ticket) }
+    }
+
+    fn settle(mut self, end: End) {
+        if let Some(ticket) = self.ticket.take() {
+            self.shared.routes.finished(ticket, end);
+        }
+    }
+
+    fn keep(mut self) -> Ticket {
+        // The ticket is taken here or in `settle` only, and both consume the guard.
+        self.ticket.take().expect("a guard holds its ticket until it is consumed")
+    }
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.shared.routes.finished(ticket, End::Cancelled);
+        }
+    }
+}
+
+/// What a failed attempt says of its upstream.
+fn end_of(failure: Failure) -> End {
+    match failure {
+        Failure::Refused(code) if reply::outcome(code) == Outcome::NotRun => End::Refused,
+        Failure::Refused(_) | Failure::Lost(_) | Failure::Unsent(_) => End::Failed,
+    }
+}
+
+/// A server error is counted against the upstream; a caller's error is not.
+fn end_of_status(status: u16) -> End {
+    if status >= 500 { End::Failed } else { End::Completed { cached: None } }
+}
