--- a/papayaproxy/src/fleet/document.rs
+++ b/papayaproxy/src/fleet/document.rs
@@ -31,6 +31,25 @@
     pub workspaces: IndexMap<Name, Workspace>,
 }
 
+impl Document {
+    /// Brings every map into the order of its names.
+    pub(crate) fn sort(&mut self) {
+        self.zones.sort_unstable_keys();
+        self.models.sort_unstable_keys();
+        self.services.sort_unstable_keys();
+        self.upstreams.sort_unstable_keys();
+        self.groups.sort_unstable_keys();
+        self.workspaces.sort_unstable_keys();
+    }
+
+    /// The document with its maps sorted and its digest computed.
+    pub fn sealed(mut self) -> Self {
+        self.sort();
+        self.digest = super::render::digest_of(&self);
+        self
+    }
+}
+
 /// An availability zone.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Zone {
--- /dev/null
+++ b/papayaproxy/src/fleet/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the fleet document.
+
+mod document;
