--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod daemon;
 pub mod engine;
+mod experts;
 pub mod forward;
 pub mod http;
 pub mod load;
@@ -29,6 +30,7 @@
     Subcommand { command: forward::command, run: forward::run },
     Subcommand { command: load::command, run: load::run },
     Subcommand { command: routing::command, run: routing::run },
+    Subcommand { command: experts::command, run: experts::execute },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
--- a/papayaproxy/src/experts/constants.rs
+++ b/papayaproxy/src/experts/constants.rs
@@ -67,3 +67,12 @@
 
 /// Share by which a rank is slower while it loads.
 pub const LOAD_SLOWDOWN: f64 = 0.05;
+
+/// Bytes a second of popularity reports that a lead takes in.
+pub const REPORT_RATE: u64 = 3000;
+
+/// Encoded bytes of one expert's count in a report.
+pub const COUNT_BYTES: u64 = 3;
+
+/// Shortest window of popularity reports.
+pub const WINDOW_MIN: Duration = Duration::from_secs(10);
--- a/papayaproxy/src/experts/layout.rs
+++ b/papayaproxy/src/experts/layout.rs
@@ -1,18 +1,23 @@
 //! Lays a layer out anew: replicas for the hottest experts, then the longest first.
 
 use super::map::{LayerMap, Shape};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 /// Replicas of each expert when every slot is used: each further one goes to the expert with the
-/// highest load per replica.
+/// highest load per replica. Loads are not negative, so the order of their bits is their own.
 pub fn replicate(share: &[f32], shape: Shape) -> Vec<u16> {
     let mut counts = vec![1u16; share.len()];
-    let load = |e: usize, counts: &[u16]| share[e] / f32::from(counts[e]);
-    for _ in share.len()..shape.layer_slots() {
-        let open = (0..share.len()).filter(|&e| counts[e] < shape.ranks);
-        let Some(hot) = open.max_by(|&a, &b| load(a, &counts).total_cmp(&load(b, &counts))) else {
-            break;
-        };
+    let weight = |e: usize, count: u16| (share[e] / f32::from(count)).max(0.0).to_bits();
+    let first = (0..share.len()).map(|e| (weight(e, 1), Reverse(e)));
+    let mut queue: BinaryHeap<(u32, Reverse<usize>)> = first.collect();
+    let mut spare = shape.layer_slots().saturating_sub(share.len());
+    while let (Some((_, Reverse(hot))), true) = (queue.pop(), spare > 0) {
         counts[hot] += 1;
+        spare -= 1;
+        if counts[hot] < shape.ranks {
+            queue.push((weight(hot, counts[hot]), Reverse(hot)));
+        }
     }
     counts
 }
--- a/papayaproxy/src/experts/map.rs
+++ b/papayaproxy/src/experts/map.rs
@@ -1,10 +1,12 @@
 //! Expert maps: which expert stands in which slot of which rank, for each layer.
 
 use super::codes;
+use super::constants::{COUNT_BYTES, REPORT_RATE, WINDOW_MIN};
 use crate::base::code::Code;
 use crate::base::digest::Digest;
 use crate::fleet::Group;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// The sizes of a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +42,13 @@
         self.layer_slots() * usize::from(self.layers)
     }
 
+    /// Length of the windows in which ranks count tokens, such that the lead takes in no more than
+    /// [`REPORT_RATE`] bytes a second.
+    pub fn window(&self) -> Duration {
+        let bytes = self.all_slots() as u64 * COUNT_BYTES;
+        WINDOW_MIN.max(Duration::from_secs(bytes.div_ceil(REPORT_RATE)))
+    }
+
     /// Tells whether every expert can have a slot.
     pub fn is_possible(&self) -> bool {
         self.experts > 0 && self.slots <= self.experts && self.layer_slots() >= self.experts.into()
--- a/papayaproxy/src/experts/plan.rs
+++ b/papayaproxy/src/experts/plan.rs
@@ -68,7 +68,7 @@
     pub cost: f64,
     /// Time in which the gain makes up for the delay by loading.
     pub payback: Duration,
-    /// Further moves wait for the limit of bytes in flight.
+    /// Further first layouts wait for the limit of bytes in flight.
     pub partial: bool,
 }
 
@@ -84,7 +84,8 @@
 /// Changes of one layer that stand or fall together.
 struct Segment {
     layer: usize,
-    order: usize,
+    /// It replaces the layout that the group started with, whatever the weights.
+    first: bool,
     moves: Vec<Move>,
     gain: f64,
 }
@@ -128,14 +129,14 @@
     let placed = &at.map.layers[layer];
     let mut search = Search::new(layer as u16, placed, demand, shape);
     let skew = f64::from(search.skew());
-    let room = skew - floor(demand, shape);
-    if room < GAIN_MIN || room * at.weights.skew < load_price(at) {
-        return skew;
-    }
     if *placed == LayerMap::initial(shape) {
         segments.extend(lay_out_anew(layer, placed, demand, shape, skew));
         return skew;
     }
+    let room = skew - floor(demand, shape);
+    if room < GAIN_MIN || room * at.weights.skew < load_price(at) {
+        return skew;
+    }
     let changes = search.run(SEARCH_STEPS);
     let mut points = vec![(0usize, skew)];
     let mut loads = 0;
@@ -176,7 +177,7 @@
     search.run(SEARCH_STEPS);
     let gain = skew - f64::from(search.skew());
     let moves = difference(layer, placed, &search.into_layer(), shape);
-    (gain > GAIN_MIN).then_some(Segment { layer, order: 0, moves, gain })
+    (gain > GAIN_MIN).then_some(Segment { layer, first: true, moves, gain })
 }
 
 /// The loads that turn one layout into another, without moving experts that a rank keeps.
@@ -216,7 +217,7 @@
             break;
         }
         let part = moves[points[from].0..points[to].0].to_vec();
-        segments.push(Segment { layer, order: segments.len(), moves: part, gain });
+        segments.push(Segment { layer, first: false, moves: part, gain });
         from = to;
     }
     segments
@@ -259,7 +260,7 @@
 
 /// Keeps the segments that gain more than they cost, in layers that gain enough altogether.
 fn profitable(at: &Situation<'_>, price: f64, segments: Vec<Segment>) -> Vec<Segment> {
-    let pays = |s: &Segment| s.gain * at.weights.skew > price * s.moves.len() as f64;
+    let pays = |s: &Segment| s.first || s.gain * at.weights.skew > price * s.moves.len() as f64;
     let mut kept: Vec<Segment> = segments.into_iter().filter(pays).collect();
     let mut total = vec![0.0; at.map.layers.len()];
     kept.iter().for_each(|s| total[s.layer] += s.gain);
@@ -281,12 +282,9 @@
         let over = after.iter().any(|l| *l > limit);
         if over || blocked[segment.layer] {
             blocked[segment.layer] = true;
-            partial = true;
+            partial |= segment.first;
             continue;
         }
-        debug_assert!(
-            segment.order == 0 || taken.iter().any(|s: &Segment| s.layer == segment.layer)
-        );
         loads = after;
         taken.push(segment);
     }
