--- a/papaya-lab/src/experts/policy.rs
+++ b/papaya-lab/src/experts/policy.rs
@@ -18,7 +18,7 @@
 }
 
 /// Weights of a deployment that leans to low skew.
-const CELLAR: Weights = Weights { skew: 4.0, moved: 1.0 };
+const CELLAR: Weights = Weights { skew: 16.0, moved: 1.0 };
 
 /// Weights of a deployment that leans to few moves.
 const ORDER_DESK: Weights = Weights { skew: 1.0, moved: 4.0 };
--- /dev/null
+++ b/papayaproxy/benches/planning.rs
@@ -0,0 +1,81 @@
+//! Time to decide on moves: 128 experts, 60 layers, from 16 to 256 ranks.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use papayaproxy::experts::{
+    ExpertCount, ExpertMap, LoadCost, Popularity, RankReport, Shape, Situation, Weights, decide,
+    lay_out,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+const EXPERTS: u16 = 128;
+const LAYERS: u16 = 60;
+const WINDOW: Duration = Duration::from_secs(30);
+
+/// Popularity of every layer with the spread of a real model.
+fn shares(rng: &mut StdRng) -> Vec<Vec<f32>> {
+    let mut row = || {
+        let logs = (0..EXPERTS).map(|_| rng.random_range(-1.2f32..1.2).exp());
+        let weights: Vec<f32> = logs.collect();
+        let sum: f32 = weights.iter().sum();
+        weights.iter().map(|w| w / sum).collect()
+    };
+    (0..LAYERS).map(|_| row()).collect()
+}
+
+fn report(popularity: &mut Popularity, map: &ExpertMap, window: u64, shares: &[Vec<f32>]) {
+    let slots = usize::from(map.shape.slots);
+    for rank in 0..map.shape.ranks {
+        let from = usize::from(rank) * slots;
+        let mut counts = Vec::new();
+        for (layer, placed) in (0..).zip(&map.layers) {
+            let replicas = placed.replicas(EXPERTS.into());
+            for &expert in &placed.slots[from..from + slots] {
+                let index = usize::from(expert);
+                let share = shares[usize::from(layer)][index] / f32::from(replicas[index]);
+                counts.push(ExpertCount { layer, expert, tokens: (share * 1e7) as u32 });
+            }
+        }
+        let report = RankReport { rank, window, counts, busy: WINDOW };
+        let now = WINDOW * (window as u32 + 1);
+        assert!(popularity.take(now, &report, map).is_ok());
+    }
+}
+
+/// A map that fits one popularity while another one is measured: every layer has to be searched.
+fn situation(ranks: u16, slots: u16) -> (ExpertMap, Popularity) {
+    let shape = Shape { ranks, layers: LAYERS, experts: EXPERTS, slots };
+    let mut rng = StdRng::seed_from_u64(1);
+    let even = vec![1.0; ranks.into()];
+    let old = shares(&mut rng);
+    let layers = old.iter().map(|s| lay_out(s, &even, shape)).collect();
+    let map = ExpertMap { shape, layers };
+    let mut popularity = Popularity::new(shape, WINDOW);
+    let fresh = shares(&mut rng);
+    (0..8).for_each(|w| report(&mut popularity, &map, w, &fresh));
+    (map, popularity)
+}
+
+fn planning(c: &mut Criterion) {
+    let mut group = c.benchmark_group("planning");
+    group.sample_size(20);
+    for (ranks, slots) in [(16, 10), (64, 3), (128, 2), (256, 2)] {
+        let (map, popularity) = situation(ranks, slots);
+        let pace = vec![1.0; ranks.into()];
+        let at = Situation {
+            map: &map,
+            popularity: &popularity,
+            pace: &pace,
+            weights: Weights { skew: 4.0, moved: 1.0 },
+            load: LoadCost { bytes: 44_000_000, rate: 250e6 },
+        };
+        group.bench_function(BenchmarkId::from_parameter(ranks), |b| {
+            b.iter(|| decide(WINDOW * 8, &at));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, planning);
+criterion_main!(benches);
--- a/papayaproxy/src/experts/constants.rs
+++ b/papayaproxy/src/experts/constants.rs
@@ -23,8 +23,11 @@
 /// Smoothing time of the slow average.
 pub const SLOW_TIME: Duration = Duration::from_secs(1800);
 
-/// Time over which gains are weighed against the cost of moves.
-pub const HORIZON: Duration = Duration::from_secs(1800);
+/// Time over which gains are weighed against the cost of moves where both weights are equal.
+pub const HORIZON: Duration = Duration::from_secs(900);
+
+/// Largest factor by which the weights may stretch the horizon before it is clamped.
+pub const HORIZON_SPAN: f64 = 16.0;
 
 /// Windows for which an incomplete window is kept open.
 pub const WINDOWS_MAX: u64 = 3;
@@ -48,7 +51,7 @@
 pub const STRAGGLER_LEAVE: f64 = 1.08;
 
 /// Ranks with the least load that a search considers as targets.
-pub const COOL_RANKS: usize = 32;
+pub const COOL_RANKS: usize = 12;
 
 /// Squarings that make the power of the search's potential: 2^4 = 16.
 pub const POTENTIAL_SQUARINGS: u32 = 4;
@@ -57,10 +60,10 @@
 pub const SEARCH_GAIN_MIN: f64 = 1e-4;
 
 /// Changes that a search makes in one layer at most.
-pub const SEARCH_STEPS: usize = 24;
+pub const SEARCH_STEPS: usize = 96;
 
 /// Least expected reduction of a layer's skew that moves are made for.
-pub const GAIN_MIN: f64 = 0.01;
+pub const GAIN_MIN: f64 = 0.005;
 
 /// Layers whose slots each rank has buffers for while it loads.
 pub const FLIGHT_LAYERS: usize = 1;
@@ -76,3 +79,12 @@
 
 /// Shortest window of popularity reports.
 pub const WINDOW_MIN: Duration = Duration::from_secs(10);
+
+/// Changes after which a search that gains too little ends.
+pub const SEARCH_PATIENCE: usize = 24;
+
+/// Layers that one decision searches at most, those with the most to gain first.
+pub const SEARCH_LAYERS: usize = 16;
+
+/// Time for which popularity must have been unchanged before it is expected to last at all.
+pub const SETTLED_MIN: Duration = Duration::from_secs(120);
--- a/papayaproxy/src/experts/plan.rs
+++ b/papayaproxy/src/experts/plan.rs
@@ -1,7 +1,8 @@
 //! Decides which moves are worth their bytes.
 
 use super::constants::{
-    FLIGHT_LAYERS, GAIN_MIN, HORIZON, LOAD_SLOWDOWN, SEARCH_STEPS, SETTLED_DISTANCE, WARM_WINDOWS,
+    FLIGHT_LAYERS, GAIN_MIN, HORIZON, HORIZON_SPAN, LOAD_SLOWDOWN, SEARCH_LAYERS, SEARCH_STEPS,
+    SETTLED_DISTANCE, WARM_WINDOWS,
 };
 use super::events;
 use super::layout::{bound, lay_out};
@@ -19,6 +20,15 @@
     pub moved: f64,
 }
 
+impl Weights {
+    /// Time over which gains are weighed against the cost of moves: the more moves weigh, the
+    /// longer a gain has to last.
+    pub fn horizon(&self) -> Duration {
+        let ratio = (self.moved / self.skew.max(f64::MIN_POSITIVE)).sqrt();
+        HORIZON.mul_f64(ratio.min(HORIZON_SPAN)).clamp(HORIZON / 3, HORIZON * 2)
+    }
+}
+
 /// What loads cost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadCost {
@@ -68,7 +78,7 @@
     pub cost: f64,
     /// Time in which the gain makes up for the delay by loading.
     pub payback: Duration,
-    /// Further first layouts wait for the limit of bytes in flight.
+    /// Further layers may still have their first layout before them.
     pub partial: bool,
 }
 
@@ -102,51 +112,72 @@
         return decline(Declined::Warming, 0.0, 0.0);
     }
     let settled = at.popularity.settled(now, SETTLED_DISTANCE);
-    let lasting = (settled.as_secs_f32() / HORIZON.as_secs_f32()).min(1.0);
-    let mut skew = 0.0;
-    let mut segments = Vec::new();
-    for layer in 0..at.map.layers.len() {
-        let demand = Demand {
-            fast: at.popularity.fast(layer),
-            slow: at.popularity.slow(layer),
-            lasting,
-            pace: at.pace,
-        };
-        skew += consider(at, layer, demand, &mut segments);
-    }
-    skew /= at.map.layers.len() as f64;
+    let proven = settled.saturating_sub(SETTLED_MIN);
+    let lasting = (proven.as_secs_f32() / at.weights.horizon().as_secs_f32()).min(1.0);
+    let demand = |layer: usize| Demand {
+        fast: at.popularity.fast(layer),
+        slow: at.popularity.slow(layer),
+        lasting,
+        pace: at.pace,
+    };
+    let rooms: Vec<Room> =
+        (0..at.map.layers.len()).map(|layer| Room::find(at, layer, demand(layer))).collect();
+    let skew = rooms.iter().map(|r| r.skew).sum::<f64>() / rooms.len().max(1) as f64;
+    let mut fresh = rooms.iter().filter(|r| r.first);
+    let segments = match fresh.find_map(|r| lay_out_anew(at, r, demand(r.layer))) {
+        Some(segment) => vec![segment],
+        None => search_layers(at, rooms, demand),
+    };
     choose(at, settled, skew, segments)
 }
 
-/// Lists what a layer could gain by. Gives its skew.
-fn consider(
-    at: &Situation<'_>,
+/// What a layer may gain.
+struct Room {
     layer: usize,
-    demand: Demand<'_>,
-    segments: &mut Vec<Segment>,
-) -> f64 {
-    let shape = at.map.shape;
-    let placed = &at.map.layers[layer];
-    let mut search = Search::new(layer as u16, placed, demand, shape);
-    let skew = f64::from(search.skew());
-    if *placed == LayerMap::initial(shape) {
-        segments.extend(lay_out_anew(layer, placed, demand, shape, skew));
-        return skew;
+    skew: f64,
+    room: f64,
+    first: bool,
+}
+
+impl Room {
+    fn find(at: &Situation<'_>, layer: usize, demand: Demand<'_>) -> Self {
+        let shape = at.map.shape;
+        let placed = &at.map.layers[layer];
+        let skew = f64::from(Search::new(layer as u16, placed, demand, shape).skew());
+        let room = skew - floor(demand, shape);
+        let first = *placed == LayerMap::initial(shape) && room > GAIN_MIN;
+        Self { layer, skew, room, first }
     }
-    let room = skew - floor(demand, shape);
-    if room < GAIN_MIN || room * at.weights.skew < load_price(at) {
-        return skew;
+
+    fn is_worth(&self, at: &Situation<'_>) -> bool {
+        self.room >= GAIN_MIN && self.room * at.weights.skew >= load_price(at)
     }
-    let changes = search.run(SEARCH_STEPS);
-    let mut points = vec![(0usize, skew)];
+}
+
+/// Searches the layers that have the most to gain.
+fn search_layers<'a>(
+    at: &Situation<'_>,
+    mut rooms: Vec<Room>,
+    demand: impl Fn(usize) -> Demand<'a>,
+) -> Vec<Segment> {
+    rooms.retain(|r| r.is_worth(at));
+    rooms.sort_by(|a, b| b.room.total_cmp(&a.room).then(a.layer.cmp(&b.layer)));
+    rooms.truncate(SEARCH_LAYERS);
+    rooms.iter().flat_map(|r| search_layer(at, r, demand(r.layer))).collect()
+}
+
+fn search_layer(at: &Situation<'_>, room: &Room, demand: Demand<'_>) -> Vec<Segment> {
+    let placed = &at.map.layers[room.layer];
+    let mut search = Search::new(room.layer as u16, placed, demand, at.map.shape);
+    let changes = search.run(SEARCH_STEPS, load_price(at) / at.weights.skew);
+    let mut points = vec![(0usize, room.skew)];
     let mut loads = 0;
     for change in &changes {
         loads += change.moves.len();
         points.push((loads, f64::from(change.skew)));
     }
     let moves: Vec<Move> = changes.into_iter().flat_map(|c| c.moves).collect();
-    segments.extend(hull(layer, &points, &moves));
-    skew
+    hull(room.layer, &points, &moves)
 }
 
 /// The lowest skew that the layer's slots allow.
@@ -162,21 +193,18 @@
     at.weights.moved / at.map.shape.layer_slots() as f64
 }
 
-fn lay_out_anew(
-    layer: usize,
-    placed: &LayerMap,
-    demand: Demand<'_>,
-    shape: Shape,
-    skew: f64,
-) -> Option<Segment> {
+/// The first layout of a layer that still has the one the group started with.
+fn lay_out_anew(at: &Situation<'_>, room: &Room, demand: Demand<'_>) -> Option<Segment> {
+    let shape = at.map.shape;
+    let layer = room.layer;
     let lasting = demand.lasting;
     let pairs = demand.fast.iter().zip(demand.slow);
     let mixed: Vec<f32> = pairs.map(|(f, s)| lasting * f + (1.0 - lasting) * s).collect();
     let fresh = lay_out(&mixed, demand.pace, shape);
     let mut search = Search::new(layer as u16, &fresh, demand, shape);
-    search.run(SEARCH_STEPS);
-    let gain = skew - f64::from(search.skew());
-    let moves = difference(layer, placed, &search.into_layer(), shape);
+    search.run(SEARCH_STEPS, 0.0);
+    let gain = room.skew - f64::from(search.skew());
+    let moves = difference(layer, &at.map.layers[layer], &search.into_layer(), shape);
     (gain > GAIN_MIN).then_some(Segment { layer, first: true, moves, gain })
 }
 
@@ -234,7 +262,8 @@
         return decline(Declined::Unprofitable, skew, best);
     }
     let layers = f64::from(at.map.shape.layers);
-    let (taken, partial) = within_flight(at.map.shape, worthy);
+    let partial = worthy.iter().any(|s| s.first);
+    let taken = within_flight(at.map.shape, worthy);
     let gain = taken.iter().map(|s| s.gain).sum::<f64>() / layers;
     let moves: Vec<Move> = taken.into_iter().flat_map(|s| s.moves).collect();
     let loading = loading_time(at, &moves);
@@ -270,25 +299,22 @@
 }
 
 /// Takes segments in order while no rank has more loads than it has buffers for.
-fn within_flight(shape: Shape, segments: Vec<Segment>) -> (Vec<Segment>, bool) {
+fn within_flight(shape: Shape, segments: Vec<Segment>) -> Vec<Segment> {
     let limit = FLIGHT_LAYERS * usize::from(shape.slots);
     let mut loads = vec![0; usize::from(shape.ranks)];
     let mut blocked = vec![false; usize::from(shape.layers)];
     let mut taken = Vec::new();
-    let mut partial = false;
     for segment in segments {
         let mut after = loads.clone();
         segment.moves.iter().for_each(|m| after[usize::from(m.rank)] += 1);
-        let over = after.iter().any(|l| *l > limit);
-        if over || blocked[segment.layer] {
+        if blocked[segment.layer] || after.iter().any(|l| *l > limit) {
             blocked[segment.layer] = true;
-            partial |= segment.first;
             continue;
         }
         loads = after;
         taken.push(segment);
     }
-    (taken, partial)
+    taken
 }
 
 fn loading_time(at: &Situation<'_>, moves: &[Move]) -> Duration {
--- a/papayaproxy/src/experts/search.rs
+++ b/papayaproxy/src/experts/search.rs
@@ -1,6 +1,6 @@
 //! Incremental changes of one layer, best gain per load first.
 
-use super::constants::{COOL_RANKS, POTENTIAL_SQUARINGS, SEARCH_GAIN_MIN};
+use super::constants::{COOL_RANKS, POTENTIAL_SQUARINGS, SEARCH_GAIN_MIN, SEARCH_PATIENCE};
 use super::map::{LayerMap, Move, Shape};
 
 /// What a layer's placement is judged by.
@@ -40,6 +40,14 @@
     }
 }
 
+/// Change of one rank's loads.
+#[derive(Clone, Copy, Debug)]
+struct Shift {
+    rank: u16,
+    fast: f32,
+    slow: f32,
+}
+
 /// The state of a search in one layer.
 pub struct Search<'a> {
     demand: Demand<'a>,
@@ -51,7 +59,8 @@
     fast: Vec<f32>,
     slow: Vec<f32>,
     scale: Vec<f32>,
-    shift: Vec<(u16, f32, f32)>,
+    shift: Vec<Shift>,
+    at: Vec<u16>,
 }
 
 impl<'a> Search<'a> {
@@ -75,6 +84,7 @@
             slow: vec![0.0; ranks],
             scale: demand.pace.iter().map(|p| p * even).collect(),
             shift: Vec::new(),
+            at: vec![0; ranks],
         };
         search.sum_loads();
         search
@@ -93,13 +103,24 @@
         LayerMap { slots: self.placed }
     }
 
-    /// Improves the placement by up to `steps` changes.
-    pub fn run(&mut self, steps: usize) -> Vec<Change> {
-        let mut changes = Vec::new();
+    /// Improves the placement by up to `steps` changes. Ends early once the last
+    /// [`SEARCH_PATIENCE`] changes gained less than `worth` for each load.
+    pub fn run(&mut self, steps: usize, worth: f64) -> Vec<Change> {
+        let mut changes: Vec<Change> = Vec::new();
+        let mut before = vec![self.skew()];
         for _ in 0..steps {
             let Some(best) = self.best() else { break };
             let moves = self.apply(best);
             changes.push(Change { moves, skew: self.skew() });
+            before.push(self.skew());
+            if changes.len() >= SEARCH_PATIENCE {
+                let recent = &changes[changes.len() - SEARCH_PATIENCE..];
+                let loads: usize = recent.iter().map(|c| c.moves.len()).sum();
+                let gain = before[changes.len() - SEARCH_PATIENCE] - self.skew();
+                if f64::from(gain) < worth * loads as f64 {
+                    break;
+                }
+            }
         }
         changes
     }
@@ -190,7 +211,7 @@
         self.shifts(candidate);
         let lasting = f64::from(self.demand.lasting);
         let mut sum = 0.0;
-        for &(rank, fast, slow) in &self.shift {
+        for &Shift { rank, fast, slow } in &self.shift {
             let rank = usize::from(rank);
             let scale = self.scale[rank];
             let diff = |load: f32, by: f32| power((load + by) * scale) - power(load * scale);
@@ -239,13 +260,17 @@
     }
 
     fn add_shift(&mut self, rank: usize, fast: f32, slow: f32) {
+        let at = usize::from(self.at[rank]);
         let rank = rank as u16;
-        match self.shift.iter_mut().find(|s| s.0 == rank) {
+        match self.shift.get_mut(at).filter(|s| s.rank == rank) {
             Some(found) => {
-                found.1 += fast;
-                found.2 += slow;
+                found.fast += fast;
+                found.slow += slow;
+            }
+            None => {
+                self.at[usize::from(rank)] = self.shift.len() as u16;
+                self.shift.push(Shift { rank, fast, slow });
             }
-            None => self.shift.push((rank, fast, slow)),
         }
     }
 
@@ -256,7 +281,7 @@
 
     fn apply(&mut self, candidate: Candidate) -> Vec<Move> {
         self.shifts(candidate);
-        for &(rank, fast, slow) in &self.shift {
+        for &Shift { rank, fast, slow } in &self.shift {
             self.fast[usize::from(rank)] += fast;
             self.slow[usize::from(rank)] += slow;
         }
