--- a/papayaproxy/src/experts/plan.rs
+++ b/papayaproxy/src/experts/plan.rs
@@ -2,7 +2,7 @@
 
 use super::constants::{
     FLIGHT_LAYERS, GAIN_MIN, HORIZON, HORIZON_SPAN, LOAD_SLOWDOWN, SEARCH_LAYERS, SEARCH_STEPS,
-    SETTLED_DISTANCE, WARM_WINDOWS,
+    SETTLED_DISTANCE, SETTLED_MIN, WARM_WINDOWS,
 };
 use super::events;
 use super::layout::{bound, lay_out};
