--- a/papayaproxy/src/experts/constants.rs
+++ b/papayaproxy/src/experts/constants.rs
@@ -50,8 +50,15 @@
 /// Relative time per token below which a rank is a straggler no longer.
 pub const STRAGGLER_LEAVE: f64 = 1.08;
 
-/// Ranks with the least load that a search considers as targets.
-pub const COOL_RANKS: usize = 12;
+/// Slots, on the ranks with the least load, that a search considers as targets.
+pub const COOL_SLOTS: usize = 32;
+
+/// Fewest ranks with the least load that a search considers as targets.
+pub const COOL_RANKS_MIN: usize = 4;
+
+/// Ranks with the most load whose experts may get a replica on the hottest one, in place of a
+/// replica there.
+pub const WARM_RANKS: usize = 6;
 
 /// Squarings that make the power of the search's potential: 2^4 = 16.
 pub const POTENTIAL_SQUARINGS: u32 = 4;
@@ -84,7 +91,7 @@
 pub const SEARCH_PATIENCE: usize = 24;
 
 /// Layers that one decision searches at most, those with the most to gain first.
-pub const SEARCH_LAYERS: usize = 16;
+pub const SEARCH_LAYERS: usize = 12;
 
 /// Time for which popularity must have been unchanged before it is expected to last at all.
-pub const SETTLED_MIN: Duration = Duration::from_secs(120);
+pub const SETTLED_MIN: Duration = Duration::from_secs(100);
--- a/papayaproxy/src/experts/search.rs
+++ b/papayaproxy/src/experts/search.rs
@@ -1,6 +1,8 @@
 //! Incremental changes of one layer, best gain per load first.
 
-use super::constants::{COOL_RANKS, POTENTIAL_SQUARINGS, SEARCH_GAIN_MIN, SEARCH_PATIENCE};
+use super::constants::{
+    COOL_RANKS_MIN, COOL_SLOTS, POTENTIAL_SQUARINGS, SEARCH_GAIN_MIN, SEARCH_PATIENCE, WARM_RANKS,
+};
 use super::map::{LayerMap, Move, Shape};
 
 /// What a layer's placement is judged by.
@@ -139,12 +141,13 @@
 
     fn best(&mut self) -> Option<Candidate> {
         let order = self.ranks_by_load();
-        let cool = &order[..order.len().min(COOL_RANKS)];
+        let cool = &order[..order.len().min((COOL_SLOTS / self.slots).max(COOL_RANKS_MIN))];
+        let warm: Vec<usize> = order.iter().rev().take(WARM_RANKS).copied().collect();
         let hot = self.hottest();
         let mut best = None;
         let mut score = SEARCH_GAIN_MIN;
         for &rank in hot.iter().take(if hot[0] == hot[1] { 1 } else { 2 }) {
-            for candidate in self.candidates(rank, cool) {
+            for candidate in self.candidates(rank, cool, &warm) {
                 let found = -self.change(candidate) / candidate.loads();
                 if found > score {
                     score = found;
@@ -177,16 +180,24 @@
         order
     }
 
-    fn candidates(&self, hot: usize, cool: &[usize]) -> Vec<Candidate> {
+    fn candidates(&self, hot: usize, cool: &[usize], warm: &[usize]) -> Vec<Candidate> {
         let mut found = Vec::new();
+        let mut others: Vec<usize> = warm
+            .iter()
+            .flat_map(|&r| (0..self.slots).map(move |slot| (r, slot)))
+            .map(|(r, slot)| self.expert(r, slot))
+            .filter(|&e| !self.has(hot, e))
+            .collect();
+        others.sort_unstable();
+        others.dedup();
         for slot in 0..self.slots {
             let expert = self.expert(hot, slot);
             for &rank in cool.iter().filter(|&&r| r != hot && !self.has(r, expert)) {
                 self.moves_to(hot, slot, rank, &mut found);
             }
             if self.hosts[expert].len() > 1 {
-                let others = (0..self.hosts.len()).filter(|&e| !self.has(hot, e));
-                found.extend(others.map(|expert| Candidate::Replace { rank: hot, slot, expert }));
+                let give = |&expert: &usize| Candidate::Replace { rank: hot, slot, expert };
+                found.extend(others.iter().map(give));
             }
         }
         found
