--- /dev/null
+++ b/papayaproxy/src/bin/papayactl.rs
@@ -0,0 +1,7 @@
+//! The operators' shell tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    papayaproxy::ctl::run(std::env::args_os())
+}
--- /dev/null
+++ b/papayaproxy/src/ctl/command.rs
@@ -0,0 +1,181 @@
+//! The command line of `papayactl`.
+
+use super::explain::explain;
+use super::reference::{codes_page, events_page};
+use super::status::survey;
+use super::{codes, describe};
+use crate::fleet::{Document, DocumentError, diff, parse};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit code where a document or a fleet is not as it should be.
+const EXIT_DIFFERS: u8 = 1;
+
+/// Exit code where something could not be read.
+const EXIT_UNREADABLE: u8 = 2;
+
+/// What a command prints and how it exits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Answer {
+    pub(crate) text: String,
+    pub(crate) exit: u8,
+}
+
+impl Answer {
+    fn success(text: String) -> Self {
+        Self { text, exit: 0 }
+    }
+}
+
+/// Parses `args`, runs the command and prints its answer.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let matches = command().get_matches_from(args);
+    let answer = answer(&matches);
+    print!("{}", answer.text);
+    ExitCode::from(answer.exit)
+}
+
+pub(crate) fn command() -> Command {
+    Command::new("papayactl")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Checks and compares fleet documents, and tells what the fleet does")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("check")
+                .about("Validates a fleet document; exit code 1 if it is invalid")
+                .arg(file_arg("document", "The document")),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Compares two fleet documents; exit code 1 if they differ")
+                .arg(file_arg("old", "The document before"))
+                .arg(file_arg("new", "The document after")),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Shows the document in force on each process; exit code 1 if they differ")
+                .arg(
+                    Arg::new("process")
+                        .required(true)
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(SocketAddr))
+                        .help("HTTP address for operators of each process"),
+                ),
+        )
+        .subcommand(
+            Command::new("explain")
+                .about("Shows why a request went where it did, from log files")
+                .arg(Arg::new("request").required(true).help("The value of papaya-request"))
+                .arg(file_arg("log", "Log files, as text or JSON").num_args(1..)),
+        )
+        .subcommand(
+            Command::new("reference")
+                .about("Prints a page of the documentation")
+                .arg(Arg::new("page").required(true).value_parser(["codes", "events"])),
+        )
+}
+
+fn file_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).required(true).value_parser(value_parser!(PathBuf)).help(help)
+}
+
+pub(crate) fn answer(matches: &ArgMatches) -> Answer {
+    match matches.subcommand() {
+        Some(("check", m)) => with_files(m, &["document"], |texts| check(&texts[0])),
+        Some(("diff", m)) => with_files(m, &["old", "new"], |texts| compare(&texts[0], &texts[1])),
+        Some(("status", m)) => status(m),
+        Some(("explain", m)) => with_files(m, &["log"], |texts| explain_logs(m, texts)),
+        Some(("reference", m)) => reference(m),
+        _ => Answer { text: command().render_help().to_string(), exit: EXIT_UNREADABLE },
+    }
+}
+
+fn with_files(
+    matches: &ArgMatches,
+    names: &[&str],
+    then: impl FnOnce(&[String]) -> Answer,
+) -> Answer {
+    let paths = names.iter().flat_map(|n| matches.get_many::<PathBuf>(n).unwrap_or_default());
+    let read: Result<Vec<String>, String> = paths.map(|p| read_file(p)).collect();
+    match read {
+        Ok(texts) => then(&texts),
+        Err(text) => Answer { text, exit: EXIT_UNREADABLE },
+    }
+}
+
+fn read_file(path: &Path) -> Result<String, String> {
+    let read = std::fs::read_to_string(path);
+    read.map_err(|e| format!("{} {}: {e}\n", codes::FILE_UNREADABLE, path.display()))
+}
+
+fn check(text: &str) -> Answer {
+    match parse(text) {
+        Ok(document) => Answer::success(summary(&document)),
+        Err(error) => invalid("the document", &error),
+    }
+}
+
+fn summary(document: &Document) -> String {
+    let Document { generation, digest, upstreams, services, workspaces, zones, .. } = document;
+    let leaving = upstreams.values().filter(|u| u.leaves.is_some()).count();
+    format!(
+        "valid: generation {generation}, digest {digest}\n{} zones, {} services, {} upstreams \
+         ({leaving} with a planned stop), {} workspaces\n",
+        zones.len(),
+        services.len(),
+        upstreams.len(),
+        workspaces.len(),
+    )
+}
+
+fn invalid(what: &str, error: &DocumentError) -> Answer {
+    let count = error.problems.len();
+    Answer { text: format!("{error}\n{what} has {count} mistakes\n"), exit: EXIT_DIFFERS }
+}
+
+fn compare(old: &str, new: &str) -> Answer {
+    let (old, new) = match (parse(old), parse(new)) {
+        (Ok(old), Ok(new)) => (old, new),
+        (Err(error), _) => return Answer { exit: EXIT_UNREADABLE, ..invalid("the old document", &error) },
+        (_, Err(error)) => return Answer { exit: EXIT_UNREADABLE, ..invalid("the new document", &error) },
+    };
+    let changes = diff(&old, &new);
+    if changes.is_empty() {
+        return Answer::success("no difference\n".to_owned());
+    }
+    Answer { text: describe(&changes), exit: EXIT_DIFFERS }
+}
+
+fn status(matches: &ArgMatches) -> Answer {
+    let addresses: Vec<SocketAddr> = matches.get_many("process").unwrap_or_default().copied().collect();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let survey = match runtime {
+        Ok(runtime) => runtime.block_on(survey(&addresses)),
+        Err(error) => return Answer { text: format!("{error}\n"), exit: EXIT_UNREADABLE },
+    };
+    let exit = match (survey.agrees(), survey.differs()) {
+        (true, _) => 0,
+        (_, true) => EXIT_DIFFERS,
+        _ => EXIT_UNREADABLE,
+    };
+    Answer { text: survey.to_string(), exit }
+}
+
+fn explain_logs(matches: &ArgMatches, logs: &[String]) -> Answer {
+    let request = matches.get_one::<String>("request").map_or("", String::as_str);
+    let found: String = logs.iter().filter_map(|log| explain(log, request)).collect();
+    if found.is_empty() {
+        let text = format!("{} no line names request {request}\n", codes::REQUEST_UNKNOWN);
+        return Answer { text, exit: EXIT_DIFFERS };
+    }
+    Answer::success(found)
+}
+
+fn reference(matches: &ArgMatches) -> Answer {
+    let page = matches.get_one::<String>("page").map_or("", String::as_str);
+    Answer::success(if page == "codes" { codes_page() } else { events_page() })
+}
