--- a/papayaproxy/src/console/edit.rs
+++ b/papayaproxy/src/console/edit.rs
@@ -4,9 +4,7 @@
 use super::error::PageError;
 use super::form::Form;
 use crate::base::name::Name;
-use crate::fleet::{
-    Document, Fencing, Leave, Role, Upstream, Workspace, credential_digest,
-};
+use crate::fleet::{Document, Fencing, Leave, Role, Upstream, Workspace, credential_digest};
 use std::time::SystemTime;
 
 /// Suffix of a date as the forms write it, without a zone; dates are in UTC.
--- a/papayaproxy/src/console/effects.rs
+++ b/papayaproxy/src/console/effects.rs
@@ -48,7 +48,10 @@
     }
     if before.agent != after.agent || before.zone != after.zone {
         let text = "its calls end where they run, new ones go to the new place";
-        found.push(format!("Upstream {name} moves to {} in zone {}: {text}.", after.agent, after.zone));
+        found.push(format!(
+            "Upstream {name} moves to {} in zone {}: {text}.",
+            after.agent, after.zone
+        ));
     }
     for service in before.services.iter().filter(|s| !after.services.contains(s)) {
         found.push(format!("Upstream {name} no longer offers {service}."));
@@ -85,7 +88,8 @@
     };
     let text = |service: &Name| {
         let (old, new) = (fewest(before, service), fewest(after, service));
-        let changed = format!("Service {service} has at least {new} upstreams at any time; before {old}.");
+        let changed =
+            format!("Service {service} has at least {new} upstreams at any time; before {old}.");
         (old != new).then_some(changed)
     };
     after.services.keys().filter_map(text).collect()
@@ -124,7 +128,8 @@
             continue;
         }
         let ratio = |skew: f64, moves: f64| skew / moves.max(f64::MIN_POSITIVE);
-        let leans = ratio(group.skew_weight, group.move_weight) > ratio(old.skew_weight, old.move_weight);
+        let leans =
+            ratio(group.skew_weight, group.move_weight) > ratio(old.skew_weight, old.move_weight);
         let text = if leans { "more moves for less skew" } else { "fewer moves, more skew" };
         found.push(format!("Group {name} leans to {text} than before; its map in force stays."));
     }
--- a/papayaproxy/src/console/pages/glance.rs
+++ b/papayaproxy/src/console/pages/glance.rs
@@ -4,6 +4,7 @@
 use super::layout::{navigation, page};
 use crate::base::name::Name;
 use crate::ctl::Survey;
+use crate::ctl::status::state_word;
 use crate::fleet::{Document, Upstream};
 use crate::telemetry::Status;
 use humantime::format_rfc3339_seconds;
@@ -134,12 +135,6 @@
 }
 
 fn process_row(document: &Document, status: &Status) -> Markup {
-    let state = match (status.ready, status.leaving) {
-        (_, true) if status.is_drained() => "drained",
-        (_, true) => "leaving",
-        (true, _) => "ready",
-        _ => "not ready",
-    };
     let differs = status.generation != document.generation || is_raced(document, status);
     html! {
         tr {
@@ -152,7 +147,7 @@
             }
             td data-label="Confirmed" { (format!("{:.0} s ago", status.document_age)) }
             td data-label="Calls" { (status.calls) }
-            td data-label="State" { (state) }
+            td data-label="State" { (state_word(status)) }
         }
     }
 }
--- a/papayaproxy/src/console/pages/preview.rs
+++ b/papayaproxy/src/console/pages/preview.rs
@@ -12,8 +12,10 @@
     next: &Document,
     changes: &[Change],
     effects: &[String],
+    overlaps: &[Change],
 ) -> Markup {
     let content = html! {
+        (conflicts(overlaps))
         @if changes.is_empty() { p.note { "Nothing is changed." } }
         @else {
             h2 { "What changes" }
@@ -85,7 +87,7 @@
 }
 
 /// A change brought onto a newer document, where both touch the same keys.
-pub(crate) fn conflicts(changes: &[Change]) -> Markup {
+fn conflicts(changes: &[Change]) -> Markup {
     html! {
         @if !changes.is_empty() {
             p.note.warn role="alert" { "Both changes touch these keys. Yours is taken; check each one." }
--- a/papayaproxy/src/console/settings.rs
+++ b/papayaproxy/src/console/settings.rs
@@ -2,78 +2,96 @@
 
 use crate::base::digest::Digest;
 use crate::base::name::Name;
+use crate::settings::process::read_address;
 use crate::settings::{Reader, SettingRow, SettingsError, parse_name};
+use crate::telemetry::log::{LogFormat, parse_filter};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
-/// The console's section.
-const SECTION: &str = "console";
-
-/// Its settings.
-pub const SETTINGS: &[SettingRow] = &[
+/// Rows of the console's settings.
+pub(crate) const ROWS: &[SettingRow] = &[
     SettingRow {
-        section: SECTION,
-        key: "listen",
+        section: "console",
+        key: "address",
         default: Some("127.0.0.1:7390"),
-        meaning: "HTTP address of the console; put it behind TLS for use from other hosts",
+        meaning: "address and port of the console; put TLS before it for use from other hosts",
     },
     SettingRow {
-        section: SECTION,
-        key: "platform",
+        section: "console",
+        key: "operators",
         default: None,
-        meaning: "HTTP address of the platform's configuration service",
+        meaning: "operators as NAME:DIGEST, separated by commas; the digest is the first 32 \
+                  hexadecimal digits of the credential's BLAKE3 hash",
     },
     SettingRow {
-        section: SECTION,
+        section: "console",
         key: "processes",
         default: Some(""),
-        meaning: "HTTP addresses for operators of entries and agents, separated by commas",
+        meaning: "operators' endpoints of entries and agents, separated by commas",
     },
     SettingRow {
-        section: SECTION,
-        key: "operators",
+        section: "platform",
+        key: "address",
         default: None,
-        meaning: "operators as NAME:DIGEST, separated by commas; the digest is the first 32 \
-                  hexadecimal digits of the credential's BLAKE3 hash",
+        meaning: "address and port of the platform's service",
+    },
+    SettingRow { section: "log", key: "format", default: Some("text"), meaning: "text or json" },
+    SettingRow {
+        section: "log",
+        key: "filter",
+        default: Some("info"),
+        meaning: "log filter such as info or papayaproxy=debug",
     },
 ];
 
-/// Checked settings of the console.
+/// Every table of settings that the console reads.
+pub const TABLES: &[&[SettingRow]] = &[ROWS];
+
+/// The checked settings of the console.
 #[derive(Clone, Debug)]
 pub struct ConsoleSettings {
     /// Address to listen on.
-    pub listen: SocketAddr,
-    /// Address of the platform.
+    pub address: SocketAddr,
+    /// Address of the platform's service.
     pub platform: SocketAddr,
-    /// Addresses of the processes to be shown.
+    /// Operators' endpoints of the processes that are shown.
     pub processes: Vec<SocketAddr>,
     /// Digest of each operator's credential.
     pub operators: IndexMap<Name, Digest>,
+    /// Form of log lines.
+    pub format: LogFormat,
+    /// Log filter.
+    pub filter: String,
 }
 
 impl ConsoleSettings {
-    /// Reads `file` and `overrides` of the form `section.key=value`.
+    /// Reads settings from a file and overrides.
     ///
     /// # Errors
-    /// Every mistake found.
-    pub fn read(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
-        Self::take(Reader::open(file, overrides, &[SETTINGS]))
+    /// Returns every mistake found.
+    pub fn open(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
+        let mut reader = Reader::open(file, overrides, TABLES);
+        let settings = Self::read(&mut reader);
+        reader.finish(settings)
     }
 
-    pub(crate) fn take(mut reader: Reader) -> Result<Self, SettingsError> {
-        let listen = reader.parsed(SECTION, "listen", "an IP address and port");
-        let platform = reader.parsed(SECTION, "platform", "an IP address and port");
-        let processes = reader.value(SECTION, "processes", parse_addresses).unwrap_or_default();
-        let operators = reader.value(SECTION, "operators", parse_operators);
-        let built = listen.zip(platform).zip(operators);
-        let built = built.map(|((listen, platform), operators)| Self {
-            listen,
-            platform,
-            processes,
-            operators,
-        });
-        reader.finish(built)
+    /// Reads the settings; `None` if one is wrong, which the reader then reports.
+    pub fn read(reader: &mut Reader) -> Option<Self> {
+        let address = read_address(reader, "console");
+        let platform = read_address(reader, "platform");
+        let processes = reader.value("console", "processes", parse_addresses);
+        let operators = reader.value("console", "operators", parse_operators);
+        let format = reader.value("log", "format", LogFormat::parse);
+        let filter = reader.value("log", "filter", parse_filter);
+        Some(Self {
+            address: address?,
+            platform: platform?,
+            processes: processes.unwrap_or_default(),
+            operators: operators?,
+            format: format?,
+            filter: filter?,
+        })
     }
 }
 
--- a/papayaproxy/src/ctl/command.rs
+++ b/papayaproxy/src/ctl/command.rs
@@ -4,7 +4,7 @@
 use super::reference::{codes_page, events_page};
 use super::status::survey;
 use super::{codes, describe};
-use crate::fleet::{Document, DocumentError, diff, parse};
+use crate::fleet::{Document, DocumentError, credential_digest, diff, parse};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -72,6 +72,11 @@
                 .arg(Arg::new("request").required(true).help("The value of papaya-request"))
                 .arg(file_arg("log", "Log files, as text or JSON").num_args(1..)),
         )
+        .subcommand(
+            Command::new("digest")
+                .about("Prints the digest of a credential, as documents and settings hold it")
+                .arg(file_arg("credential", "File with the credential on one line")),
+        )
         .subcommand(
             Command::new("reference")
                 .about("Prints a page of the documentation")
@@ -89,6 +94,7 @@
         Some(("diff", m)) => with_files(m, &["old", "new"], |texts| compare(&texts[0], &texts[1])),
         Some(("status", m)) => status(m),
         Some(("explain", m)) => with_files(m, &["log"], |texts| explain_logs(m, texts)),
+        Some(("digest", m)) => with_files(m, &["credential"], |texts| digest(&texts[0])),
         Some(("reference", m)) => reference(m),
         _ => Answer { text: command().render_help().to_string(), exit: EXIT_UNREADABLE },
     }
@@ -140,8 +146,12 @@
 fn compare(old: &str, new: &str) -> Answer {
     let (old, new) = match (parse(old), parse(new)) {
         (Ok(old), Ok(new)) => (old, new),
-        (Err(error), _) => return Answer { exit: EXIT_UNREADABLE, ..invalid("the old document", &error) },
-        (_, Err(error)) => return Answer { exit: EXIT_UNREADABLE, ..invalid("the new document", &error) },
+        (Err(error), _) => {
+            return Answer { exit: EXIT_UNREADABLE, ..invalid("the old document", &error) };
+        }
+        (_, Err(error)) => {
+            return Answer { exit: EXIT_UNREADABLE, ..invalid("the new document", &error) };
+        }
     };
     let changes = diff(&old, &new);
     if changes.is_empty() {
@@ -151,7 +161,8 @@
 }
 
 fn status(matches: &ArgMatches) -> Answer {
-    let addresses: Vec<SocketAddr> = matches.get_many("process").unwrap_or_default().copied().collect();
+    let addresses: Vec<SocketAddr> =
+        matches.get_many("process").unwrap_or_default().copied().collect();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let survey = match runtime {
         Ok(runtime) => runtime.block_on(survey(&addresses)),
@@ -175,6 +186,11 @@
     Answer::success(found)
 }
 
+fn digest(credential: &str) -> Answer {
+    let digest = credential_digest(credential.trim_end_matches(['\r', '\n']));
+    Answer::success(format!("{digest}\n"))
+}
+
 fn reference(matches: &ArgMatches) -> Answer {
     let page = matches.get_one::<String>("page").map_or("", String::as_str);
     Answer::success(if page == "codes" { codes_page() } else { events_page() })
--- a/papayaproxy/src/ctl/reference.rs
+++ b/papayaproxy/src/ctl/reference.rs
@@ -14,7 +14,11 @@
     for row in rows {
         let outcome = row.outcome.as_str();
         let meaning = cell(row.meaning);
-        let _ = writeln!(page, "| {} | `{}` | {outcome} | {} | {meaning} |", row.code, row.name, row.status);
+        let _ = writeln!(
+            page,
+            "| {} | `{}` | {outcome} | {} | {meaning} |",
+            row.code, row.name, row.status
+        );
     }
     page
 }
--- a/papayaproxy/src/ctl/status.rs
+++ b/papayaproxy/src/ctl/status.rs
@@ -90,13 +90,17 @@
     }
 }
 
-fn row(status: &Status) -> [String; 8] {
-    let state = match (status.ready, status.leaving) {
+/// A process' state in a word or two.
+pub(crate) fn state_word(status: &Status) -> &'static str {
+    match (status.ready, status.leaving) {
         (_, true) if status.is_drained() => "drained",
         (_, true) => "leaving",
         (true, _) => "ready",
         _ => "not ready",
-    };
+    }
+}
+
+fn row(status: &Status) -> [String; 8] {
     [
         status.zone.clone(),
         status.name.clone(),
@@ -105,7 +109,7 @@
         status.digest.chars().take(8).collect(),
         format!("{:.1} s", status.document_age),
         status.calls.to_string(),
-        state.to_owned(),
+        state_word(status).to_owned(),
     ]
 }
 
