Add the core of planned stops

Cause: a leaving upstream, and a process that is asked to stop, must take no new work and cut none.

Change: one core for upstreams, agents and entries: it refuses with a not-run code from the moment it knows, counts calls and streams, and says when streams are to be moved and when a stopping process may go. A stopping process never serves again.

Ruled out: a time after which work is cut; an overdue stop is told instead.

--- a/papayaproxy/src/drain/codes.rs
+++ b/papayaproxy/src/drain/codes.rs
@@ -2,4 +2,10 @@
 
 use crate::base::code::codes;
 
-codes! {}
+codes! {
+    LEAVING_PLANNED = 2100, NotRun, 503, "The upstream leaves for cleaning and takes no new work.";
+    PROCESS_STOPPING = 2101, NotRun, 503, "The process is stopping and takes no new work.";
+    HOST_LEAVING = 2102, NotRun, 503, "The upstream's host is leaving and takes no new work.";
+    UPSTREAM_CLOSED = 2103, NotRun, 503, "The fleet document closes the upstream to new work.";
+    INVARIANT_COUNT = 2110, Unknown, 500, "Invariant: more work has ended than was begun.";
+}
--- /dev/null
+++ b/papayaproxy/src/drain/constants.rs
@@ -0,0 +1,9 @@
+//! Defaults of this slice.
+
+use std::time::Duration;
+
+/// Time after the start of leaving from which long streams are handed to other replicas.
+pub(crate) const MOVE_AFTER: Duration = Duration::from_secs(20);
+
+/// Longest time that a stopping process waits for work in progress; longer than any deadline.
+pub(crate) const STOP_LIMIT: Duration = Duration::from_secs(620);
--- a/papayaproxy/src/drain/mod.rs
+++ b/papayaproxy/src/drain/mod.rs
@@ -1,4 +1,15 @@
 //! Graceful shutdown of upstreams and of our own processes.
 
 pub(crate) mod codes;
+pub(crate) mod constants;
 pub(crate) mod events;
+pub(crate) mod intent;
+pub(crate) mod machine;
+pub(crate) mod settings;
+
+#[cfg(test)]
+mod tests;
+
+pub use intent::{Reason, Wishes};
+pub use machine::{Drain, Phase, Step, Work};
+pub use settings::{DrainSettings, SETTINGS};
