--- a/papayaproxy/src/delivery/keys.rs
+++ b/papayaproxy/src/delivery/keys.rs
@@ -133,7 +133,10 @@
         if let Some(record) = self.known(key) {
             return repeat(record, claim.request);
         }
-        if let Some(code) = self.absent(key, now) {
+        let late = self.absent(key, now);
+        if let Some(code) =
+            late.filter(|c| *c == codes::KEY_FORGOTTEN || self.guards(Guard::Expiry))
+        {
             return Begin::Refused(self.checked(key, code, now));
         }
         // A refusal must revoke, or a delayed copy of this call could still start the key.
@@ -286,8 +289,7 @@
         if age >= self.settings.keep() && self.guards(Guard::Retention) {
             return Some(codes::KEY_FORGOTTEN);
         }
-        let expired = age >= self.settings.start_life && self.guards(Guard::Expiry);
-        expired.then_some(codes::KEY_EXPIRED)
+        (age >= self.settings.start_life).then_some(codes::KEY_EXPIRED)
     }
 
     fn start(&mut self, key: &Token, request: Digest, now: Duration) {
