--- /dev/null
+++ b/papayaproxy/src/bin/papaya-entry.rs
@@ -0,0 +1,7 @@
+//! The entry daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    papayaproxy::daemon::run_entry(std::env::args_os())
+}
--- /dev/null
+++ b/papayaproxy/src/daemon/command.rs
@@ -0,0 +1,70 @@
+//! The command line of a daemon.
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use std::path::PathBuf;
+
+/// Options of a daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// The settings file.
+    pub(crate) settings: Option<PathBuf>,
+    /// Overrides of the form `section.key=value`.
+    pub(crate) overrides: Vec<String>,
+    /// Whether only to check the settings.
+    pub(crate) check: bool,
+}
+
+impl Options {
+    pub(crate) fn read(matches: &ArgMatches) -> Self {
+        let set = matches.get_many::<String>("set").into_iter().flatten();
+        let mut overrides: Vec<String> = set.cloned().collect();
+        if let Some(format) = matches.get_one::<String>("log-format") {
+            overrides.push(format!("log.format={format}"));
+        }
+        Self {
+            settings: matches.get_one::<PathBuf>("settings").cloned(),
+            overrides,
+            check: matches.get_flag("check"),
+        }
+    }
+}
+
+/// Describes the command line of the daemon `name`.
+pub(crate) fn command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(about)
+        .args(settings_args())
+        .args(log_args())
+}
+
+fn settings_args() -> [Arg; 3] {
+    [
+        Arg::new("settings")
+            .long("settings")
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .help_heading("Settings")
+            .help("Reads settings from an INI file"),
+        Arg::new("set")
+            .long("set")
+            .value_name("SECTION.KEY=VALUE")
+            .action(ArgAction::Append)
+            .help_heading("Settings")
+            .help("Sets one value, after the file; may be repeated"),
+        Arg::new("check")
+            .long("check")
+            .action(ArgAction::SetTrue)
+            .help_heading("Settings")
+            .help("Checks the settings and exits"),
+    ]
+}
+
+fn log_args() -> [Arg; 1] {
+    [Arg::new("log-format")
+        .long("log-format")
+        .value_name("FORMAT")
+        .value_parser(["text", "json"])
+        .help_heading("Logs")
+        .help("Form of the log lines, on standard error")]
+}
--- /dev/null
+++ b/papayaproxy/src/daemon/run.rs
@@ -0,0 +1,112 @@
+//! Runs a daemon from its command line to its graceful stop.
+
+use super::command::{Options, command};
+use super::feed::open_feed;
+use crate::agent::{Agent, AgentSettings};
+use crate::base::clock::Clock;
+use crate::base::error::ProcessError;
+use crate::entry::{Entry, EntrySettings};
+use crate::settings::{ProcessSettings, SettingsError};
+use crate::telemetry::open_log;
+use std::ffi::OsString;
+use std::process::ExitCode;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Exit code of a daemon whose settings are wrong.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs `papaya-entry` with `args`.
+pub fn run_entry(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let about = "Takes callers' requests and routes them to upstreams";
+    let options = Options::read(&command("papaya-entry", about).get_matches_from(args));
+    let settings = EntrySettings::open(options.settings.as_deref(), &options.overrides);
+    let settings = match accept(settings, &options, |s| &s.process) {
+        Ok(settings) => settings,
+        Err(exit) => return exit,
+    };
+    let threads = settings.process.threads;
+    drive(threads, async move {
+        let clock = Clock::start();
+        let identity = settings.process.identity();
+        let feed = open_feed(settings.process.platform, clock);
+        let entry = Entry::open(settings, identity, feed, clock).await?;
+        stopped().await;
+        entry.stop().await;
+        Ok(())
+    })
+}
+
+/// Runs `papaya-agent` with `args`.
+pub fn run_agent(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let about = "Guards one upstream: the only gate to it";
+    let options = Options::read(&command("papaya-agent", about).get_matches_from(args));
+    let settings = AgentSettings::open(options.settings.as_deref(), &options.overrides);
+    let settings = match accept(settings, &options, |s| &s.process) {
+        Ok(settings) => settings,
+        Err(exit) => return exit,
+    };
+    let threads = settings.process.threads;
+    drive(threads, async move {
+        let clock = Clock::start();
+        let identity = settings.process.identity();
+        let feed = open_feed(settings.process.platform, clock);
+        let agent = Agent::open(settings, identity, feed, |_| {}).await?;
+        stopped().await;
+        agent.stop().await;
+        Ok(())
+    })
+}
+
+/// Opens the log, or gives the exit code where settings are wrong or were only to be checked.
+fn accept<T>(
+    settings: Result<T, SettingsError>,
+    options: &Options,
+    process: impl Fn(&T) -> &ProcessSettings,
+) -> Result<T, ExitCode> {
+    let settings = settings.map_err(|error| {
+        eprintln!("{error}");
+        ExitCode::from(EXIT_SETTINGS)
+    })?;
+    if options.check {
+        println!("settings are valid");
+        return Err(ExitCode::SUCCESS);
+    }
+    let process = process(&settings);
+    open_log(process.format, &process.filter);
+    Ok(settings)
+}
+
+/// Runs `body` on the traffic threads.
+fn drive(threads: usize, body: impl Future<Output = Result<(), ProcessError>>) -> ExitCode {
+    let runtime = match Builder::new_multi_thread().worker_threads(threads).enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(body) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(code = %error.code(), "{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stopped() {
+    let (Ok(mut term), Ok(mut int)) = (on(SignalKind::terminate()), on(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
+fn on(kind: SignalKind) -> std::io::Result<Signal> {
+    signal(kind)
+}
--- a/papayaproxy/src/entry/route.rs
+++ b/papayaproxy/src/entry/route.rs
@@ -5,7 +5,9 @@
 use crate::base::name::Name;
 use crate::fleet::Role;
 use crate::membership::{Feed, View};
-use crate::routing::{Candidates, Decision, End, Moment, Presence, Refusal, Request, Router, Ticket};
+use crate::routing::{
+    Candidates, Decision, End, Moment, Presence, Refusal, Request, Router, Ticket,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -122,10 +124,7 @@
 
 fn presence(view: &View, name: &Name) -> Presence {
     let known = view.upstreams.get(name);
-    Presence {
-        live: known.is_some_and(|u| u.live),
-        incarnation: known.and_then(|u| u.incarnation),
-    }
+    Presence { live: known.is_some_and(|u| u.live), incarnation: known.and_then(|u| u.incarnation) }
 }
 
 fn request<'a>(ask: &'a Ask, left: Duration, excluded: &'a [Name]) -> Request<'a> {
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -113,11 +113,7 @@
         }
     }
 
-    async fn attempt(
-        &self,
-        routed: Routed,
-        left: Duration,
-    ) -> Result<(Brought, Ticket), Failure> {
+    async fn attempt(&self, routed: Routed, left: Duration) -> Result<(Brought, Ticket), Failure> {
         let agent = routed.decision.agent;
         let deadline = Instant::now() + left;
         let ticket = TicketGuard::new(self.shared.clone(), routed.ticket);
--- a/papayaproxy/src/entry/settings.rs
+++ b/papayaproxy/src/entry/settings.rs
@@ -25,7 +25,8 @@
 ];
 
 /// Every table of settings that an entry reads.
-pub const TABLES: &[&[SettingRow]] = &[process::ROWS, ROWS, routing::SETTINGS, crate::limits::SETTINGS];
+pub const TABLES: &[&[SettingRow]] =
+    &[process::ROWS, ROWS, routing::SETTINGS, crate::limits::SETTINGS];
 
 /// The checked settings of an entry.
 #[derive(Clone, Debug)]
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod console;
 pub mod ctl;
+pub mod daemon;
 pub mod delivery;
 pub mod drain;
 pub mod entry;
--- a/papayaproxy/src/telemetry/events.rs
+++ b/papayaproxy/src/telemetry/events.rs
@@ -6,5 +6,4 @@
     PROCESS_STARTED = 2200, "A process is open. Fields: role, name, incarnation, address, ops.";
     PROCESS_STOPPING = 2201, "A process begins its graceful shutdown. Fields: role, name.";
     PROCESS_STOPPED = 2202, "A process has finished its work and ends. Fields: role, name.";
-    SETTINGS_REFUSED = 2203, "The settings are wrong. Fields: code; the text names file, section and key.";
 }
