Add papaya-lab demo: every role in one process, planned stops under load

Cause: a first-time reader wants to see the whole system at work in one command. Change: demo opens platform, three entries, eight upstreams with agents in three zones, sends an open-loop load of both kinds, lets assistant-1 and ledger-1 leave under it and stops them once drained. Exit code 0 only if every request was completed whole, none ran twice and nothing came after 3 s. daemon::open_entry and open_agent are split from the command line for it. Status names the agent's upstream, so that the console can tell how many calls a leaving one has. The plain stand-in answers /v1/load in place of counting it as a call.

--- a/papaya-lab/src/engine/state.rs
+++ b/papaya-lab/src/engine/state.rs
@@ -103,6 +103,17 @@
         }
     }
 
+    /// The completion with the version that serves, where it names none.
+    fn settle_version(&self, completion: &Completion) -> Completion {
+        let mut settled = completion.clone();
+        let ask = &mut settled.ask;
+        let found = self.loaded.iter().filter(|l| l.model == ask.model).map(|l| l.version).max();
+        if ask.version == 0 {
+            ask.version = found.unwrap_or(0);
+        }
+        settled
+    }
+
     /// Takes a completion under the stream number `id`.
     pub(crate) fn submit(
         &mut self,
@@ -112,6 +123,7 @@
         workspace: &str,
         completion: &Completion,
     ) -> Result<Arc<Stream>, Refusal> {
+        let completion = &self.settle_version(completion);
         if let Some(refusal) = self.refusal(settings, completion) {
             self.counts.refused += 1;
             return Err(refusal);
--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, load tool and experiments for papayaproxy. Used on test machines only.
 
 pub(crate) mod daemon;
+pub mod demo;
 pub mod engine;
 pub mod forward;
 pub mod http;
@@ -27,6 +28,7 @@
     Subcommand { command: plain::command, run: plain::run },
     Subcommand { command: platform::command, run: platform::run },
     Subcommand { command: forward::command, run: forward::run },
+    Subcommand { command: demo::command, run: demo::run },
     Subcommand { command: load::command, run: load::run },
     Subcommand { command: routing::command, run: routing::run },
 ];
--- a/papaya-lab/src/plain/server.rs
+++ b/papaya-lab/src/plain/server.rs
@@ -1,6 +1,7 @@
 //! The running plain service.
 
 use super::ledger::{Counts, Label};
+use crate::engine::loads::Report;
 use crate::http::Server;
 use crate::http::body::{Body, collect, collect_json, full, json, text};
 use crate::http::server::handler;
@@ -10,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -17,6 +19,9 @@
 /// Tells a caller the number of the run that it got.
 const RUN_HEADER: &str = "lab-run";
 
+/// Calls that it runs at a time, as its load report states.
+const SLOTS: u32 = 64;
+
 /// Settings of a plain service.
 #[derive(Clone, Debug)]
 pub struct PlainSettings {
@@ -53,6 +58,7 @@
     settings: PlainSettings,
     counts: Mutex<Counts>,
     switches: Mutex<PlainSwitches>,
+    reports: AtomicU64,
 }
 
 impl Shared {
@@ -77,8 +83,12 @@
 /// The address cannot be bound.
 pub async fn bind(settings: PlainSettings) -> io::Result<Plain> {
     let listen = settings.listen;
-    let shared =
-        Arc::new(Shared { settings, counts: Mutex::default(), switches: Mutex::default() });
+    let shared = Arc::new(Shared {
+        settings,
+        counts: Mutex::default(),
+        switches: Mutex::default(),
+        reports: AtomicU64::new(0),
+    });
     let inner = shared.clone();
     let server = Server::bind(listen, handler(move |r| answer(inner.clone(), r))).await?;
     Ok(Plain { server, shared })
@@ -110,10 +120,23 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/counts") => Ok(json(StatusCode::OK, &*shared.counts())),
         (&Method::POST, "/switch") => switch(&shared, request).await,
+        (&Method::GET, "/v1/load") => Ok(json(StatusCode::OK, &load(&shared))),
         _ => call(&shared, request).await,
     }
 }
 
+/// The load report: calls that run, of as many as it takes at a time.
+fn load(shared: &Shared) -> Report {
+    let total = shared.counts().total;
+    Report {
+        sequence: shared.reports.fetch_add(1, Ordering::Relaxed) + 1,
+        running: total.started.saturating_sub(total.finished).min(u64::from(SLOTS)) as u32,
+        slots: SLOTS,
+        step_us: shared.settings.service.as_micros() as u64,
+        ..Report::default()
+    }
+}
+
 async fn switch(shared: &Shared, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let switches: PlainSwitches = match collect_json(request.into_body()).await {
         Ok(switches) => switches,
--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -155,6 +155,7 @@
         let stopping = self.stopping.load(Ordering::SeqCst);
         let mut status = self.feed.status(&self.identity, &self.settings.process.zone);
         status.role = "agent".to_owned();
+        status.upstream = self.settings.upstream.to_string();
         status.ready = open && !stopping;
         status.leaving = stopping || own.is_some() && !open;
         status.calls = self.calls.load(Ordering::Relaxed) as u64;
--- a/papayaproxy/src/console/effects.rs
+++ b/papayaproxy/src/console/effects.rs
@@ -67,7 +67,7 @@
 
 /// What its agent has in progress now, and what becomes of that.
 fn calls_text(name: &Name, statuses: &[&Status]) -> String {
-    let agent = statuses.iter().find(|s| s.role == "agent" && s.name == name.as_str());
+    let agent = statuses.iter().find(|s| s.upstream == name.as_str());
     match agent.map(|s| s.calls) {
         Some(0) => "It has no call in progress now.".to_owned(),
         Some(1) => "Its 1 call in progress now runs to its end or moves.".to_owned(),
--- a/papayaproxy/src/console/tests/change.rs
+++ b/papayaproxy/src/console/tests/change.rs
@@ -84,8 +84,7 @@
     let name = before.upstreams.keys().next().unwrap().clone();
     let leave = Leave { from: monday(), until: monday() + 2 * HOUR };
     let after = next(&before, |d| d.upstreams[&name].leaves = Some(leave));
-    let status =
-        Status { name: name.to_string(), role: "agent".into(), calls, ..Status::default() };
+    let status = Status { upstream: name.to_string(), calls, ..Status::default() };
     let found = effects(&before, &after, &[&status]).join("\n");
     assert!(found.contains(expected) && found.contains("2026-12-07T06:00:00Z"), "{found}");
 }
--- a/papayaproxy/src/daemon/mod.rs
+++ b/papayaproxy/src/daemon/mod.rs
@@ -4,4 +4,4 @@
 pub(crate) mod feed;
 pub(crate) mod run;
 
-pub use run::{run_agent, run_entry};
+pub use run::{open_agent, open_entry, run_agent, run_entry};
--- a/papayaproxy/src/daemon/run.rs
+++ b/papayaproxy/src/daemon/run.rs
@@ -27,10 +27,7 @@
     };
     let threads = settings.process.threads;
     drive(threads, async move {
-        let clock = Clock::start();
-        let identity = settings.process.identity();
-        let feed = open_feed(settings.process.platform, clock);
-        let entry = Entry::open(settings, identity, feed, clock).await?;
+        let entry = open_entry(settings).await?;
         stopped().await;
         entry.stop().await;
         Ok(())
@@ -48,16 +45,35 @@
     };
     let threads = settings.process.threads;
     drive(threads, async move {
-        let clock = Clock::start();
-        let identity = settings.process.identity();
-        let feed = open_feed(settings.process.platform, clock);
-        let agent = Agent::open(settings, identity, feed, |_| {}).await?;
+        let agent = open_agent(settings).await?;
         stopped().await;
         agent.stop().await;
         Ok(())
     })
 }
 
+/// Opens an entry with its view of the fleet, on the present runtime.
+///
+/// # Errors
+/// An address that cannot be bound, or an exporter that cannot be set up.
+pub async fn open_entry(settings: EntrySettings) -> Result<Entry, ProcessError> {
+    let clock = Clock::start();
+    let identity = settings.process.identity();
+    let feed = open_feed(settings.process.platform, clock);
+    Entry::open(settings, identity, feed, clock).await
+}
+
+/// Opens an agent with its view of the fleet, on the present runtime.
+///
+/// # Errors
+/// An address that cannot be bound, or an exporter that cannot be set up.
+pub async fn open_agent(settings: AgentSettings) -> Result<Agent, ProcessError> {
+    let clock = Clock::start();
+    let identity = settings.process.identity();
+    let feed = open_feed(settings.process.platform, clock);
+    Agent::open(settings, identity, feed, |_| {}).await
+}
+
 /// Opens the log, or gives the exit code where settings are wrong or were only to be checked.
 fn accept<T>(
     settings: Result<T, SettingsError>,
--- a/papayaproxy/src/telemetry/status.rs
+++ b/papayaproxy/src/telemetry/status.rs
@@ -11,6 +11,9 @@
     pub role: String,
     /// Its availability zone.
     pub zone: String,
+    /// The upstream that an agent guards; empty for an entry.
+    #[serde(default)]
+    pub upstream: String,
     /// Its incarnation, 16 hexadecimal digits.
     pub incarnation: String,
     /// Generation of the fleet document in force; 0 before the first.
