Retry unsent attempts without budget; name model and version; check settings

Change: attempts of which no byte was written need no budget and have a bound of their own (8). The entry names model and version in a request that leaves them out, and refuses another model. Settings mistakes in unknown sections name file and key. Ruled out: a larger starting budget, which only moves the failure.

--- a/papayaproxy/src/agent/call.rs
+++ b/papayaproxy/src/agent/call.rs
@@ -17,7 +17,7 @@
 pub(crate) async fn run_call(call: IncomingCall, client: &UpstreamClient) {
     let started = Instant::now();
     let deadline = started + call.head.remaining.saturating_sub(ANSWER_MARGIN);
-    let IncomingCall { head, body, cancelled, mut replier, .. } = call;
+    let IncomingCall { tag, peer, head, body, cancelled, mut replier } = call;
     let result = match client.request(&head, body) {
         Ok(request) => {
             let forwarded = timeout_at(deadline, forward(request, client, &mut replier));
@@ -32,6 +32,8 @@
     tracing::info!(
         event = events::CALL_ENDED,
         request = format_args!("{:016x}", head.request),
+        peer = %peer.name,
+        call = tag.call,
         service = %head.service,
         workspace = %head.workspace,
         %code,
--- a/papayaproxy/src/delivery/attempt.rs
+++ b/papayaproxy/src/delivery/attempt.rs
@@ -1,8 +1,7 @@
 //! What an entry does after each attempt of a call that did not bring a whole reply.
 
 use super::codes;
-use super::constants::{ATTEMPT_TIME_MIN, ATTEMPTS_MAX};
-use super::events;
+use super::constants::{ATTEMPT_TIME_MIN, ATTEMPTS_MAX, UNSENT_MAX};
 use super::record::outcome;
 use crate::base::code::{Code, Outcome};
 use std::time::Duration;
@@ -53,6 +52,8 @@
     kind: CallKind,
     deadline: Duration,
     made: u32,
+    /// Attempts of which no byte was written.
+    unsent: u32,
     /// Bytes of the attempt in progress have been written.
     writing: bool,
     /// An earlier attempt may have run.
@@ -64,7 +65,7 @@
     pub fn new(kind: CallKind, deadline: Duration) -> Self {
         // Another entry may have brought the key to its home before.
         let doubtful = kind == CallKind::Keyed;
-        Self { kind, deadline, made: 0, writing: false, doubtful }
+        Self { kind, deadline, made: 0, unsent: 0, writing: false, doubtful }
     }
 
     /// Counts an attempt and gives the time that it may take. To be asked right before the first
@@ -88,13 +89,6 @@
         now: Duration,
         budget: impl FnOnce() -> bool,
     ) -> Next {
-        let next = self.decide(failure, now, budget);
-        let made = self.made;
-        tracing::info!(event = events::ATTEMPT_DECIDED, ?failure, made, ?next, "attempt failed");
-        next
-    }
-
-    fn decide(&mut self, failure: Failure, now: Duration, budget: impl FnOnce() -> bool) -> Next {
         let proven = match failure {
             Failure::Unsent(_) => true,
             Failure::Refused(code) => outcome(code) == Outcome::NotRun,
@@ -111,12 +105,16 @@
         if self.deadline.saturating_sub(now) < ATTEMPT_TIME_MIN {
             return Next::Answer(self.deadline_code());
         }
-        if self.made >= ATTEMPTS_MAX {
-            return Next::Answer(self.answer(failure));
-        }
-        if !budget() {
+        if matches!(failure, Failure::Unsent(_)) {
+            // Nothing was sent, so that a retry adds no load and needs no budget.
+            self.made -= 1;
+            self.unsent += 1;
+        } else if self.made < ATTEMPTS_MAX && !budget() {
             return Next::Answer(self.spent(failure));
         }
+        if self.made >= ATTEMPTS_MAX || self.unsent >= UNSENT_MAX {
+            return Next::Answer(self.answer(failure));
+        }
         Next::Retry(place)
     }
 
--- a/papayaproxy/src/delivery/constants.rs
+++ b/papayaproxy/src/delivery/constants.rs
@@ -20,9 +20,12 @@
 /// Grain in which issued keys are counted.
 pub(crate) const WINDOW_GRAIN: Duration = Duration::from_secs(1);
 
-/// Attempts of one request, the first included.
+/// Attempts of one request that may have reached an agent, the first included.
 pub(crate) const ATTEMPTS_MAX: u32 = 3;
 
+/// Attempts of one request of which no byte was written.
+pub(crate) const UNSENT_MAX: u32 = 8;
+
 /// Time left below which no further attempt is made.
 pub(crate) const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(5);
 
--- a/papayaproxy/src/delivery/events.rs
+++ b/papayaproxy/src/delivery/events.rs
@@ -9,5 +9,4 @@
     KEY_REFUSED = 1203, "A key is refused: sequence, code.";
     KEY_REVOKED = 1204, "A key is revoked before its start: sequence, code.";
     REPLY_DROPPED = 1205, "A kept reply is dropped to make room: sequence.";
-    ATTEMPT_DECIDED = 1206, "What follows a failed attempt: failure, attempts made, decision.";
 }
--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -72,13 +72,16 @@
 }
 
 /// The fields of a model request that an entry reads; the others pass through.
-#[derive(Deserialize)]
+#[derive(Deserialize, Default)]
+#[serde(default)]
 struct Completion<'a> {
-    #[serde(borrow, default)]
+    #[serde(borrow)]
+    model: Option<std::borrow::Cow<'a, str>>,
+    version: Option<u32>,
+    #[serde(borrow)]
     adapter: Option<std::borrow::Cow<'a, str>>,
-    #[serde(borrow, default)]
+    #[serde(borrow)]
     prompt: std::borrow::Cow<'a, str>,
-    #[serde(default)]
     max_tokens: Option<u32>,
 }
 
@@ -117,8 +120,11 @@
     };
     let mut headers = end_to_end(&parts.headers);
     headers.retain(|h| !OWN_HEADERS.contains(&h.name.as_str()));
-    let body = read_body(body).await?;
-    let prompt = prompt(&caller.workspace, entry, document, &body);
+    let mut body = read_body(body).await?;
+    let prompt = match &entry.kind {
+        Kind::Model(model) => Some(read_prompt(&caller.workspace, model, document, &mut body)?),
+        Kind::Plain => None,
+    };
     Ok(Ask {
         id,
         service: service.clone(),
@@ -176,20 +182,40 @@
     Ok(collected?.to_bytes())
 }
 
-/// Reads what routing needs. A body of another form is left to the engine to judge.
-fn prompt(workspace: &str, service: &Service, document: &Document, body: &[u8]) -> Option<Prompt> {
-    let Kind::Model(model) = &service.kind else {
-        return None;
-    };
+/// Reads what routing needs of a model request, and names model and version in the body where
+/// the caller has left them out.
+fn read_prompt(
+    workspace: &str,
+    model: &Name,
+    document: &Document,
+    body: &mut Bytes,
+) -> Result<Prompt, Code> {
     let version = document.models.get(model).map_or(0, |m| m.version);
-    let empty = Completion { adapter: None, prompt: "".into(), max_tokens: None };
-    let completion: Completion<'_> = serde_json::from_slice(body).unwrap_or(empty);
+    let completion: Completion<'_> =
+        serde_json::from_slice(body).map_err(|_| codes::COMPLETION_MALFORMED)?;
+    if completion.model.as_ref().is_some_and(|m| **m != **model) {
+        return Err(codes::MODEL_FOREIGN);
+    }
+    let version = completion.version.unwrap_or(version);
     let key = ModelKey::new(model, version, completion.adapter.as_deref());
     let text = completion.prompt.as_bytes();
-    Some(Prompt {
+    let prompt = Prompt {
         model: key,
         prefix: prompt_blocks(workspace, key, text),
         tokens: text.len().div_ceil(TOKEN_BYTES) as u32,
         output: completion.max_tokens.unwrap_or(OUTPUT_TOKENS_EXPECTED),
-    })
+    };
+    if completion.model.is_none() || completion.version.is_none() {
+        *body = name_model(body, model, version)?;
+    }
+    Ok(prompt)
+}
+
+fn name_model(body: &[u8], model: &Name, version: u32) -> Result<Bytes, Code> {
+    let malformed = |_| codes::COMPLETION_MALFORMED;
+    let mut fields: serde_json::Map<String, serde_json::Value> =
+        serde_json::from_slice(body).map_err(malformed)?;
+    fields.insert("model".to_owned(), model.as_str().into());
+    fields.insert("version".to_owned(), version.into());
+    serde_json::to_vec(&fields).map(Bytes::from).map_err(malformed)
 }
--- a/papayaproxy/src/settings/reader.rs
+++ b/papayaproxy/src/settings/reader.rs
@@ -173,7 +173,7 @@
         }
         self.entries.insert(place, entry);
         if !known {
-            self.report(codes::SECTION_UNKNOWN, section, "", "no such section".into());
+            self.report(codes::SECTION_UNKNOWN, section, key, "no such section".into());
         } else if self.row(section, key).is_none() {
             self.report(codes::KEY_UNKNOWN, section, key, "no such key in this section".into());
         }
--- a/papayaproxy/src/settings/tests.rs
+++ b/papayaproxy/src/settings/tests.rs
@@ -30,7 +30,7 @@
 #[case::bad_number("[link]\nport = x\n", codes::VALUE_INVALID, "link", "port")]
 #[case::bad_duration("[link]\nport = 1\nwait = 3\n", codes::VALUE_INVALID, "link", "wait")]
 #[case::unknown_key("[link]\nport = 1\nspeed = 3\n", codes::KEY_UNKNOWN, "link", "speed")]
-#[case::unknown_section("[link]\nport = 1\n[lnk]\na = 1\n", codes::SECTION_UNKNOWN, "lnk", "")]
+#[case::unknown_section("[link]\nport = 1\n[lnk]\na = 1\n", codes::SECTION_UNKNOWN, "lnk", "a")]
 #[case::malformed("[link\nport = 1\n", codes::FILE_MALFORMED, "", "")]
 #[case::repeated("[link]\nport = 1\nport = 2\n", codes::KEY_REPEATED, "link", "port")]
 fn reader_mistakes(
