Let trust in a load report fade, and infer the other entries' sends

Cause: entries with the same old report all choose the same home of a prefix. Change: a report's number of requests fades into the upstream's usual one with a half-life of 1 s; what an entry has sent and seen end since the report stands for half of the live entries; three homes.

--- a/papaya-lab/src/routing/world.rs
+++ b/papaya-lab/src/routing/world.rs
@@ -623,6 +623,7 @@
             let entry = &mut self.entries[index];
             entry.picture.router.install(Arc::new(next), self.now);
             entry.picture.seen.iter_mut().zip(&reach).for_each(|(s, r)| s.live = *r);
+            entry.picture.router.observe_entries(peers as u32);
             entry.share.observe(peers as u32, self.now);
             entry.resize(slots);
         }
@@ -647,6 +648,7 @@
         let live = |_: &Name| Presence { live: true, incarnation: None };
         let candidates = Candidates::prepare(document, &zone_of(index), live);
         router.install(Arc::new(candidates), Duration::ZERO);
+        router.observe_entries(ENTRIES as u32);
         let mut share = EntryShare::default();
         share.observe(ENTRIES as u32, Duration::ZERO);
         let picture = Picture {
--- a/papayaproxy/src/routing/constants.rs
+++ b/papayaproxy/src/routing/constants.rs
@@ -15,10 +15,10 @@
 pub const HOME_BLOCKS: usize = 8;
 
 /// Homes of a prompt that are scored.
-pub(crate) const HOMES: usize = 2;
+pub(crate) const HOMES: usize = 3;
 
-/// Part of a known prefix that the home of the prompt is expected to hold.
-pub(crate) const HOME_TRUST: [f64; HOMES] = [0.9, 0.9];
+/// Part of a known prefix that each home of the prompt is expected to hold, the first home first.
+pub(crate) const HOME_TRUST: [f64; HOMES] = [0.9, 0.7, 0.5];
 
 /// Trust in the cache of an upstream that is no home of the prompt.
 pub(crate) const STRAY_TRUST: f64 = 0.0;
@@ -94,3 +94,12 @@
 
 /// Multiple of the predicted time after which an attempt counts as slow.
 pub(crate) const STALL_FACTOR: f64 = 4.0;
+
+/// Part of the other entries' sends that is inferred from the own ones.
+pub(crate) const PEER_PART: f64 = 0.5;
+
+/// Time in which trust in a report halves, in seconds.
+pub(crate) const REPORT_HALF: f64 = 1.0;
+
+/// Weight of a report in an upstream's usual number of requests.
+pub(crate) const USUAL_WEIGHT: f64 = 0.03;
--- a/papayaproxy/src/routing/load.rs
+++ b/papayaproxy/src/routing/load.rs
@@ -1,6 +1,9 @@
 //! The load of one upstream: its last report, corrected by what this process has sent since.
 
-use super::constants::{CALL_SECONDS, PREFILL_RATE, RATE_SPAN, SLOTS, SMOOTHING, STEP_SECONDS};
+use super::constants::{
+    CALL_SECONDS, PREFILL_RATE, RATE_SPAN, REPORT_HALF, SLOTS, SMOOTHING, STEP_SECONDS,
+    USUAL_WEIGHT,
+};
 use super::request::ModelKey;
 use crate::limits::{Circuit, CircuitSettings};
 use crate::membership::LoadReport;
@@ -30,6 +33,8 @@
     report: Option<LoadReport>,
     /// When the figures of the report were taken.
     pub taken: Duration,
+    /// Requests that it reports in the long run.
+    usual: f64,
     pub models: Vec<ModelKey>,
     pub attempts: VecDeque<Attempt>,
     /// When attempts ended that the report still counts.
@@ -50,6 +55,7 @@
         Self {
             report: None,
             taken: Duration::ZERO,
+            usual: 0.0,
             models: Vec::new(),
             attempts: VecDeque::new(),
             ended: VecDeque::new(),
@@ -72,6 +78,7 @@
             self.models = model_keys(report);
         }
         self.taken = taken;
+        self.usual += USUAL_WEIGHT * (f64::from(report.queued + report.running) - self.usual);
         self.report = Some(report.clone());
         while self.ended.front().is_some_and(|&e| e <= taken) {
             self.ended.pop_front();
@@ -92,21 +99,25 @@
         if reported > 0.0 { reported } else { STEP_SECONDS }
     }
 
-    /// Requests in the upstream, waiting and running.
-    pub(crate) fn requests(&self) -> f64 {
-        let reported = self.report.as_ref().map_or(0, |r| r.queued + r.running);
+    /// Requests in the upstream, waiting and running. Trust in the report fades into the usual number;
+    /// `peers` is the number of entries whose sends since the report the own ones stand for.
+    pub(crate) fn requests(&self, now: Duration, peers: f64) -> f64 {
+        let reported = self.report.as_ref().map_or(0.0, |r| f64::from(r.queued + r.running));
+        let age = now.saturating_sub(self.taken).as_secs_f64();
+        let trust = (-age / REPORT_HALF).exp2();
+        let reported = self.usual + (reported - self.usual) * trust;
         let fresh = self.attempts.iter().rev().take_while(|a| a.sent > self.taken).count();
-        let inside = f64::from(reported) + fresh as f64 - self.ended.len() as f64;
+        let inside = reported + peers * (fresh as f64 - self.ended.len() as f64);
         inside.max(self.attempts.len() as f64)
     }
 
     /// Prompt tokens that wait for prefill at `now`.
-    pub(crate) fn waiting(&self, now: Duration) -> f64 {
+    pub(crate) fn waiting(&self, now: Duration, peers: f64) -> f64 {
         let reported = self.report.as_ref().map_or(0.0, |r| f64::from(r.waiting_tokens));
         let age = now.saturating_sub(self.taken).as_secs_f64();
         let rest = (reported - self.rate * age).max(0.0);
         let fresh = self.attempts.iter().rev().take_while(|a| a.sent > self.taken);
-        rest + fresh.filter(|a| !a.started).map(|a| a.tokens).sum::<f64>()
+        rest + peers * fresh.filter(|a| !a.started).map(|a| a.tokens).sum::<f64>()
     }
 
     /// Notes the first token of an attempt.
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -7,7 +7,8 @@
 use super::candidates::{Candidates, Pool};
 use super::codes;
 use super::constants::{
-    DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, SAMPLES, STALL_FACTOR, STALL_FLOOR, STRAY_TRUST,
+    DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, PEER_PART, SAMPLES, STALL_FACTOR, STALL_FLOOR,
+    STRAY_TRUST,
 };
 use super::decision::{Decision, Reason, Refusal, Scored, ScoredList};
 use super::home::{home_key, homes};
@@ -119,6 +120,8 @@
     /// Step time of each lock-step group: that of its slowest rank, in seconds.
     groups: Vec<f64>,
     index: PrefixIndex,
+    /// Entries whose sends since a report the own ones stand for.
+    peers: f64,
     serial: u64,
     changes: Vec<Change>,
 }
@@ -132,6 +135,7 @@
             loads: Vec::new(),
             groups: Vec::new(),
             index: PrefixIndex::new(INDEX_BLOCKS, settings.half_life),
+            peers: 1.0,
             serial: 0,
             changes: Vec::new(),
         }
@@ -142,6 +146,12 @@
         &self.candidates
     }
 
+    /// Takes the number of live entries, this one included. They share the upstreams, so what this
+    /// entry has sent since a report hints at what the others have.
+    pub fn observe_entries(&mut self, live: u32) {
+        self.peers = (f64::from(live) * PEER_PART).max(1.0);
+    }
+
     /// Takes new candidates. What is known of an upstream is kept while its incarnation stays.
     pub fn install(&mut self, next: Arc<Candidates>, now: Duration) {
         let first = self.candidates.upstreams.is_empty();
@@ -253,7 +263,8 @@
         let load = &mut self.loads[index];
         let tokens = f64::from(request.prompt.saturating_sub(decision.cached));
         let stall = decision.first.mul_f64(STALL_FACTOR).max(STALL_FLOOR);
-        let ahead = if request.model.is_some() { load.waiting(now) + tokens } else { 0.0 };
+        let ahead =
+            if request.model.is_some() { load.waiting(now, self.peers) + tokens } else { 0.0 };
         load.attempts.push_back(Attempt {
             serial: self.serial,
             sent: now,
@@ -452,6 +463,7 @@
             distance: candidate.distance,
             step: candidate.group.map(|g| self.router.groups[usize::from(g)]),
             cached: self.cached(index),
+            peers: self.router.peers,
         };
         forecast(self.request, &input, &self.router.settings, self.at.now)
     }
--- a/papayaproxy/src/routing/score.rs
+++ b/papayaproxy/src/routing/score.rs
@@ -17,6 +17,8 @@
     pub step: Option<f64>,
     /// Tokens of the prompt that its cache is expected to hold.
     pub cached: f64,
+    /// Entries whose sends since the report the own ones stand for.
+    pub peers: f64,
 }
 
 /// The prediction for one candidate.
@@ -39,7 +41,7 @@
     let mut found = if request.model.is_some() {
         model_forecast(request, input, now)
     } else {
-        plain_forecast(input)
+        plain_forecast(input, now)
     };
     found.score = found.score / ramp(input.load, settings, now) + penalty(input, settings);
     found
@@ -48,11 +50,11 @@
 fn model_forecast(request: &Request<'_>, input: &Input<'_>, now: Duration) -> Forecast {
     let load = input.load;
     let slots = f64::from(load.slots());
-    let requests = load.requests();
+    let requests = load.requests(now, input.peers);
     let step = input.step.unwrap_or(0.0).max(load.step());
     let output = f64::from(request.output);
     let tokens = (f64::from(request.prompt) - input.cached).max(1.0);
-    let ahead = load.waiting(now) + tokens;
+    let ahead = load.waiting(now, input.peers) + tokens;
     let excess = (requests + 1.0 - slots).max(0.0);
     let slot_wait = excess / slots * output * step;
     let first = ahead / load.rate + slot_wait + step;
@@ -62,9 +64,9 @@
     Forecast { first, last, score }
 }
 
-fn plain_forecast(input: &Input<'_>) -> Forecast {
+fn plain_forecast(input: &Input<'_>, now: Duration) -> Forecast {
     let load = input.load;
-    let waves = (load.requests() / f64::from(load.slots())).max(0.0);
+    let waves = (load.requests(now, input.peers) / f64::from(load.slots())).max(0.0);
     let first = load.call * (1.0 + waves);
     Forecast { first, last: first, score: first }
 }
