--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod console;
 pub mod ctl;
+pub mod daemon;
 pub mod delivery;
 pub mod drain;
 pub mod entry;
@@ -24,7 +25,9 @@
 pub use base::clock::Clock;
 pub use base::code::{Code, CodeRow, Outcome, row as code_row};
 pub use base::constants;
+pub use base::control::Control;
 pub use base::digest::Digest;
+pub use base::error::ProcessError;
 pub use base::event::Event;
 pub use base::name::{Incarnation, Name, is_name};
 
