Add papaya-lab bench: added latency and requests per core against a bare forwarder

Change: bench starts plain service, forwarder, entry and agent as processes and measures the three ways in turn, several rounds in one run: highest rate, half of the slowest way's rate, one connection. Processor time from /proc/PID/stat. Ruled out: an open loop's due times at this scale, since the timer's millisecond would stand in every figure; times count from the sending.

--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, load tool and experiments for papayaproxy. Used on test machines only.
 
+pub mod bench;
 pub(crate) mod daemon;
 pub mod demo;
 pub mod engine;
@@ -29,6 +30,7 @@
     Subcommand { command: platform::command, run: platform::run },
     Subcommand { command: forward::command, run: forward::run },
     Subcommand { command: demo::command, run: demo::run },
+    Subcommand { command: bench::command, run: bench::run },
     Subcommand { command: load::command, run: load::run },
     Subcommand { command: routing::command, run: routing::run },
 ];
