--- a/papayaproxy/src/agent/constants.rs
+++ b/papayaproxy/src/agent/constants.rs
@@ -22,3 +22,9 @@
 
 /// Wait after a failed accept, so that a shortage of descriptors does not spin.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Largest reply of a call under a key, in bytes.
+pub(crate) const KEYED_BYTES_MAX: usize = 4 << 20;
+
+/// Time past its deadline for which the outcome of a call under a key is waited for.
+pub(crate) const RUN_GRACE: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/papayaproxy/src/agent/keyed.rs
@@ -0,0 +1,163 @@
+//! Calls under issued keys. A run is detached from the link that brought it, so that its outcome
+//! is known to whoever shows the key again.
+
+use super::call::failure;
+use super::client::{UpstreamClient, reply_head};
+use super::codes;
+use super::constants::{ANSWER_MARGIN, KEYED_BYTES_MAX, RUN_GRACE};
+use super::desk::{KeyDesk, Run, RunEnd, Turn, claim};
+use crate::base::code::Code;
+use crate::delivery::{Finish, Lookup, StoredHeader, StoredReply, codes as delivery};
+use crate::wire::server::{IncomingCall, Replier};
+use crate::wire::{Action, CallHead, Header, ReplyHead};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::header::HeaderValue;
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+
+/// Issued keys, as callers read them.
+#[derive(Serialize)]
+struct IssuedKeys {
+    keys: Vec<String>,
+}
+
+/// Answers a call that issues, shows, revokes or uses keys. `refusal` says why nothing new may
+/// start now, if that is so.
+pub(crate) async fn answer_keyed(
+    call: IncomingCall,
+    desk: &Arc<KeyDesk>,
+    client: &UpstreamClient,
+    work: &TaskTracker,
+    refusal: Option<Code>,
+) {
+    let IncomingCall { head, body, cancelled, replier, .. } = call;
+    let answered = async {
+        match head.action {
+            Action::Issue(count) => issue(desk, count, &head, refusal),
+            Action::Lookup => desk.lookup(&head).and_then(told),
+            Action::Revoke => desk.revoke(&head).and_then(told),
+            Action::Call => run_once(&head, body, desk, client, work, refusal).await,
+        }
+    };
+    let result = tokio::select! {
+        result = answered => result,
+        () = cancelled.cancelled() => return,
+    };
+    let _ = match result {
+        Ok(reply) => send(replier, &reply).await,
+        Err(code) => replier.fail(failure(code)).await,
+    };
+}
+
+fn issue(
+    desk: &KeyDesk,
+    count: u32,
+    head: &CallHead,
+    refusal: Option<Code>,
+) -> Result<Arc<StoredReply>, Code> {
+    if let Some(code) = refusal {
+        return Err(code);
+    }
+    let keys = desk.issue(count, head)?;
+    let body = serde_json::to_vec(&IssuedKeys { keys }).map_err(|_| codes::CALL_MALFORMED)?;
+    let kind = StoredHeader { name: "content-type".into(), value: b"application/json".to_vec() };
+    Ok(Arc::new(StoredReply { status: 200, headers: vec![kind], body: body.into() }))
+}
+
+fn told(lookup: Lookup) -> Result<Arc<StoredReply>, Code> {
+    match lookup {
+        Lookup::Completed(reply) => Ok(reply),
+        Lookup::Told(code) => Err(code),
+    }
+}
+
+/// Runs the call if its key has not started, and gives the end of its one run.
+async fn run_once(
+    head: &CallHead,
+    body: Bytes,
+    desk: &Arc<KeyDesk>,
+    client: &UpstreamClient,
+    work: &TaskTracker,
+    refusal: Option<Code>,
+) -> Result<Arc<StoredReply>, Code> {
+    let allowed = head.remaining.saturating_sub(ANSWER_MARGIN);
+    let claim = claim(head, &body, desk.now() + allowed);
+    let end = match desk.begin(head, claim, refusal)? {
+        Turn::Told(finish) => return reply_of(finish),
+        Turn::Wait(end) => end,
+        Turn::Run(run) => {
+            let end = run.end();
+            work.spawn(run_detached(run, head.clone(), body, client.clone(), allowed));
+            end
+        }
+    };
+    let finish = timeout(allowed, wait(end)).await.map_err(|_| codes::UPSTREAM_LATE)??;
+    reply_of(finish)
+}
+
+async fn wait(mut end: RunEnd) -> Result<Finish, Code> {
+    let finish = end.wait_for(Option::is_some).await.map_err(|_| delivery::RUN_ABANDONED)?;
+    finish.clone().ok_or(delivery::RUN_ABANDONED)
+}
+
+fn reply_of(finish: Finish) -> Result<Arc<StoredReply>, Code> {
+    match finish {
+        Finish::Completed(reply) => Ok(reply),
+        Finish::NotRun(code) | Finish::Unknown(code) => Err(code),
+    }
+}
+
+/// Runs the call to its end, past its deadline too, so that a later question finds the outcome.
+async fn run_detached(
+    run: Run,
+    head: CallHead,
+    body: Bytes,
+    client: UpstreamClient,
+    allowed: Duration,
+) {
+    let limit = allowed + RUN_GRACE;
+    let finish = match timeout(limit, exchange(&head, body, &client)).await {
+        Ok(Ok(reply)) => Finish::Completed(Arc::new(reply)),
+        Ok(Err(code)) if is_not_run(code) => Finish::NotRun(code),
+        Ok(Err(code)) => Finish::Unknown(code),
+        Err(_) => Finish::Unknown(codes::UPSTREAM_LATE),
+    };
+    run.finish(finish);
+}
+
+fn is_not_run(code: Code) -> bool {
+    failure(code).outcome == crate::base::code::Outcome::NotRun
+}
+
+async fn exchange(
+    head: &CallHead,
+    body: Bytes,
+    client: &UpstreamClient,
+) -> Result<StoredReply, Code> {
+    let mut request = client.request(head, body)?;
+    if let Some(key) = &head.key {
+        let value = HeaderValue::from_str(key).map_err(|_| codes::CALL_MALFORMED)?;
+        request.headers_mut().insert("idempotency-key", value);
+    }
+    let response = client.send(request).await?;
+    let head = reply_head(&response);
+    let body = Limited::new(response.into_body(), KEYED_BYTES_MAX).collect().await;
+    let body = body.map_err(|_| codes::UPSTREAM_LOST)?.to_bytes();
+    let headers = head.headers.into_iter();
+    let headers = headers.map(|h| StoredHeader { name: h.name, value: h.value.to_vec() });
+    Ok(StoredReply { status: head.status, headers: headers.collect(), body })
+}
+
+async fn send(mut replier: Replier, reply: &StoredReply) -> Result<(), crate::wire::server::Gone> {
+    let headers = reply.headers.iter();
+    let headers = headers
+        .map(|h| Header { name: h.name.clone(), value: Bytes::copy_from_slice(&h.value) })
+        .collect();
+    replier.head(ReplyHead { status: reply.status, headers }).await?;
+    replier.piece(reply.body.clone()).await?;
+    replier.end(codes::COMPLETED).await
+}
--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -4,15 +4,19 @@
 use super::client::UpstreamClient;
 use super::codes;
 use super::constants::CALLS_MAX;
+use super::desk::KeyDesk;
+use super::keyed::answer_keyed;
 use super::links::accept_links;
 use super::load::follow_load;
 use super::settings::AgentSettings;
+use crate::base::clock::Clock;
 use crate::base::code::Code;
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
+use crate::delivery::KeyCore;
 use crate::membership::{Feed, LoadReport};
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
-use crate::wire::Identity;
+use crate::wire::{Action, Identity};
 use crate::wire::server::{IncomingCall, OpenGuard};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +32,7 @@
     identity: Identity,
     feed: Feed,
     client: UpstreamClient,
+    desk: Arc<KeyDesk>,
     stopping: AtomicBool,
     calls: AtomicUsize,
 }
@@ -59,7 +64,10 @@
         let address = listener.local_addr().unwrap_or(settings.address);
         let client = UpstreamClient::new(settings.target);
         let ops_address = settings.process.ops;
+        let keys = KeyCore::new(settings.upstream.clone(), identity.incarnation, settings.keys);
+        let secrets = settings.process.secrets.clone();
         let shared = Arc::new(Shared {
+            desk: Arc::new(KeyDesk::new(keys, Clock::start(), secrets)),
             identity: identity.clone(),
             feed: feed.clone(),
             client: client.clone(),
@@ -116,9 +124,15 @@
 ) -> impl Fn(IncomingCall, OpenGuard) + Clone + Send + Sync + 'static {
     move |call, guard| {
         let shared = shared.clone();
+        let tasks = work.clone();
         work.spawn(async move {
             shared.calls.fetch_add(1, Ordering::SeqCst);
-            match shared.refusal(&call.head.service) {
+            let refusal = shared.refusal(&call.head.service);
+            let keyed = call.head.key.is_some() || call.head.action != Action::Call;
+            match refusal {
+                _ if keyed => {
+                    answer_keyed(call, &shared.desk, &shared.client, &tasks, refusal).await;
+                }
                 Some(code) => drop(call.replier.fail(failure(code)).await),
                 None => run_call(call, &shared.client).await,
             }
--- a/papayaproxy/src/agent/settings.rs
+++ b/papayaproxy/src/agent/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an agent.
 
 use crate::base::name::Name;
+use crate::delivery::{self, KeySettings};
 use crate::settings::process;
 use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, parse_name};
 use std::net::SocketAddr;
@@ -29,7 +30,7 @@
 ];
 
 /// Every table of settings that an agent reads.
-pub const TABLES: &[&[SettingRow]] = &[process::ROWS, ROWS];
+pub const TABLES: &[&[SettingRow]] = &[process::ROWS, ROWS, delivery::SETTINGS];
 
 /// The checked settings of an agent.
 #[derive(Clone, Debug)]
@@ -42,6 +43,8 @@
     pub upstream: Name,
     /// Address of the upstream's HTTP service.
     pub target: SocketAddr,
+    /// Limits of the key state.
+    pub keys: KeySettings,
 }
 
 impl AgentSettings {
@@ -61,6 +64,13 @@
         let address = process::read_address(reader, "agent");
         let upstream = reader.value("upstream", "name", parse_name);
         let target = process::read_address(reader, "upstream");
-        Some(Self { process: process?, address: address?, upstream: upstream?, target: target? })
+        let keys = KeySettings::read(reader);
+        Some(Self {
+            process: process?,
+            address: address?,
+            upstream: upstream?,
+            target: target?,
+            keys: keys?,
+        })
     }
 }
--- a/papayaproxy/src/entry/attempt.rs
+++ b/papayaproxy/src/entry/attempt.rs
@@ -133,6 +133,7 @@
         method: ask.method.clone(),
         path: ask.path.clone(),
         headers: ask.headers.clone(),
+        action: ask.action,
         key: ask.key.clone(),
         priority: ask.priority,
         remaining,
--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -9,7 +9,7 @@
 use crate::delivery::CallKind;
 use crate::fleet::{Document, Kind, Service, credential_digest};
 use crate::routing::{ModelKey, prompt_blocks};
-use crate::wire::Header;
+use crate::wire::{Action, Header};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -31,6 +31,9 @@
     "idempotency-key",
 ];
 
+/// Header that carries an issued key.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+
 /// Priority of a request that names none.
 const PRIORITY_DEFAULT: u8 = 5;
 
@@ -54,6 +57,7 @@
     pub(crate) method: String,
     pub(crate) path: String,
     pub(crate) headers: Vec<Header>,
+    pub(crate) action: Action,
     pub(crate) key: Option<String>,
     pub(crate) priority: u8,
     /// Time allowed for the whole answer.
@@ -109,7 +113,8 @@
         document.services.get_key_value(service).ok_or(codes::SERVICE_UNKNOWN)?;
     let limit = deadline(&parts, entry)?;
     let priority = priority(&parts)?;
-    let key = header(&parts, "idempotency-key").map(str::to_owned);
+    // A repeated call of an idempotent service needs no key, and is routed like any other.
+    let key = header(&parts, KEY_HEADER).filter(|_| !entry.idempotent).map(str::to_owned);
     let kind = match (entry.idempotent, &key) {
         (true, _) => CallKind::Idempotent,
         (false, Some(_)) => CallKind::Keyed,
@@ -126,6 +131,7 @@
         method: parts.method.as_str().to_owned(),
         path,
         headers,
+        action: Action::Call,
         key,
         priority,
         limit,
--- a/papayaproxy/src/wire/frame.rs
+++ b/papayaproxy/src/wire/frame.rs
@@ -26,6 +26,19 @@
     pub value: Bytes,
 }
 
+/// What a call asks of the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Action {
+    /// Pass the call on to the upstream.
+    Call,
+    /// Issue so many idempotency keys.
+    Issue(u32),
+    /// Tell what is known of the key.
+    Lookup,
+    /// Revoke the key.
+    Revoke,
+}
+
 /// A call as an entry sends it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallHead {
@@ -41,6 +54,8 @@
     pub path: String,
     /// Headers to pass on.
     pub headers: Vec<Header>,
+    /// What is asked of the agent.
+    pub action: Action,
     /// Issued idempotency key, if the call has one.
     pub key: Option<String>,
     /// Priority from 0 (background) to 9 (urgent).
--- a/papayaproxy/src/wire/mod.rs
+++ b/papayaproxy/src/wire/mod.rs
@@ -19,7 +19,7 @@
 
 pub use context::{GenerationSource, LinkContext, LinkStats, NewerHook};
 pub use error::WireError;
-pub use frame::{CallFailure, CallHead, CallTag, Header, Reply, ReplyEnd, ReplyHead};
+pub use frame::{Action, CallFailure, CallHead, CallTag, Header, Reply, ReplyEnd, ReplyHead};
 pub use handshake::Identity;
 pub use link::{Call, Link, LinkLost};
 pub use seal::{DATAGRAM_BYTES_MAX, seal, unseal};
