Add calls under keys, the keys' requests, and withdrawal of queued calls

Cause: (1) callers need keys; (2) a call that was still queued on a stalled link when its deadline passed was answered not-run, and could be written afterwards; (3) an idempotent call whose first attempt may have run was answered by the not-run code of a later attempt.

Change: POST, GET and DELETE /v1/keys; calls under a key go to the agent that issued it, run detached from their link and are answered from the key's state. A queued call is either written or withdrawn, never both. An entry's own refusal of a request that shows a key is told as unknown.

--- a/papayaproxy/src/agent/desk.rs
+++ b/papayaproxy/src/agent/desk.rs
@@ -104,15 +104,6 @@
         self.clock.now()
     }
 
-    /// Refuses to issue or start keys with `code`, or allows it again.
-    pub(crate) fn close(&self, refusal: Option<Code>) {
-        let mut keys = self.lock();
-        match refusal {
-            Some(code) => keys.core.close(code),
-            None => keys.core.reopen(),
-        }
-    }
-
     fn token(&self, head: &CallHead) -> Result<Token, Code> {
         let text = head.key.as_deref().ok_or(codes::CALL_MALFORMED)?;
         Token::parse(text, &self.secrets)
--- a/papayaproxy/src/agent/keyed.rs
+++ b/papayaproxy/src/agent/keyed.rs
@@ -8,7 +8,7 @@
 use super::desk::{KeyDesk, Run, RunEnd, Turn, claim};
 use crate::base::code::Code;
 use crate::delivery::{Finish, Lookup, StoredHeader, StoredReply, codes as delivery};
-use crate::wire::server::{IncomingCall, Replier};
+use crate::wire::server::{Gone, IncomingCall, Replier};
 use crate::wire::{Action, CallHead, Header, ReplyHead};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -25,6 +25,12 @@
     keys: Vec<String>,
 }
 
+/// A whole answer and the code that it ends with.
+struct Answer {
+    reply: Arc<StoredReply>,
+    code: Code,
+}
+
 /// Answers a call that issues, shows, revokes or uses keys. `refusal` says why nothing new may
 /// start now, if that is so.
 pub(crate) async fn answer_keyed(
@@ -37,10 +43,13 @@
     let IncomingCall { head, body, cancelled, replier, .. } = call;
     let answered = async {
         match head.action {
-            Action::Issue(count) => issue(desk, count, &head, refusal),
-            Action::Lookup => desk.lookup(&head).and_then(told),
-            Action::Revoke => desk.revoke(&head).and_then(told),
-            Action::Call => run_once(&head, body, desk, client, work, refusal).await,
+            Action::Issue(count) => issue(desk, count, &head, refusal).map(completed),
+            Action::Lookup => desk.lookup(&head).and_then(told).map(completed),
+            Action::Revoke => desk.revoke(&head).and_then(revoked),
+            Action::Call => {
+                let run = run_once(&head, body, desk, client, work, refusal);
+                run.await.map(completed)
+            }
         }
     };
     let result = tokio::select! {
@@ -48,7 +57,7 @@
         () = cancelled.cancelled() => return,
     };
     let _ = match result {
-        Ok(reply) => send(replier, &reply).await,
+        Ok(answer) => send(replier, answer).await,
         Err(code) => replier.fail(failure(code)).await,
     };
 }
@@ -75,6 +84,21 @@
     }
 }
 
+/// A revocation that has been made is answered by a reply of its own, not by an error.
+fn revoked(lookup: Lookup) -> Result<Answer, Code> {
+    match lookup {
+        Lookup::Told(code) if code == delivery::KEY_REVOKED => {
+            let reply = Arc::new(StoredReply { status: 200, ..StoredReply::default() });
+            Ok(Answer { reply, code })
+        }
+        other => told(other).map(completed),
+    }
+}
+
+fn completed(reply: Arc<StoredReply>) -> Answer {
+    Answer { reply, code: codes::COMPLETED }
+}
+
 /// Runs the call if its key has not started, and gives the end of its one run.
 async fn run_once(
     head: &CallHead,
@@ -152,12 +176,13 @@
     Ok(StoredReply { status: head.status, headers: headers.collect(), body })
 }
 
-async fn send(mut replier: Replier, reply: &StoredReply) -> Result<(), crate::wire::server::Gone> {
+async fn send(mut replier: Replier, answer: Answer) -> Result<(), Gone> {
+    let reply = &answer.reply;
     let headers = reply.headers.iter();
     let headers = headers
         .map(|h| Header { name: h.name.clone(), value: Bytes::copy_from_slice(&h.value) })
         .collect();
     replier.head(ReplyHead { status: reply.status, headers }).await?;
     replier.piece(reply.body.clone()).await?;
-    replier.end(codes::COMPLETED).await
+    replier.end(answer.code).await
 }
--- a/papayaproxy/src/delivery/attempt.rs
+++ b/papayaproxy/src/delivery/attempt.rs
@@ -120,6 +120,16 @@
         Next::Retry(place)
     }
 
+    /// What to tell where no further attempt can be made because of `code`.
+    pub fn told(&self, code: Code) -> Code {
+        let softened = self.doubtful && outcome(code) == Outcome::NotRun;
+        match self.kind {
+            _ if !softened => code,
+            CallKind::Keyed => codes::KEY_HOME_UNREACHABLE,
+            CallKind::Idempotent | CallKind::Single => codes::OUTCOME_LOST,
+        }
+    }
+
     /// The code for a call whose deadline passes now.
     pub fn deadline_code(&self) -> Code {
         let doubt = self.doubtful || self.writing;
--- a/papayaproxy/src/entry/attempt.rs
+++ b/papayaproxy/src/entry/attempt.rs
@@ -46,13 +46,17 @@
     remaining: Duration,
     deadline: Instant,
 ) -> Result<Brought, Failure> {
-    let link = links.get(agent).await.map_err(|e| Failure::Unsent(e.code()))?;
-    let sent = link.call(call_head(ask, remaining), ask.body.clone()).await;
-    let mut call = sent.map_err(lost)?;
+    let sending = async {
+        let link = links.get(agent).await.map_err(|e| Failure::Unsent(e.code()))?;
+        link.call(call_head(ask, remaining), ask.body.clone()).await.map_err(lost)
+    };
+    // A call that is dropped before it is queued is never written.
+    let late = Failure::Unsent(codes::REPLY_LATE);
+    let mut call = timeout_at(deadline, sending).await.map_err(|_| late)??;
     match timeout_at(deadline, receive(&mut call)).await {
         Ok(received) => received.map(|r| r.brought(call)),
-        Err(_) if call.is_written() => Err(Failure::Lost(codes::REPLY_LATE)),
-        Err(_) => Err(Failure::Unsent(codes::REPLY_LATE)),
+        Err(_) if call.withdraw() => Err(late),
+        Err(_) => Err(Failure::Lost(codes::REPLY_LATE)),
     }
 }
 
--- a/papayaproxy/src/entry/codes.rs
+++ b/papayaproxy/src/entry/codes.rs
@@ -15,5 +15,6 @@
     REPLY_CORRUPT = 2310, Unknown, 502, "The reply's pieces, length or checksum do not fit together.";
     REPLY_LATE = 2311, Unknown, 504, "The reply was not whole before the deadline.";
     REPLY_OVERSIZED = 2312, Unknown, 502, "A reply that must be whole before it is passed on is too large.";
+    KEYS_MALFORMED = 2314, NotRun, 400, "A request for keys is POST /v1/keys with {\"service\", \"count\"}, or GET or DELETE /v1/keys/{key}.";
     CALLER_GONE = 2313, Unknown, 499, "The caller went away before its answer was whole.";
 }
--- a/papayaproxy/src/entry/constants.rs
+++ b/papayaproxy/src/entry/constants.rs
@@ -15,6 +15,12 @@
 /// Part of the deadline that is kept for the answer to reach the caller.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(5);
 
+/// Wait before the agent of a key is asked again.
+pub(crate) const KEYED_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time allowed for issuing, showing or revoking a key.
+pub(crate) const KEYS_LIMIT: Duration = Duration::from_secs(5);
+
 /// Tokens of output that are expected of a model request that names no limit.
 pub(crate) const OUTPUT_TOKENS_EXPECTED: u32 = 128;
 
--- a/papayaproxy/src/entry/mod.rs
+++ b/papayaproxy/src/entry/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod constants;
 pub(crate) mod events;
 pub(crate) mod gate;
+pub(crate) mod keyed;
+pub(crate) mod keys_api;
 pub(crate) mod links;
 pub(crate) mod meters;
 pub(crate) mod process;
--- a/papayaproxy/src/entry/process.rs
+++ b/papayaproxy/src/entry/process.rs
@@ -45,7 +45,7 @@
     pub(crate) meters: Meters,
     /// Streamed replies in progress.
     pub(crate) work: TaskTracker,
-    settings: EntrySettings,
+    pub(crate) settings: EntrySettings,
     identity: Identity,
     stopping: AtomicBool,
 }
--- a/papayaproxy/src/entry/reply.rs
+++ b/papayaproxy/src/entry/reply.rs
@@ -26,9 +26,17 @@
 }
 
 /// An answer that says why there is no reply.
-pub(crate) fn error(id: u64, code: Code, retry: Option<Duration>) -> Response<Body> {
+///
+/// A doubtful one is never told as `not-run`, whatever its code says.
+pub(crate) fn error(
+    id: u64,
+    code: Code,
+    retry: Option<Duration>,
+    doubtful: bool,
+) -> Response<Body> {
+    let told = if doubtful { Outcome::Unknown } else { outcome(code) };
     let status = row(code).and_then(|r| StatusCode::from_u16(r.status).ok());
-    let mut response = Response::new(full(error_json(id, code)));
+    let mut response = Response::new(full(error_json(id, code, told)));
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -36,12 +44,13 @@
         headers.insert(RETRY_AFTER, HeaderValue::from(retry.as_secs_f64().ceil() as u64));
     }
     stamp(headers, id, code);
+    headers.insert("papaya-outcome", HeaderValue::from_static(told.as_str()));
     response
 }
 
 /// The last event of an event stream that could not be completed.
 pub(crate) fn error_event(id: u64, code: Code) -> String {
-    format!("event: error\ndata: {}\n\n", error_json(id, code))
+    format!("event: error\ndata: {}\n\n", error_json(id, code, outcome(code)))
 }
 
 /// A whole reply.
@@ -103,11 +112,11 @@
         .unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
-fn error_json(id: u64, code: Code) -> String {
+fn error_json(id: u64, code: Code, told: Outcome) -> String {
     let message = row(code).map_or("", |r| r.meaning);
     let body = ErrorBody {
         code: code.to_string(),
-        outcome: outcome(code).as_str(),
+        outcome: told.as_str(),
         request: format!("{id:016x}"),
         message,
     };
--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -35,7 +35,7 @@
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 
 /// Priority of a request that names none.
-const PRIORITY_DEFAULT: u8 = 5;
+pub(crate) const PRIORITY_DEFAULT: u8 = 5;
 
 /// Highest priority.
 const PRIORITY_MAX: u8 = 9;
@@ -173,7 +173,7 @@
     number.filter(|p| *p <= PRIORITY_MAX).ok_or(codes::PRIORITY_INVALID)
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Code> {
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Code> {
     let collected = Limited::new(body, BODY_BYTES_MAX).collect().await;
     let collected = collected.map_err(|error| {
         let oversized = error.downcast_ref::<LengthLimitError>().is_some();
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -2,36 +2,42 @@
 
 use super::attempt::{Brought, OpenReply, WholeReply, attempt};
 use super::codes;
-use super::constants::{ANSWER_MARGIN, BODY_PIECES};
+use super::constants::{ANSWER_MARGIN, BODY_PIECES, KEYED_RETRY_PAUSE};
 use super::events;
 use super::gate::Pass;
+use super::keyed::Home;
+use super::keys_api::{is_keys_path, keys_request};
 use super::process::Shared;
 use super::pump::pump;
 use super::reply;
-use super::request::{Ask, authenticate, check};
+use super::request::{Ask, KEY_HEADER, authenticate, check};
 use super::route::Routed;
 use crate::base::code::{Code, Outcome};
 use crate::base::http::Body;
 use crate::base::name::Name;
-use crate::delivery::{Attempts, Failure, Next};
+use crate::delivery::{Attempts, CallKind, Failure, Next};
+use crate::fleet::Document;
 use crate::routing::{End, Ticket};
 use http_body_util::BodyExt;
 use http_body_util::channel::Channel;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Why a request gets no reply of an upstream.
 pub(crate) struct Rejection {
     code: Code,
     retry: Option<Duration>,
+    /// The same key may have run by another entry, so that `not-run` must not be told.
+    doubtful: bool,
 }
 
 impl From<Code> for Rejection {
     fn from(code: Code) -> Self {
-        Self { code, retry: None }
+        Self { code, retry: None, doubtful: false }
     }
 }
 
@@ -52,7 +58,7 @@
         Ok(response) => response,
         Err(rejection) => {
             shared.meters.rejected(rejection.code);
-            reply::error(id, rejection.code, rejection.retry)
+            reply::error(id, rejection.code, rejection.retry, rejection.doubtful)
         }
     }
 }
@@ -68,11 +74,13 @@
     if document.generation == 0 {
         return Err(codes::ENTRY_NOT_READY.into());
     }
-    let caller = authenticate(&parts, &document)?;
-    let ask = check(id, caller, parts, body, &document).await?;
+    let shows_key = parts.headers.contains_key(KEY_HEADER);
+    let ask = prepare(id, parts, body, &document).await;
+    let ask = ask.map_err(|code| Rejection { code, retry: None, doubtful: shows_key })?;
     let deadline = shared.clock.now() + ask.limit.saturating_sub(ANSWER_MARGIN);
     let pass = shared.gate.enter(&ask).await;
-    let pass = pass.map_err(|r| Rejection { code: r.code, retry: Some(r.retry) })?;
+    let doubtful = ask.kind == CallKind::Keyed;
+    let pass = pass.map_err(|r| Rejection { code: r.code, retry: Some(r.retry), doubtful })?;
     shared.retries.lock().earn(&ask.caller.workspace);
     let attempts = Attempts::new(ask.kind, deadline);
     let upstream = Name::new();
@@ -88,9 +96,25 @@
     }
 }
 
+async fn prepare(
+    id: u64,
+    parts: Parts,
+    body: Incoming,
+    document: &Document,
+) -> Result<Ask, Code> {
+    let caller = authenticate(&parts, document)?;
+    if is_keys_path(parts.uri.path()) {
+        return keys_request(id, caller, parts, body, document).await;
+    }
+    check(id, caller, parts, body, document).await
+}
+
 impl Progress {
     /// Makes attempts until one brings a reply or nothing more may be tried.
-    async fn run(&mut self) -> Result<(Brought, Ticket), Rejection> {
+    async fn run(&mut self) -> Result<(Brought, Option<Ticket>), Rejection> {
+        if self.ask.kind == CallKind::Keyed {
+            return self.run_keyed().await.map(|brought| (brought, None));
+        }
         let mut excluded: Vec<Name> = Vec::new();
         let mut last = None;
         loop {
@@ -98,13 +122,13 @@
             let routed = self.shared.routes.choose(&self.ask, left, &excluded);
             let routed = routed.map_err(|refusal| match last {
                 // What an earlier attempt left behind weighs more than the want of another upstream.
-                Some(code) => Rejection { code, retry: Some(refusal.retry) },
-                None => Rejection { code: refusal.code, retry: Some(refusal.retry) },
+                Some(code) => self.rejection(code, refusal.retry),
+                None => self.rejection(refusal.code, refusal.retry),
             })?;
             self.made += 1;
             self.upstream = routed.decision.name.clone();
             match self.attempt(routed, left).await {
-                Ok(brought) => return Ok(brought),
+                Ok((brought, ticket)) => return Ok((brought, Some(ticket))),
                 Err(failure) => {
                     last = Some(self.decide(failure)?);
                     excluded.push(self.upstream.clone());
@@ -113,6 +137,28 @@
         }
     }
 
+    /// Asks the one agent that issued the key, and again if it went out of reach.
+    async fn run_keyed(&mut self) -> Result<Brought, Rejection> {
+        let document = self.shared.feed.document.load_full();
+        let secrets = &self.shared.settings.process.secrets;
+        let home = Home::find(&self.ask, secrets, &document)?;
+        self.upstream = home.upstream.clone();
+        loop {
+            let left = self.attempts.open(self.shared.clock.now())?;
+            let deadline = Instant::now() + left;
+            self.made += 1;
+            match attempt(&self.ask, home.agent, &self.shared.links, left, deadline).await {
+                Ok(brought) => return Ok(brought),
+                Err(failure) => self.decide(failure)?,
+            };
+            sleep(KEYED_RETRY_PAUSE).await;
+        }
+    }
+
+    fn rejection(&self, code: Code, retry: Duration) -> Rejection {
+        Rejection { code: self.attempts.told(code), retry: Some(retry), doubtful: false }
+    }
+
     async fn attempt(&self, routed: Routed, left: Duration) -> Result<(Brought, Ticket), Failure> {
         let agent = routed.decision.agent;
         let deadline = Instant::now() + left;
@@ -155,13 +201,13 @@
         }
     }
 
-    fn finish_whole(self, whole: WholeReply, ticket: Ticket) -> Response<Body> {
-        self.shared.routes.finished(ticket, end_of_status(whole.head.status));
+    fn finish_whole(self, whole: WholeReply, ticket: Option<Ticket>) -> Response<Body> {
+        self.settle(ticket, end_of_status(whole.head.status));
         self.log_end(whole.code);
         reply::whole(self.ask.id, whole.head, whole.body, whole.code)
     }
 
-    fn finish_open(self, open: OpenReply, ticket: Ticket, pass: Pass) -> Response<Body> {
+    fn finish_open(self, open: OpenReply, ticket: Option<Ticket>, pass: Pass) -> Response<Body> {
         let (sender, body) = Channel::new(BODY_PIECES);
         let response = reply::streamed(self.ask.id, open.head.clone(), body.boxed());
         let deadline = self.started + self.ask.limit.saturating_sub(ANSWER_MARGIN);
@@ -174,13 +220,20 @@
                 (_, codes::CALLER_GONE) => End::Cancelled,
                 _ => End::Failed,
             };
-            self.shared.routes.finished(ticket, end);
+            self.settle(ticket, end);
             self.log_end(code);
             drop(pass);
         });
         response
     }
 
+    /// Tells routing how a routed attempt ended; a call under a key was not routed.
+    fn settle(&self, ticket: Option<Ticket>, end: End) {
+        if let Some(ticket) = ticket {
+            self.shared.routes.finished(ticket, end);
+        }
+    }
+
     fn log_end(&self, code: Code) {
         let took = self.started.elapsed();
         self.shared.meters.ended(&self.ask.service, code, took);
--- a/papayaproxy/src/wire/link.rs
+++ b/papayaproxy/src/wire/link.rs
@@ -7,11 +7,12 @@
 use super::frame::{CallHead, CallTag, Envelope, Frame, Reply};
 use super::handshake::{self, Identity, Session};
 use super::outbox::{Outbox, write_frames};
+use super::sending::Sending;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -55,7 +56,7 @@
     tag: CallTag,
     link: Arc<Shared>,
     replies: mpsc::UnboundedReceiver<Reply>,
-    written: Arc<AtomicBool>,
+    sending: Sending,
     consumed: u32,
     ended: bool,
 }
@@ -113,12 +114,12 @@
             workspace: xxh3_64(head.workspace.as_bytes()),
         };
         let (sender, replies) = mpsc::unbounded_channel();
-        let written = Arc::new(AtomicBool::new(false));
+        let sending = Sending::default();
         let call = Call {
             tag,
             link: self.shared.clone(),
             replies,
-            written: written.clone(),
+            sending: sending.clone(),
             consumed: 0,
             ended: false,
         };
@@ -126,7 +127,7 @@
             return Err(LinkLost { written: false });
         }
         let frame = Frame::Call { tag, head, body };
-        let sent = self.shared.outbox.send_tracked(frame, written).await;
+        let sent = self.shared.outbox.send_tracked(frame, sending).await;
         sent.map_err(|_| LinkLost { written: false })?;
         Ok(call)
     }
@@ -140,7 +141,7 @@
     pub async fn next(&mut self) -> Result<Reply, LinkLost> {
         let Some(reply) = self.replies.recv().await else {
             self.ended = true;
-            return Err(LinkLost { written: self.written.load(Ordering::SeqCst) });
+            return Err(LinkLost { written: !self.sending.withdraw() });
         };
         if matches!(reply, Reply::End(_) | Reply::Failure(_)) {
             self.finish();
@@ -148,9 +149,9 @@
         Ok(reply)
     }
 
-    /// Whether any byte of the call may have reached the agent.
-    pub fn is_written(&self) -> bool {
-        self.written.load(Ordering::SeqCst)
+    /// Withdraws the call before it is written. `false` if bytes of it may have reached the agent.
+    pub fn withdraw(&self) -> bool {
+        self.sending.withdraw()
     }
 
     /// Allows the agent to send `bytes` more, after the caller has taken as many.
@@ -177,6 +178,9 @@
             return;
         }
         self.finish();
+        if self.sending.withdraw() {
+            return;
+        }
         if !self.link.outbox.try_send(Frame::Cancel(self.tag)) {
             let outbox = self.link.outbox.clone();
             let tag = self.tag;
--- a/papayaproxy/src/wire/mod.rs
+++ b/papayaproxy/src/wire/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod outbox;
 pub(crate) mod seal;
 pub(crate) mod secret;
+pub(crate) mod sending;
 pub(crate) mod server;
 
 #[cfg(test)]
--- a/papayaproxy/src/wire/outbox.rs
+++ b/papayaproxy/src/wire/outbox.rs
@@ -5,9 +5,9 @@
 use super::context::LinkContext;
 use super::error::WireError;
 use super::frame::{Envelope, Frame};
+use super::sending::Sending;
 use bytes::BytesMut;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
@@ -16,8 +16,8 @@
 /// A frame that waits to be written.
 pub(crate) struct Outgoing {
     frame: Frame,
-    /// Set before the first byte of the frame can reach the socket.
-    written: Option<Arc<AtomicBool>>,
+    /// Asked before the first byte of the frame can reach the socket.
+    sending: Option<Sending>,
 }
 
 /// Hands frames to the writing task of a link.
@@ -34,23 +34,23 @@
 
     /// Queues a frame, waiting for room. Fails once the link is closed.
     pub(crate) async fn send(&self, frame: Frame) -> Result<(), WireError> {
-        let outgoing = Outgoing { frame, written: None };
+        let outgoing = Outgoing { frame, sending: None };
         self.sender.send(outgoing).await.map_err(|_| WireError::Closed)
     }
 
-    /// Queues a frame and has `written` set before any byte of it is written.
+    /// Queues a frame that is skipped if it has been withdrawn by the time it would be written.
     pub(crate) async fn send_tracked(
         &self,
         frame: Frame,
-        written: Arc<AtomicBool>,
+        sending: Sending,
     ) -> Result<(), WireError> {
-        let outgoing = Outgoing { frame, written: Some(written) };
+        let outgoing = Outgoing { frame, sending: Some(sending) };
         self.sender.send(outgoing).await.map_err(|_| WireError::Closed)
     }
 
     /// Queues a frame if there is room, for hints that may be lost with the link.
     pub(crate) fn try_send(&self, frame: Frame) -> bool {
-        self.sender.try_send(Outgoing { frame, written: None }).is_ok()
+        self.sender.try_send(Outgoing { frame, sending: None }).is_ok()
     }
 }
 
@@ -65,8 +65,8 @@
     let mut bytes = BytesMut::new();
     while queue.recv_many(&mut batch, BATCH_FRAMES).await > 0 {
         for outgoing in batch.drain(..) {
-            if let Some(written) = outgoing.written {
-                written.store(true, Ordering::SeqCst);
+            if outgoing.sending.is_some_and(|s| !s.write()) {
+                continue;
             }
             let envelope = Envelope { generation: context.generation(), frame: outgoing.frame };
             encoder.encode(&envelope, &mut bytes)?;
