--- a/papayaproxy/src/wire/mod.rs
+++ b/papayaproxy/src/wire/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod outbox;
 pub(crate) mod seal;
 pub(crate) mod secret;
+pub(crate) mod sending;
 pub(crate) mod server;
 
 #[cfg(test)]
@@ -19,7 +20,7 @@
 
 pub use context::{GenerationSource, LinkContext, LinkStats, NewerHook};
 pub use error::WireError;
-pub use frame::{CallFailure, CallHead, CallTag, Header, Reply, ReplyEnd, ReplyHead};
+pub use frame::{Action, CallFailure, CallHead, CallTag, Header, Reply, ReplyEnd, ReplyHead};
 pub use handshake::Identity;
 pub use link::{Call, Link, LinkLost};
 pub use seal::{DATAGRAM_BYTES_MAX, seal, unseal};
