--- a/papayaproxy/src/fleet/constants.rs
+++ b/papayaproxy/src/fleet/constants.rs
@@ -23,10 +23,20 @@
 /// Most mistakes that one parse reports.
 pub(crate) const PROBLEMS_MAX: usize = 1000;
 
-#[expect(dead_code)]
 /// Chunks that the upstreams are spread over by their names.
 pub(crate) const UPSTREAM_CHUNKS: usize = 16;
 
-#[expect(dead_code)]
 /// Chunks that the workspaces are spread over by their names.
 pub(crate) const WORKSPACE_CHUNKS: usize = 128;
+
+/// Bytes of a document's text in one datagram of a fetch.
+pub(crate) const PIECE_BYTES: usize = 1200;
+
+/// Pieces that one message of a fetch asks for.
+pub(crate) const ASK_WINDOW: usize = 24;
+
+/// Wait for pieces before they are asked for again.
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Unanswered asks after which a fetch turns to another peer.
+pub(crate) const ASK_TRIES: u32 = 3;
--- a/papayaproxy/src/membership/mod.rs
+++ b/papayaproxy/src/membership/mod.rs
@@ -1,11 +1,36 @@
 //! Heartbeats, incarnations, load reports and the live view of processes.
 
+pub(crate) mod actor;
+pub(crate) mod beats;
+pub(crate) mod budget;
 pub(crate) mod codes;
+pub(crate) mod constants;
+pub(crate) mod error;
 pub(crate) mod events;
 pub(crate) mod feed;
+pub(crate) mod grid;
+pub(crate) mod log;
+pub(crate) mod members;
+pub(crate) mod node;
+pub(crate) mod peer;
+pub(crate) mod platform;
 pub(crate) mod report;
+pub(crate) mod row;
+pub(crate) mod spread;
+pub(crate) mod traffic;
 pub(crate) mod view;
 
+#[cfg(test)]
+mod tests;
+
+pub use beats::Ticked;
+pub use error::NodeError;
 pub use feed::Feed;
+pub use members::{Announced, Candidate, Change, Members, Outgoing, Standing, Taken};
+pub use node::{Allow, Node, NodeSettings};
+pub use peer::Liveness;
+pub use platform::PlatformCalls;
 pub use report::{LoadReport, LoadedModel};
+pub use row::{Beat, Datagram, Load, Member, Portrait, Process, Pulse, Row};
+pub use traffic::Traffic;
 pub use view::{UpstreamView, View};
--- /dev/null
+++ b/papayaproxy/src/membership/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of membership.
