--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod plain;
 pub mod platform;
 mod routing;
+mod spread;
 
 use clap::{ArgMatches, Command};
 use std::ffi::OsString;
@@ -29,6 +30,7 @@
     Subcommand { command: forward::command, run: forward::run },
     Subcommand { command: load::command, run: load::run },
     Subcommand { command: routing::command, run: routing::run },
+    Subcommand { command: spread::command, run: spread::run },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
--- a/papayaproxy/src/membership/constants.rs
+++ b/papayaproxy/src/membership/constants.rs
@@ -81,7 +81,7 @@
 pub(crate) const BACK_OFF_MIN: Duration = Duration::from_millis(200);
 
 /// Longest pause after a failed call to the platform.
-pub(crate) const BACK_OFF_MAX: Duration = Duration::from_secs(10);
+pub(crate) const BACK_OFF_MAX: Duration = Duration::from_secs(2);
 
 /// Time between two reads of the platform's list of hosts.
 pub(crate) const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
--- a/papayaproxy/src/membership/members.rs
+++ b/papayaproxy/src/membership/members.rs
@@ -147,7 +147,13 @@
     ) -> Taken {
         let mut taken = Taken::default();
         let full = matches!(beat.sender, Row::Full(_));
-        let known = self.learn(now, beat.sender, Path::Direct, &mut taken.changes);
+        let mut sender = beat.sender;
+        if let Row::Full(portrait) = &mut sender
+            && portrait.process.address.ip().is_unspecified()
+        {
+            portrait.process.address = from;
+        }
+        let known = self.learn(now, sender, Path::Direct, &mut taken.changes);
         let joined = !taken.changes.is_empty();
         let near = known.as_ref().and_then(|n| self.peers.get(n)).is_some_and(|p| self.is_near(p));
         let path = self.path_from(known.as_ref());
--- a/papayaproxy/src/membership/platform.rs
+++ b/papayaproxy/src/membership/platform.rs
@@ -207,6 +207,9 @@
         let answer = timeout(limit, self.client.get(uri)).await;
         let answer = answer.map_err(|_| PlatformError::Unreachable { reason: "timeout".into() })?;
         let response = answer.map_err(|e| PlatformError::Unreachable { reason: e.to_string() })?;
+        if !(self.allow)(self.address) {
+            return Err(PlatformError::Unreachable { reason: "cut off".into() });
+        }
         let status = response.status();
         if status.is_success() || status == StatusCode::NOT_MODIFIED {
             return Ok(response);
