Join entries and agents by membership; check whom a link leads to

Cause: the daemons read the platform each for itself and knew no load reports. Change: entry and agent open with a member on the control thread; both refuse work until the member is ready. An agent bears its upstream's name, and an entry sends nothing over a link whose agent bears another.

--- a/papayaproxy/src/agent/codes.rs
+++ b/papayaproxy/src/agent/codes.rs
@@ -11,5 +11,6 @@
     SERVICE_FOREIGN = 2405, NotRun, 503, "The upstream does not offer this service.";
     CALL_MALFORMED = 2406, NotRun, 400, "The method, path or a header of the call is not valid HTTP.";
     AGENT_FULL = 2407, NotRun, 503, "The agent has as many calls in progress as it may.";
+    AGENT_NOT_READY = 2409, NotRun, 503, "The agent does not know yet whether its fleet document is the newest.";
     CALL_CANCELLED = 2408, Unknown, 499, "The caller went away before the answer was whole.";
 }
--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -64,7 +64,7 @@
         let address = listener.local_addr().unwrap_or(settings.address);
         let client = UpstreamClient::new(settings.target);
         let ops_address = settings.process.ops;
-        let keys = KeyCore::new(settings.upstream.clone(), identity.incarnation, settings.keys);
+        let keys = KeyCore::new(settings.process.name.clone(), identity.incarnation, settings.keys);
         let secrets = settings.process.secrets.clone();
         let shared = Arc::new(Shared {
             desk: Arc::new(KeyDesk::new(keys, Clock::start(), secrets)),
@@ -83,7 +83,7 @@
         let context = feed.link_context(identity, shared.settings.process.secrets.clone());
         let handle = call_handler(shared.clone(), work.clone());
         tokio::spawn(accept_links(listener, context, handle, stop.clone()));
-        let load = follow_load(shared.settings.upstream.clone(), client, take);
+        let load = follow_load(shared.settings.process.name.clone(), client, take);
         let stopped = stop.clone();
         tokio::spawn(async move { stopped.run_until_cancelled(load).await });
         shared.log_started(address, ops.address());
@@ -146,9 +146,12 @@
     /// Why a call to `service` is not taken, if it is not.
     fn refusal(&self, service: &Name) -> Option<Code> {
         let document = self.feed.document.load();
-        let Some(upstream) = document.upstreams.get(&self.settings.upstream) else {
+        let Some(upstream) = document.upstreams.get(&self.settings.process.name) else {
             return Some(codes::SERVICE_FOREIGN);
         };
+        if !self.feed.is_ready() {
+            return Some(codes::AGENT_NOT_READY);
+        }
         if self.stopping.load(Ordering::SeqCst) || !upstream.takes_work(SystemTime::now()) {
             return Some(codes::AGENT_LEAVING);
         }
@@ -164,12 +167,12 @@
 
     fn status(&self) -> Status {
         let document = self.feed.document.load();
-        let own = document.upstreams.get(&self.settings.upstream);
+        let own = document.upstreams.get(&self.settings.process.name);
         let open = own.is_some_and(|u| u.takes_work(SystemTime::now()));
         let stopping = self.stopping.load(Ordering::SeqCst);
         let mut status = self.feed.status(&self.identity, &self.settings.process.zone);
         status.role = "agent".to_owned();
-        status.ready = open && !stopping;
+        status.ready = self.feed.is_ready() && open && !stopping;
         status.leaving = stopping || own.is_some() && !open;
         status.calls = self.calls.load(Ordering::Relaxed) as u64;
         status
@@ -181,7 +184,6 @@
             role = "agent",
             name = %self.identity.name,
             incarnation = %self.identity.incarnation,
-            upstream = %self.settings.upstream,
             %address,
             %ops,
             "open"
--- a/papayaproxy/src/agent/settings.rs
+++ b/papayaproxy/src/agent/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of an agent.
 
-use crate::base::name::Name;
 use crate::delivery::{self, KeySettings};
+use crate::membership;
 use crate::settings::process;
-use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, parse_name};
+use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -15,12 +15,6 @@
         default: None,
         meaning: "address and port of the upstream host's slot, as in the fleet document",
     },
-    SettingRow {
-        section: "upstream",
-        key: "name",
-        default: None,
-        meaning: "name of the upstream in the fleet document",
-    },
     SettingRow {
         section: "upstream",
         key: "address",
@@ -30,7 +24,8 @@
 ];
 
 /// Every table of settings that an agent reads.
-pub const TABLES: &[&[SettingRow]] = &[process::ROWS, ROWS, delivery::SETTINGS];
+pub const TABLES: &[&[SettingRow]] =
+    &[process::ROWS, ROWS, delivery::SETTINGS, membership::SETTINGS];
 
 /// The checked settings of an agent.
 #[derive(Clone, Debug)]
@@ -39,8 +34,8 @@
     pub process: ProcessSettings,
     /// Address of the slot, for links (TCP) and heartbeats (UDP).
     pub address: SocketAddr,
-    /// Name of the upstream.
-    pub upstream: Name,
+    /// Addresses of some peers.
+    pub peers: Vec<SocketAddr>,
     /// Address of the upstream's HTTP service.
     pub target: SocketAddr,
     /// Limits of the key state.
@@ -62,13 +57,13 @@
     pub fn read(reader: &mut Reader) -> Option<Self> {
         let process = ProcessSettings::read(reader);
         let address = process::read_address(reader, "agent");
-        let upstream = reader.value("upstream", "name", parse_name);
+        let peers = membership::read_peers(reader);
         let target = process::read_address(reader, "upstream");
         let keys = KeySettings::read(reader);
         Some(Self {
             process: process?,
             address: address?,
-            upstream: upstream?,
+            peers: peers?,
             target: target?,
             keys: keys?,
         })
--- a/papayaproxy/src/daemon/mod.rs
+++ b/papayaproxy/src/daemon/mod.rs
@@ -1,7 +1,8 @@
 //! What the daemons share: command line, runtime, signals.
 
 pub(crate) mod command;
-pub(crate) mod feed;
+pub(crate) mod open;
 pub(crate) mod run;
 
+pub use open::{RunningAgent, RunningEntry, open_agent, open_entry};
 pub use run::{run_agent, run_entry};
--- a/papayaproxy/src/daemon/run.rs
+++ b/papayaproxy/src/daemon/run.rs
@@ -1,11 +1,11 @@
 //! Runs a daemon from its command line to its graceful stop.
 
 use super::command::{Options, command};
-use super::feed::open_feed;
-use crate::agent::{Agent, AgentSettings};
-use crate::base::clock::Clock;
+use super::open::{open_agent, open_entry};
+use crate::agent::AgentSettings;
+use crate::base::control::Control;
 use crate::base::error::ProcessError;
-use crate::entry::{Entry, EntrySettings};
+use crate::entry::EntrySettings;
 use crate::settings::{ProcessSettings, SettingsError};
 use crate::telemetry::open_log;
 use std::ffi::OsString;
@@ -27,10 +27,8 @@
     };
     let threads = settings.process.threads;
     drive(threads, async move {
-        let clock = Clock::start();
-        let identity = settings.process.identity();
-        let feed = open_feed(settings.process.platform, clock);
-        let entry = Entry::open(settings, identity, feed, clock).await?;
+        let control = Control::spawn().map_err(|source| ProcessError::Control { source })?;
+        let entry = open_entry(settings, &control).await?;
         stopped().await;
         entry.stop().await;
         Ok(())
@@ -48,10 +46,8 @@
     };
     let threads = settings.process.threads;
     drive(threads, async move {
-        let clock = Clock::start();
-        let identity = settings.process.identity();
-        let feed = open_feed(settings.process.platform, clock);
-        let agent = Agent::open(settings, identity, feed, |_| {}).await?;
+        let control = Control::spawn().map_err(|source| ProcessError::Control { source })?;
+        let agent = open_agent(settings, &control).await?;
         stopped().await;
         agent.stop().await;
         Ok(())
--- a/papayaproxy/src/entry/attempt.rs
+++ b/papayaproxy/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 use super::request::Ask;
 use super::verify::Verifier;
 use crate::base::code::Code;
+use crate::base::name::Name;
 use crate::delivery::Failure;
 use crate::wire::{Call, CallHead, LinkLost, Reply, ReplyHead};
 use bytes::{Bytes, BytesMut};
@@ -35,19 +36,26 @@
     Open(Box<OpenReply>),
 }
 
-/// Makes one attempt at `agent`, which may take until `deadline`.
+/// Where an attempt goes.
+#[derive(Clone, Copy)]
+pub(crate) struct Target<'a> {
+    pub(crate) upstream: &'a Name,
+    pub(crate) agent: SocketAddr,
+}
+
+/// Makes one attempt at `target`, which may take until `deadline`.
 ///
 /// # Errors
 /// How it failed; nothing of a reply was passed on.
 pub(crate) async fn attempt(
     ask: &Ask,
-    agent: SocketAddr,
+    target: Target<'_>,
     links: &Links,
     remaining: Duration,
     deadline: Instant,
 ) -> Result<Brought, Failure> {
     let sending = async {
-        let link = links.get(agent).await.map_err(|e| Failure::Unsent(e.code()))?;
+        let link = links.get(target.agent, target.upstream).await.map_err(Failure::Unsent)?;
         link.call(call_head(ask, remaining), ask.body.clone()).await.map_err(lost)
     };
     // A call that is dropped before it is queued is never written.
--- a/papayaproxy/src/entry/links.rs
+++ b/papayaproxy/src/entry/links.rs
@@ -1,6 +1,9 @@
 //! The links of an entry, one to each agent that it has called.
 
+use super::codes;
 use super::events;
+use crate::base::code::Code;
+use crate::base::name::Name;
 use crate::wire::{Link, LinkContext, WireError};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,11 +24,16 @@
         Self { context, open: Mutex::default(), slots: Mutex::default() }
     }
 
-    /// Gives the open link to `address`, or makes one.
+    /// Gives the open link to the agent of `upstream` at `address`, or makes one.
     ///
     /// # Errors
-    /// Why no link could be made; nothing of any call was sent.
-    pub(crate) async fn get(&self, address: SocketAddr) -> Result<Link, WireError> {
+    /// Why there is no such link; nothing of any call was sent.
+    pub(crate) async fn get(&self, address: SocketAddr, upstream: &Name) -> Result<Link, Code> {
+        let link = self.reach(address).await.map_err(|e| e.code())?;
+        if link.peer().name == *upstream { Ok(link) } else { Err(codes::AGENT_FOREIGN) }
+    }
+
+    async fn reach(&self, address: SocketAddr) -> Result<Link, WireError> {
         if let Some(link) = self.find(address) {
             return Ok(link);
         }
--- a/papayaproxy/src/entry/process.rs
+++ b/papayaproxy/src/entry/process.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Whether there is a fleet document to serve by.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.feed.is_ready() && self.feed.document.load().generation > 0
+    }
+
     fn status_source(self: Arc<Self>) -> StatusSource {
         Arc::new(move || self.status())
     }
@@ -166,7 +171,7 @@
         let stopping = self.stopping.load(Ordering::SeqCst);
         let mut status = self.feed.status(&self.identity, &self.settings.process.zone);
         status.role = "entry".to_owned();
-        status.ready = status.generation > 0 && !stopping;
+        status.ready = self.is_ready() && !stopping;
         status.leaving = stopping;
         status.calls = u64::from(self.gate.running());
         status
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -1,6 +1,6 @@
 //! One request: checked, admitted, routed, attempted and answered.
 
-use super::attempt::{Brought, OpenReply, WholeReply, attempt};
+use super::attempt::{Brought, OpenReply, Target, WholeReply, attempt};
 use super::codes;
 use super::constants::{ANSWER_MARGIN, BODY_PIECES, KEYED_RETRY_PAUSE};
 use super::events;
@@ -71,7 +71,7 @@
     let started = Instant::now();
     let (parts, body) = request.into_parts();
     let document = shared.feed.document.load_full();
-    if document.generation == 0 {
+    if !shared.is_ready() {
         return Err(codes::ENTRY_NOT_READY.into());
     }
     let shows_key = parts.headers.contains_key(KEY_HEADER);
@@ -138,11 +138,12 @@
         let secrets = &self.shared.settings.process.secrets;
         let home = Home::find(&self.ask, secrets, &document)?;
         self.upstream = home.upstream.clone();
+        let target = Target { upstream: &home.upstream, agent: home.agent };
         loop {
             let left = self.attempts.open(self.shared.clock.now())?;
             let deadline = Instant::now() + left;
             self.made += 1;
-            match attempt(&self.ask, home.agent, &self.shared.links, left, deadline).await {
+            match attempt(&self.ask, target, &self.shared.links, left, deadline).await {
                 Ok(brought) => return Ok(brought),
                 Err(failure) => self.decide(failure)?,
             };
@@ -155,10 +156,10 @@
     }
 
     async fn attempt(&self, routed: Routed, left: Duration) -> Result<(Brought, Ticket), Failure> {
-        let agent = routed.decision.agent;
+        let target = Target { upstream: &routed.decision.name, agent: routed.decision.agent };
         let deadline = Instant::now() + left;
         let ticket = TicketGuard::new(self.shared.clone(), routed.ticket);
-        match attempt(&self.ask, agent, &self.shared.links, left, deadline).await {
+        match attempt(&self.ask, target, &self.shared.links, left, deadline).await {
             Ok(brought) => {
                 let ticket = ticket.keep();
                 self.shared.routes.started(&ticket);
--- a/papayaproxy/src/entry/settings.rs
+++ b/papayaproxy/src/entry/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of an entry.
 
+use crate::limits;
+use crate::membership;
 use crate::routing;
 use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, process};
 use std::net::SocketAddr;
@@ -26,7 +28,7 @@
 
 /// Every table of settings that an entry reads.
 pub const TABLES: &[&[SettingRow]] =
-    &[process::ROWS, ROWS, routing::SETTINGS, crate::limits::SETTINGS];
+    &[process::ROWS, ROWS, routing::SETTINGS, limits::SETTINGS, membership::SETTINGS];
 
 /// The checked settings of an entry.
 #[derive(Clone, Debug)]
@@ -37,6 +39,8 @@
     pub address: SocketAddr,
     /// Requests that run at a time.
     pub capacity: u32,
+    /// Addresses of some peers.
+    pub peers: Vec<SocketAddr>,
     /// Settings of routing.
     pub routing: routing::Settings,
 }
@@ -57,8 +61,15 @@
         let process = ProcessSettings::read(reader);
         let address = process::read_address(reader, "entry");
         let capacity = reader.value("entry", "capacity", parse_capacity);
+        let peers = membership::read_peers(reader);
         let routing = routing::Settings::read(reader);
-        Some(Self { process: process?, address: address?, capacity: capacity?, routing: routing? })
+        Some(Self {
+            process: process?,
+            address: address?,
+            capacity: capacity?,
+            peers: peers?,
+            routing: routing?,
+        })
     }
 }
 
--- a/papayaproxy/src/membership/actor.rs
+++ b/papayaproxy/src/membership/actor.rs
@@ -90,6 +90,7 @@
             view: self.view.clone(),
             changed: self.changed.clone(),
             newer: newer(actor),
+            ready: self.ready.clone(),
             age: Arc::new(age),
         }
     }
--- a/papayaproxy/src/membership/feed.rs
+++ b/papayaproxy/src/membership/feed.rs
@@ -21,6 +21,8 @@
     pub changed: watch::Receiver<u64>,
     /// Receives the generation of a peer that has a newer document.
     pub newer: Arc<dyn Fn(u64) + Send + Sync>,
+    /// Whether the process may serve: its document is the highest that it could learn of.
+    pub ready: watch::Receiver<bool>,
     /// Gives the time since the document in force was last confirmed.
     pub age: Arc<dyn Fn() -> Duration + Send + Sync>,
 }
@@ -35,6 +37,11 @@
         Arc::new(LinkContext::new(identity, secrets, generation, newer))
     }
 
+    /// Whether the process may serve.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow()
+    }
+
     /// The part of a process' status that the feed knows.
     pub fn status(&self, identity: &Identity, zone: &Name) -> Status {
         let document = self.document.load();
