--- a/papaya-lab/src/bench/children.rs
+++ b/papaya-lab/src/bench/children.rs
@@ -2,7 +2,6 @@
 
 use super::cpu::cpu_time;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -40,8 +39,3 @@
     let own = std::env::current_exe()?;
     Ok(own.with_file_name(program))
 }
-
-/// An address whose port is free now.
-pub(crate) fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
--- a/papaya-lab/src/bench/rig.rs
+++ b/papaya-lab/src/bench/rig.rs
@@ -1,8 +1,9 @@
 //! The processes of the bench: a plain service, and the two ways to it.
 
-use super::children::{Role, free_address};
+use super::children::Role;
 use super::drive::Shot;
 use crate::http::Client;
+use crate::ports::free_addresses;
 use papayaproxy::fleet::{credential_digest, parse};
 use std::io;
 use std::net::SocketAddr;
@@ -60,7 +61,9 @@
 /// Starts everything and waits until each way answers.
 pub(crate) async fn open(settings: &RigSettings) -> io::Result<Rig> {
     let folder = tempfile::tempdir()?;
-    let [service, platform, forward, entry, agent] = free_addresses()?;
+    let addresses: [SocketAddr; 7] =
+        free_addresses(7)?.try_into().map_err(|_| io::Error::other("seven addresses"))?;
+    let [service, platform, forward, entry, agent, entry_ops, agent_ops] = addresses;
     let document = folder.path().join("fleet.ini");
     std::fs::write(&document, document_text(agent))?;
     let lab = |args: &[String]| Role::start("papaya-lab", args);
@@ -76,8 +79,9 @@
     let forward_role =
         lab(&[listen("forward", forward), vec![format!("--target={service}")]].concat())?;
     let common = common_settings(settings, platform);
-    let entry_role = Role::start("papaya-entry", &entry_settings(&common, entry)?)?;
-    let agent_role = Role::start("papaya-agent", &agent_settings(&common, agent, service)?)?;
+    let entry_role = Role::start("papaya-entry", &entry_settings(&common, entry, entry_ops))?;
+    let agent_role =
+        Role::start("papaya-agent", &agent_settings(&common, agent, agent_ops, service))?;
     let way = |name, address, roles| Way { name, address, shot: shot(), roles };
     let ways = vec![
         way("direct", service, vec![]),
@@ -90,14 +94,6 @@
     Ok(Rig { ways, _behind: vec![plain, platform_role], _folder: folder })
 }
 
-fn free_addresses() -> io::Result<[SocketAddr; 5]> {
-    let mut found = [SocketAddr::from(([127, 0, 0, 1], 0)); 5];
-    for address in &mut found {
-        *address = free_address()?;
-    }
-    Ok(found)
-}
-
 /// The request that goes all ways; only the entry looks at its headers.
 fn shot() -> Shot {
     Shot {
@@ -134,29 +130,32 @@
     ]
 }
 
-fn entry_settings(common: &[String], address: SocketAddr) -> io::Result<Vec<String>> {
-    let own = ["process.name=entry-east-1".to_owned(), format!("entry.address={address}")];
+fn entry_settings(common: &[String], address: SocketAddr, ops: SocketAddr) -> Vec<String> {
+    let own = [
+        "process.name=entry-east-1".to_owned(),
+        format!("entry.address={address}"),
+        format!("ops.address={ops}"),
+    ];
     set_args(common, &own)
 }
 
 fn agent_settings(
     common: &[String],
     address: SocketAddr,
+    ops: SocketAddr,
     service: SocketAddr,
-) -> io::Result<Vec<String>> {
+) -> Vec<String> {
     let own = [
-        "process.name=agent-ledger-1".to_owned(),
+        "process.name=ledger-1".to_owned(),
         format!("agent.address={address}"),
-        "upstream.name=ledger-1".to_owned(),
+        format!("ops.address={ops}"),
         format!("upstream.address={service}"),
     ];
     set_args(common, &own)
 }
 
-fn set_args(common: &[String], own: &[String]) -> io::Result<Vec<String>> {
-    let ops = format!("ops.address={}", free_address()?);
-    let all = common.iter().chain(own).chain([&ops]);
-    Ok(all.map(|text| format!("--set={text}")).collect())
+fn set_args(common: &[String], own: &[String]) -> Vec<String> {
+    common.iter().chain(own).map(|text| format!("--set={text}")).collect()
 }
 
 async fn wait_ready(way: &Way) -> io::Result<()> {
--- a/papaya-lab/src/demo/fleet.rs
+++ b/papaya-lab/src/demo/fleet.rs
@@ -1,6 +1,5 @@
 //! The demo's fleet: the sample document with the addresses of this run.
 
-use indexmap::IndexMap;
 use papayaproxy::Name;
 use papayaproxy::fleet::{Document, Kind, Leave, parse, render};
 use std::io;
@@ -35,12 +34,10 @@
     })
 }
 
-/// The document with the addresses at which the agents really listen.
-pub(crate) fn place(mut document: Document, agents: &IndexMap<Name, SocketAddr>) -> Document {
-    for (name, upstream) in &mut document.upstreams {
-        if let Some(address) = agents.get(name) {
-            upstream.agent = *address;
-        }
+/// The document with each agent at one of `addresses`.
+pub(crate) fn place(mut document: Document, addresses: &[SocketAddr]) -> Document {
+    for (upstream, address) in document.upstreams.values_mut().zip(addresses) {
+        upstream.agent = *address;
     }
     document.sealed()
 }
--- a/papaya-lab/src/demo/processes.rs
+++ b/papaya-lab/src/demo/processes.rs
@@ -3,11 +3,11 @@
 use super::fleet::model;
 use crate::engine::{self, Engine, EngineSettings, LoadedModel};
 use crate::plain::{self, Plain, PlainSettings};
-use papayaproxy::Name;
-use papayaproxy::agent::{Agent, AgentSettings};
-use papayaproxy::daemon::{open_agent, open_entry};
-use papayaproxy::entry::{Entry, EntrySettings};
+use papayaproxy::agent::AgentSettings;
+use papayaproxy::daemon::{RunningAgent, RunningEntry, open_agent, open_entry};
+use papayaproxy::entry::EntrySettings;
 use papayaproxy::fleet::Document;
+use papayaproxy::{Control, Name};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -84,41 +84,60 @@
     pub(crate) zone: Name,
     pub(crate) stand: Stand,
     /// `None` once it was stopped.
-    pub(crate) agent: Option<Agent>,
+    pub(crate) agent: Option<RunningAgent>,
 }
 
-/// Opens an upstream and its agent at free ports.
+/// What all processes of the demo share.
+pub(crate) struct Common {
+    /// The control thread.
+    pub(crate) control: Control,
+    /// Address of the platform.
+    pub(crate) platform: SocketAddr,
+    /// Entries' addresses, by which processes find each other.
+    pub(crate) peers: Vec<SocketAddr>,
+}
+
+/// Opens an upstream, and its agent at the address that the document names.
 pub(crate) async fn open_host(
+    common: &Common,
     document: &Document,
     name: &Name,
-    platform: SocketAddr,
 ) -> io::Result<Host> {
+    let missing = || io::Error::other(format!("no upstream {name}"));
+    let upstream = document.upstreams.get(name).ok_or_else(missing)?;
     let stand = Stand::bind(document, name).await?;
-    let zone = document.upstreams.get(name).map(|u| u.zone.clone()).unwrap_or_default();
-    let mut overrides = common(&format!("agent-{name}"), &zone, platform);
-    overrides.push(format!("agent.address={ANY_PORT}"));
-    overrides.push(format!("upstream.name={name}"));
+    let zone = upstream.zone.clone();
+    let mut overrides = common.overrides(name, &zone);
+    overrides.push(format!("agent.address={}", upstream.agent));
     overrides.push(format!("upstream.address={}", stand.addr()));
     let settings = AgentSettings::open(None, &overrides).map_err(io::Error::other)?;
-    let agent = open_agent(settings).await.map_err(io::Error::other)?;
+    let agent = open_agent(settings, &common.control).await.map_err(io::Error::other)?;
     Ok(Host { name: name.clone(), zone, stand, agent: Some(agent) })
 }
 
-/// Opens the entry of a zone at a free port.
-pub(crate) async fn open_zone_entry(zone: &Name, platform: SocketAddr) -> io::Result<Entry> {
-    let mut overrides = common(&format!("entry-{zone}"), zone, platform);
-    overrides.push(format!("entry.address={ANY_PORT}"));
+/// Opens the entry of a zone.
+pub(crate) async fn open_zone_entry(
+    common: &Common,
+    zone: &Name,
+    address: SocketAddr,
+) -> io::Result<RunningEntry> {
+    let mut overrides = common.overrides(&format!("entry-{zone}"), zone);
+    overrides.push(format!("entry.address={address}"));
     let settings = EntrySettings::open(None, &overrides).map_err(io::Error::other)?;
-    open_entry(settings).await.map_err(io::Error::other)
+    open_entry(settings, &common.control).await.map_err(io::Error::other)
 }
 
-/// Settings that every process needs.
-fn common(name: &str, zone: &Name, platform: SocketAddr) -> Vec<String> {
-    vec![
-        format!("process.name={name}"),
-        format!("process.zone={zone}"),
-        format!("link.key={LINK_KEY}"),
-        format!("ops.address={ANY_PORT}"),
-        format!("platform.address={platform}"),
-    ]
+impl Common {
+    /// Settings that every process needs.
+    fn overrides(&self, name: &str, zone: &Name) -> Vec<String> {
+        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        vec![
+            format!("process.name={name}"),
+            format!("process.zone={zone}"),
+            format!("link.key={LINK_KEY}"),
+            format!("ops.address={ANY_PORT}"),
+            format!("platform.address={}", self.platform),
+            format!("membership.peers={}", peers.join(", ")),
+        ]
+    }
 }
--- a/papaya-lab/src/demo/stage.rs
+++ b/papaya-lab/src/demo/stage.rs
@@ -1,16 +1,17 @@
 //! Opens everything, sends the load and performs the stops.
 
 use super::fleet::{self, credential};
-use super::processes::{Host, Stand, open_host, open_zone_entry};
+use super::processes::{Common, Host, Stand, open_host, open_zone_entry};
 use super::stop::{StopReport, perform};
 use super::summary::{Place, Summary};
 use crate::load::{Credential, ModelTarget, PlainTarget, Plan, run_plan};
 use crate::platform::{self, Platform, PlatformSettings};
+use crate::ports::free_addresses;
 use indexmap::IndexMap;
-use papayaproxy::Name;
 use papayaproxy::ctl::survey;
-use papayaproxy::entry::Entry;
+use papayaproxy::daemon::RunningEntry;
 use papayaproxy::fleet::Document;
+use papayaproxy::{Control, Name};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -56,7 +57,8 @@
     platform: Platform,
     document: Document,
     hosts: Vec<Host>,
-    entries: Vec<Entry>,
+    entries: Vec<RunningEntry>,
+    _control: Control,
 }
 
 /// Runs the demo. `tell` gets a line for each step and each second.
@@ -98,19 +100,21 @@
 async fn open() -> io::Result<Stage> {
     let platform = platform::bind(PlatformSettings::default()).await?;
     let sample = fleet::sample()?;
+    let mut addresses = free_addresses(sample.zones.len() + sample.upstreams.len())?;
+    let peers = addresses.split_off(sample.upstreams.len());
+    let document = fleet::place(sample, &addresses);
+    platform.publish(fleet::text(&document)?);
+    let control = Control::spawn()?;
+    let common = Common { control, platform: platform.addr(), peers };
     let mut hosts = Vec::new();
-    for name in sample.upstreams.keys() {
-        hosts.push(open_host(&sample, name, platform.addr()).await?);
+    for name in document.upstreams.keys() {
+        hosts.push(open_host(&common, &document, name).await?);
     }
-    let agents: IndexMap<Name, SocketAddr> =
-        hosts.iter().filter_map(|h| Some((h.name.clone(), h.agent.as_ref()?.address()))).collect();
-    let document = fleet::place(sample, &agents);
-    platform.publish(fleet::text(&document)?);
     let mut entries = Vec::new();
-    for zone in document.zones.keys() {
-        entries.push(open_zone_entry(zone, platform.addr()).await?);
+    for (zone, address) in document.zones.keys().zip(&common.peers) {
+        entries.push(open_zone_entry(&common, zone, *address).await?);
     }
-    Ok(Stage { platform, document, hosts, entries })
+    Ok(Stage { platform, document, hosts, entries, _control: common.control })
 }
 
 impl Stage {
@@ -126,8 +130,9 @@
 
     /// Waits until every process has the document in force.
     async fn wait_ready(&self) -> io::Result<()> {
-        let agents = self.hosts.iter().filter_map(|h| h.agent.as_ref().map(|a| a.ops_address()));
-        let entries = self.entries.iter().map(Entry::ops_address);
+        let agents =
+            self.hosts.iter().filter_map(|h| h.agent.as_ref().map(|a| a.agent.ops_address()));
+        let entries = self.entries.iter().map(|e| e.entry.ops_address());
         let addresses: Vec<SocketAddr> = agents.chain(entries).collect();
         let until = Instant::now() + READY_LIMIT;
         loop {
@@ -165,7 +170,7 @@
     let credential =
         |name: &Name| Credential { workspace: name.to_string(), token: credential(name) };
     Plan {
-        entries: stage.entries.iter().map(Entry::address).collect(),
+        entries: stage.entries.iter().map(|e| e.entry.address()).collect(),
         workspaces: stage.document.workspaces.keys().map(credential).collect(),
         rate: settings.rate,
         duration: settings.duration,
--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub(crate) mod ports;
 mod routing;
+mod spread;
 
 use clap::{ArgMatches, Command};
 use std::ffi::OsString;
@@ -33,6 +35,7 @@
     Subcommand { command: bench::command, run: bench::run },
     Subcommand { command: load::command, run: load::run },
     Subcommand { command: routing::command, run: routing::run },
+    Subcommand { command: spread::command, run: spread::run },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -4,16 +4,20 @@
 use super::client::UpstreamClient;
 use super::codes;
 use super::constants::CALLS_MAX;
+use super::desk::KeyDesk;
+use super::keyed::answer_keyed;
 use super::links::accept_links;
 use super::load::follow_load;
 use super::settings::AgentSettings;
+use crate::base::clock::Clock;
 use crate::base::code::Code;
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
+use crate::delivery::KeyCore;
 use crate::membership::{Feed, LoadReport};
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
-use crate::wire::Identity;
 use crate::wire::server::{IncomingCall, OpenGuard};
+use crate::wire::{Action, Identity};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -28,6 +32,7 @@
     identity: Identity,
     feed: Feed,
     client: UpstreamClient,
+    desk: Arc<KeyDesk>,
     stopping: AtomicBool,
     calls: AtomicUsize,
 }
@@ -59,7 +64,10 @@
         let address = listener.local_addr().unwrap_or(settings.address);
         let client = UpstreamClient::new(settings.target);
         let ops_address = settings.process.ops;
+        let keys = KeyCore::new(settings.process.name.clone(), identity.incarnation, settings.keys);
+        let secrets = settings.process.secrets.clone();
         let shared = Arc::new(Shared {
+            desk: Arc::new(KeyDesk::new(keys, Clock::start(), secrets)),
             identity: identity.clone(),
             feed: feed.clone(),
             client: client.clone(),
@@ -75,7 +83,7 @@
         let context = feed.link_context(identity, shared.settings.process.secrets.clone());
         let handle = call_handler(shared.clone(), work.clone());
         tokio::spawn(accept_links(listener, context, handle, stop.clone()));
-        let load = follow_load(shared.settings.upstream.clone(), client, take);
+        let load = follow_load(shared.settings.process.name.clone(), client, take);
         let stopped = stop.clone();
         tokio::spawn(async move { stopped.run_until_cancelled(load).await });
         shared.log_started(address, ops.address());
@@ -116,9 +124,15 @@
 ) -> impl Fn(IncomingCall, OpenGuard) + Clone + Send + Sync + 'static {
     move |call, guard| {
         let shared = shared.clone();
+        let tasks = work.clone();
         work.spawn(async move {
             shared.calls.fetch_add(1, Ordering::SeqCst);
-            match shared.refusal(&call.head.service) {
+            let refusal = shared.refusal(&call.head.service);
+            let keyed = call.head.key.is_some() || call.head.action != Action::Call;
+            match refusal {
+                _ if keyed => {
+                    answer_keyed(call, &shared.desk, &shared.client, &tasks, refusal).await;
+                }
                 Some(code) => drop(call.replier.fail(failure(code)).await),
                 None => run_call(call, &shared.client).await,
             }
@@ -132,9 +146,12 @@
     /// Why a call to `service` is not taken, if it is not.
     fn refusal(&self, service: &Name) -> Option<Code> {
         let document = self.feed.document.load();
-        let Some(upstream) = document.upstreams.get(&self.settings.upstream) else {
+        let Some(upstream) = document.upstreams.get(&self.settings.process.name) else {
             return Some(codes::SERVICE_FOREIGN);
         };
+        if !self.feed.is_ready() {
+            return Some(codes::AGENT_NOT_READY);
+        }
         if self.stopping.load(Ordering::SeqCst) || !upstream.takes_work(SystemTime::now()) {
             return Some(codes::AGENT_LEAVING);
         }
@@ -150,13 +167,12 @@
 
     fn status(&self) -> Status {
         let document = self.feed.document.load();
-        let own = document.upstreams.get(&self.settings.upstream);
+        let own = document.upstreams.get(&self.settings.process.name);
         let open = own.is_some_and(|u| u.takes_work(SystemTime::now()));
         let stopping = self.stopping.load(Ordering::SeqCst);
         let mut status = self.feed.status(&self.identity, &self.settings.process.zone);
         status.role = "agent".to_owned();
-        status.upstream = self.settings.upstream.to_string();
-        status.ready = open && !stopping;
+        status.ready = self.feed.is_ready() && open && !stopping;
         status.leaving = stopping || own.is_some() && !open;
         status.calls = self.calls.load(Ordering::Relaxed) as u64;
         status
@@ -168,7 +184,6 @@
             role = "agent",
             name = %self.identity.name,
             incarnation = %self.identity.incarnation,
-            upstream = %self.settings.upstream,
             %address,
             %ops,
             "open"
--- a/papayaproxy/src/daemon/run.rs
+++ b/papayaproxy/src/daemon/run.rs
@@ -1,11 +1,11 @@
 //! Runs a daemon from its command line to its graceful stop.
 
 use super::command::{Options, command};
-use super::feed::open_feed;
-use crate::agent::{Agent, AgentSettings};
-use crate::base::clock::Clock;
+use super::open::{open_agent, open_entry};
+use crate::agent::AgentSettings;
+use crate::base::control::Control;
 use crate::base::error::ProcessError;
-use crate::entry::{Entry, EntrySettings};
+use crate::entry::EntrySettings;
 use crate::settings::{ProcessSettings, SettingsError};
 use crate::telemetry::open_log;
 use std::ffi::OsString;
@@ -27,7 +27,8 @@
     };
     let threads = settings.process.threads;
     drive(threads, async move {
-        let entry = open_entry(settings).await?;
+        let control = Control::spawn().map_err(|source| ProcessError::Control { source })?;
+        let entry = open_entry(settings, &control).await?;
         stopped().await;
         entry.stop().await;
         Ok(())
@@ -45,35 +46,14 @@
     };
     let threads = settings.process.threads;
     drive(threads, async move {
-        let agent = open_agent(settings).await?;
+        let control = Control::spawn().map_err(|source| ProcessError::Control { source })?;
+        let agent = open_agent(settings, &control).await?;
         stopped().await;
         agent.stop().await;
         Ok(())
     })
 }
 
-/// Opens an entry with its view of the fleet, on the present runtime.
-///
-/// # Errors
-/// An address that cannot be bound, or an exporter that cannot be set up.
-pub async fn open_entry(settings: EntrySettings) -> Result<Entry, ProcessError> {
-    let clock = Clock::start();
-    let identity = settings.process.identity();
-    let feed = open_feed(settings.process.platform, clock);
-    Entry::open(settings, identity, feed, clock).await
-}
-
-/// Opens an agent with its view of the fleet, on the present runtime.
-///
-/// # Errors
-/// An address that cannot be bound, or an exporter that cannot be set up.
-pub async fn open_agent(settings: AgentSettings) -> Result<Agent, ProcessError> {
-    let clock = Clock::start();
-    let identity = settings.process.identity();
-    let feed = open_feed(settings.process.platform, clock);
-    Agent::open(settings, identity, feed, |_| {}).await
-}
-
 /// Opens the log, or gives the exit code where settings are wrong or were only to be checked.
 fn accept<T>(
     settings: Result<T, SettingsError>,
