--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins, load tool and experiments for papayaproxy. Used on test machines only.
 
+pub mod bench;
 pub(crate) mod daemon;
+pub mod demo;
 pub mod engine;
 pub mod forward;
 pub mod http;
@@ -28,6 +30,8 @@
     Subcommand { command: plain::command, run: plain::run },
     Subcommand { command: platform::command, run: platform::run },
     Subcommand { command: forward::command, run: forward::run },
+    Subcommand { command: demo::command, run: demo::run },
+    Subcommand { command: bench::command, run: bench::run },
     Subcommand { command: load::command, run: load::run },
     Subcommand { command: routing::command, run: routing::run },
     Subcommand { command: spread::command, run: spread::run },
--- a/papayaproxy/src/daemon/open.rs
+++ b/papayaproxy/src/daemon/open.rs
@@ -5,10 +5,10 @@
 use crate::base::control::Control;
 use crate::base::error::ProcessError;
 use crate::entry::{Entry, EntrySettings};
-use crate::membership::{Member, Node, NodeError, NodeSettings, Process};
+use crate::membership::{Joined, Member, Node, NodeError, NodeSettings, Process};
 use crate::settings::ProcessSettings;
-use crate::wire::Identity;
 use std::net::SocketAddr;
+use tokio::net::TcpListener;
 
 /// A running entry that takes part in membership.
 pub struct RunningEntry {
@@ -48,12 +48,10 @@
     settings: EntrySettings,
     control: &Control,
 ) -> Result<RunningEntry, ProcessError> {
-    let clock = Clock::start();
-    let identity = settings.process.identity();
-    let place = Place { member: Member::Entry, address: settings.address };
-    let node = node_settings(&settings.process, &identity, place, settings.peers.clone(), clock);
-    let node = join(node, control).await?;
-    let entry = Entry::open(settings, identity, node.feed(), clock).await?;
+    let place =
+        Place { member: Member::Entry, address: settings.address, peers: settings.peers.clone() };
+    let (node, joined) = join(&settings.process, place, control).await?;
+    let entry = Entry::open(settings, joined).await?;
     Ok(RunningEntry { entry, node })
 }
 
@@ -65,43 +63,50 @@
     settings: AgentSettings,
     control: &Control,
 ) -> Result<RunningAgent, ProcessError> {
-    let clock = Clock::start();
-    let identity = settings.process.identity();
-    let place = Place { member: Member::Agent, address: settings.address };
-    let node = node_settings(&settings.process, &identity, place, settings.peers.clone(), clock);
-    let node = join(node, control).await?;
-    let agent = Agent::open(settings, identity, node.feed(), node.reporter()).await?;
+    let place =
+        Place { member: Member::Agent, address: settings.address, peers: settings.peers.clone() };
+    let (node, joined) = join(&settings.process, place, control).await?;
+    let agent = Agent::open(settings, joined, node.reporter()).await?;
     Ok(RunningAgent { agent, node })
 }
 
-/// What a process does, and where peers reach it.
+/// What a process does, where peers reach it, and some peers.
 struct Place {
     member: Member,
     address: SocketAddr,
+    peers: Vec<SocketAddr>,
 }
 
-fn node_settings(
+/// Binds the address of a process and starts its member on the control thread.
+async fn join(
     settings: &ProcessSettings,
-    identity: &Identity,
     place: Place,
-    peers: Vec<SocketAddr>,
-    clock: Clock,
-) -> NodeSettings {
+    control: &Control,
+) -> Result<(Node, Joined), ProcessError> {
+    let clock = Clock::start();
+    let identity = settings.identity();
+    // The exclusive bind keeps two agents of one host from serving at the same time.
+    let address = place.address;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| ProcessError::Listen { address, source })?;
     let process = Process {
         name: identity.name.clone(),
         zone: settings.zone.clone(),
         member: place.member,
-        address: place.address,
+        // Heartbeats use the same port over UDP.
+        address: listener.local_addr().unwrap_or(address),
         incarnation: identity.incarnation,
     };
     let mut node = NodeSettings::new(process, settings.secrets.clone(), clock);
     node.platform = Some(settings.platform);
-    node.peers = peers;
-    node
+    node.peers = place.peers;
+    let node = spawn(node, control).await?;
+    let feed = node.feed();
+    Ok((node, Joined { identity, feed, clock, listener }))
 }
 
-/// Starts the member on the control thread.
-async fn join(settings: NodeSettings, control: &Control) -> Result<Node, NodeError> {
+async fn spawn(settings: NodeSettings, control: &Control) -> Result<Node, NodeError> {
     let address = settings.process.address;
     let node = control.handle().spawn(Node::spawn(settings)).await;
     node.unwrap_or_else(|error| {
--- a/papayaproxy/src/routing/candidates.rs
+++ b/papayaproxy/src/routing/candidates.rs
@@ -60,6 +60,8 @@
 pub(crate) struct Pool {
     pub members: Vec<u32>,
     pub near: usize,
+    /// Upstreams that nothing is heard of, tried only where no other can take a request.
+    pub silent: Vec<u32>,
 }
 
 /// Every upstream with the pools of the services.
@@ -99,8 +101,8 @@
                 upstream: upstream.clone(),
             };
             built.upstreams.push(candidate);
-            if seen.live && upstream.open {
-                built.offer(index as u32, &upstream.services);
+            if upstream.open {
+                built.offer(index as u32, &upstream.services, seen.live);
             }
         }
         built.sort_pools();
@@ -112,10 +114,11 @@
         self.upstreams.iter().position(|c| c.name == name).map(|i| i as u32)
     }
 
-    fn offer(&mut self, index: u32, services: &[Name]) {
+    fn offer(&mut self, index: u32, services: &[Name], live: bool) {
         for service in services {
             if let Some(pool) = self.pools.get_mut(service) {
-                pool.members.push(index);
+                let list = if live { &mut pool.members } else { &mut pool.silent };
+                list.push(index);
             }
         }
     }
