--- /dev/null
+++ b/papaya-lab/src/kills/daemon.rs
@@ -0,0 +1,75 @@
+//! A daemon as a process of its own, started from this very program.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::Stdio;
+use tokio::process::{Child, Command};
+
+/// Signals that a process is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Signal {
+    Stop,
+    Continue,
+}
+
+/// A daemon and how it is started again.
+pub(crate) struct Daemon {
+    program: PathBuf,
+    args: Vec<String>,
+    child: Child,
+}
+
+impl Daemon {
+    /// Starts the daemon `role`, `entry` or `agent`, with settings as overrides.
+    pub(crate) fn spawn(role: &str, settings: &[(&str, String)]) -> io::Result<Self> {
+        let program = std::env::current_exe()?;
+        let mut args = vec![format!("run-{role}"), "--".to_owned()];
+        for (place, value) in settings {
+            args.push("--set".to_owned());
+            args.push(format!("{place}={value}"));
+        }
+        let child = start(&program, &args)?;
+        Ok(Self { program, args, child })
+    }
+
+    /// Kills the process and starts another.
+    pub(crate) async fn replace(&mut self) -> io::Result<()> {
+        self.child.kill().await?;
+        self.child = start(&self.program, &self.args)?;
+        Ok(())
+    }
+
+    /// Kills the process. [`Daemon::replace`] starts another.
+    pub(crate) async fn kill(&mut self) -> io::Result<()> {
+        self.child.kill().await
+    }
+
+    /// Stops or continues the process, by its id.
+    pub(crate) async fn signal(&self, signal: Signal) -> io::Result<()> {
+        let Some(id) = self.child.id() else {
+            return Err(io::ErrorKind::NotFound.into());
+        };
+        let name = match signal {
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        };
+        let done = Command::new("kill").args([name, &id.to_string()]).status().await?;
+        if done.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
+    }
+}
+
+fn start(program: &PathBuf, args: &[String]) -> io::Result<Child> {
+    Command::new(program)
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+}
+
+/// An address that is free now.
+pub(crate) fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
--- /dev/null
+++ b/papaya-lab/src/kills/mod.rs
@@ -0,0 +1,10 @@
+//! Kills processes at each step of a call, and holds what callers were told against what ran.
+
+mod caller;
+mod command;
+mod daemon;
+mod report;
+mod rig;
+mod trial;
+
+pub use command::{agent_command, command, entry_command, run, run_agent, run_entry};
--- /dev/null
+++ b/papaya-lab/src/kills/rig.rs
@@ -0,0 +1,197 @@
+//! Two entries and two agents as processes, with the stand-ins in this one.
+
+use super::caller::Caller;
+use super::daemon::{Daemon, free_address};
+use crate::engine::{self, Engine, EngineSettings, LoadedModel};
+use crate::http::Client;
+use crate::load::Credential;
+use crate::plain::{self, Plain, PlainSettings};
+use crate::platform::{self, Platform, PlatformSettings};
+use http_body_util::Full;
+use hyper::Request;
+use papayaproxy::fleet::credential_digest;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long a plain call takes.
+const SERVICE_TIME: Duration = Duration::from_millis(15);
+
+/// How long a started process may take to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Wait between two looks at something that is to change.
+pub(crate) const LOOK: Duration = Duration::from_millis(1);
+
+/// The workspace and its credential.
+const WORKSPACE: &str = "north";
+const TOKEN: &str = "north-secret";
+
+/// Which process of the rig.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Process {
+    Entry(usize),
+    Agent(usize),
+}
+
+struct Member {
+    daemon: Daemon,
+    address: SocketAddr,
+    ops: SocketAddr,
+}
+
+/// The running rig. Ledger agents stand before one plain service, which counts every run; model
+/// agents before engines of their own.
+pub(crate) struct Rig {
+    pub(crate) plain: Plain,
+    entries: Vec<Member>,
+    agents: Vec<Member>,
+    _engines: Vec<Engine>,
+    _platform: Platform,
+}
+
+/// Agents of the ledger stand first in the rig, then those of the model.
+pub(crate) const LEDGERS: usize = 2;
+
+impl Rig {
+    /// Starts everything and waits until it is ready.
+    pub(crate) async fn open() -> io::Result<Self> {
+        let settings = PlainSettings { service: SERVICE_TIME, ..PlainSettings::default() };
+        let plain = plain::bind(settings).await?;
+        let platform = platform::bind(PlatformSettings::default()).await?;
+        let engines = vec![open_engine().await?, open_engine().await?];
+        let targets = [plain.addr(), plain.addr(), engines[0].addr(), engines[1].addr()];
+        let slots: Vec<_> = targets.iter().map(|_| free_address()).collect::<io::Result<_>>()?;
+        platform.publish(document(&slots));
+        let mut agents = Vec::new();
+        for (i, (slot, target)) in slots.iter().zip(targets).enumerate() {
+            agents.push(agent(i, *slot, target, platform.addr())?);
+        }
+        let entries = vec![entry(0, platform.addr())?, entry(1, platform.addr())?];
+        let rig = Self { plain, entries, agents, _engines: engines, _platform: platform };
+        for i in 0..rig.agents.len() {
+            rig.wait_ready(Process::Agent(i)).await?;
+        }
+        for i in 0..rig.entries.len() {
+            rig.wait_ready(Process::Entry(i)).await?;
+        }
+        Ok(rig)
+    }
+
+    /// A caller that speaks to entry `i`.
+    pub(crate) fn caller(&self, i: usize) -> Caller {
+        Caller::open(self.entries[i].address, credential())
+    }
+
+    /// Kills a process.
+    pub(crate) async fn kill(&mut self, process: Process) -> io::Result<()> {
+        self.member_mut(process).daemon.kill().await
+    }
+
+    /// Starts a process in the place of one that was killed, and waits until it is ready.
+    pub(crate) async fn replace(&mut self, process: Process) -> io::Result<()> {
+        self.member_mut(process).daemon.replace().await?;
+        self.wait_ready(process).await
+    }
+
+    /// The daemon of a process.
+    pub(crate) fn daemon(&self, process: Process) -> &Daemon {
+        &self.member(process).daemon
+    }
+
+    async fn wait_ready(&self, process: Process) -> io::Result<()> {
+        let ops = self.member(process).ops;
+        let since = Instant::now();
+        while since.elapsed() < READY_LIMIT {
+            if is_ready(ops).await {
+                return Ok(());
+            }
+            sleep(LOOK * 5).await;
+        }
+        Err(io::Error::other(format!("{process:?} is not ready after {READY_LIMIT:?}")))
+    }
+
+    fn member(&self, process: Process) -> &Member {
+        match process {
+            Process::Entry(i) => &self.entries[i],
+            Process::Agent(i) => &self.agents[i],
+        }
+    }
+
+    fn member_mut(&mut self, process: Process) -> &mut Member {
+        match process {
+            Process::Entry(i) => &mut self.entries[i],
+            Process::Agent(i) => &mut self.agents[i],
+        }
+    }
+}
+
+/// The workspace's credential.
+pub(crate) fn credential() -> Credential {
+    Credential { workspace: WORKSPACE.to_owned(), token: TOKEN.to_owned() }
+}
+
+async fn is_ready(ops: SocketAddr) -> bool {
+    let request = Request::get("/ready").header("host", "ops").body(Full::default());
+    let Ok(request) = request else { return false };
+    matches!(Client::open(ops).send(request).await, Ok(reply) if reply.status() == 200)
+}
+
+async fn open_engine() -> io::Result<Engine> {
+    let model = LoadedModel { model: "pear".to_owned(), version: 1, adapters: Vec::new() };
+    let step = Duration::from_millis(4);
+    engine::bind(EngineSettings { step, loaded: vec![model], ..EngineSettings::default() }).await
+}
+
+fn agent(
+    i: usize,
+    slot: SocketAddr,
+    target: SocketAddr,
+    platform: SocketAddr,
+) -> io::Result<Member> {
+    let ops = free_address()?;
+    let mut settings = common(format!("agent-{i}"), ops, platform);
+    settings.push(("agent.address", slot.to_string()));
+    settings.push(("upstream.name", format!("u-{i}")));
+    settings.push(("upstream.address", target.to_string()));
+    let daemon = Daemon::spawn("agent", &settings)?;
+    Ok(Member { daemon, address: slot, ops })
+}
+
+fn entry(i: usize, platform: SocketAddr) -> io::Result<Member> {
+    let (address, ops) = (free_address()?, free_address()?);
+    let mut settings = common(format!("entry-{i}"), ops, platform);
+    settings.push(("entry.address", address.to_string()));
+    let daemon = Daemon::spawn("entry", &settings)?;
+    Ok(Member { daemon, address, ops })
+}
+
+fn common(name: String, ops: SocketAddr, platform: SocketAddr) -> Vec<(&'static str, String)> {
+    vec![
+        ("process.name", name),
+        ("process.zone", "z1".to_owned()),
+        ("link.key", format!("1:{}", "5a".repeat(32))),
+        ("ops.address", ops.to_string()),
+        ("platform.address", platform.to_string()),
+        ("log.filter", "warn".to_owned()),
+    ]
+}
+
+fn document(slots: &[SocketAddr]) -> String {
+    let digest = credential_digest(TOKEN);
+    let mut text = format!(
+        "[fleet]\nname = kills\ngeneration = 1\n[zone.z1]\nregion = local\n\
+         [model.pear]\nversion = 1\n\
+         [service.ledger]\nidempotent = no\ndeadline = 2s\n\
+         [service.assistant]\nmodel = pear\nidempotent = yes\ndeadline = 10s\n\
+         [workspaces]\n{WORKSPACE} = 100 {digest}\n"
+    );
+    for (i, slot) in slots.iter().enumerate() {
+        let service = if i < LEDGERS { "ledger" } else { "assistant" };
+        text.push_str(&format!(
+            "[upstream.u-{i}]\nzone = z1\nagent = {slot}\nservices = {service}\n"
+        ));
+    }
+    text
+}
--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod forward;
 pub mod http;
+pub mod kills;
 pub mod load;
 pub mod plain;
 pub mod platform;
@@ -28,6 +29,9 @@
     Subcommand { command: platform::command, run: platform::run },
     Subcommand { command: forward::command, run: forward::run },
     Subcommand { command: load::command, run: load::run },
+    Subcommand { command: kills::command, run: kills::run },
+    Subcommand { command: kills::entry_command, run: kills::run_entry },
+    Subcommand { command: kills::agent_command, run: kills::run_agent },
     Subcommand { command: routing::command, run: routing::run },
 ];
 
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -96,12 +96,7 @@
     }
 }
 
-async fn prepare(
-    id: u64,
-    parts: Parts,
-    body: Incoming,
-    document: &Document,
-) -> Result<Ask, Code> {
+async fn prepare(id: u64, parts: Parts, body: Incoming, document: &Document) -> Result<Ask, Code> {
     let caller = authenticate(&parts, document)?;
     if is_keys_path(parts.uri.path()) {
         return keys_request(id, caller, parts, body, document).await;
