--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -22,7 +22,9 @@
 pub(crate) const SERVICES_PATH: &str = "/v1/services/";
 
 /// Headers that an entry reads itself and does not pass on.
-const OWN_HEADERS: [&str; 6] = [
+const OWN_HEADERS: [&str; 7] = [
+    // The body may be changed, and the client states its length anew.
+    "content-length",
     "papaya-workspace",
     "papaya-deadline",
     "papaya-priority",
