--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod plain;
 pub mod platform;
 mod routing;
+mod spread;
 
 use clap::{ArgMatches, Command};
 use std::ffi::OsString;
@@ -33,6 +34,7 @@
     Subcommand { command: kills::entry_command, run: kills::run_entry },
     Subcommand { command: kills::agent_command, run: kills::run_agent },
     Subcommand { command: routing::command, run: routing::run },
+    Subcommand { command: spread::command, run: spread::run },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
