Take broken streams up again: same engine first, then another replica

Cause: an answer whose engine or agent died ended in an error. Change: an entry follows a model's answer event by event; it asks the same engine from the first missing piece, else lets another replica of the same model, version and adapter go on after the text that the caller has. A reply that ends without the engine's end marker counts as broken.

--- a/papaya-lab/src/kills/daemon.rs
+++ b/papaya-lab/src/kills/daemon.rs
@@ -1,11 +1,24 @@
 //! A daemon as a process of its own, started from this very program.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU16, Ordering};
 use tokio::process::{Child, Command};
 
+/// First port that is given.
+const PORTS_FIRST: u16 = 10_000;
+
+/// Ports that one process gives.
+const PORTS_EACH: u16 = 400;
+
+/// Processes that take different ports, by their ids.
+const PORT_BLOCKS: u16 = 50;
+
+/// Ports that this process has given or found taken.
+static PORTS_GIVEN: AtomicU16 = AtomicU16::new(0);
+
 /// Signals that a process is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Signal {
@@ -69,7 +82,18 @@
         .spawn()
 }
 
-/// An address that is free now.
+/// An address that is free now. Its port lies below those that outgoing connections get, and is
+/// given once.
 pub(crate) fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+    let first = PORTS_FIRST + (std::process::id() as u16 % PORT_BLOCKS) * PORTS_EACH;
+    loop {
+        let place = PORTS_GIVEN.fetch_add(1, Ordering::Relaxed);
+        if place >= PORTS_EACH {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, first + place));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
 }
--- a/papayaproxy/src/entry/mod.rs
+++ b/papayaproxy/src/entry/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod route;
 pub(crate) mod serve;
 pub(crate) mod settings;
+pub(crate) mod stream;
 pub(crate) mod verify;
 
 pub use process::Entry;
--- a/papayaproxy/src/entry/pump.rs
+++ b/papayaproxy/src/entry/pump.rs
@@ -24,6 +24,12 @@
     let code = match passed.unwrap_or(Err(codes::REPLY_LATE)) {
         Ok(code) | Err(code) => code,
     };
+    finish(id, code, events, body).await;
+    code
+}
+
+/// States to the caller how its reply ended.
+pub(crate) async fn finish(id: u64, code: Code, events: bool, mut body: BodySender) {
     let completed = passed_whole(code);
     if !completed && events {
         let _ = body.send_data(Bytes::from(error_event(id, code))).await;
@@ -34,7 +40,6 @@
         // A cut body is the only sign that a plain reply can give.
         body.abort(std::io::Error::other(code.to_string()));
     }
-    code
 }
 
 fn passed_whole(code: Code) -> bool {
--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -72,6 +72,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Prompt {
     pub(crate) model: ModelKey,
+    pub(crate) version: u32,
+    pub(crate) adapter: Option<Name>,
     pub(crate) prefix: Vec<u64>,
     pub(crate) tokens: u32,
     pub(crate) output: u32,
@@ -209,6 +211,8 @@
     let text = completion.prompt.as_bytes();
     let prompt = Prompt {
         model: key,
+        version,
+        adapter: completion.adapter.as_deref().map(Name::from),
         prefix: prompt_blocks(workspace, key, text),
         tokens: text.len().div_ceil(TOKEN_BYTES) as u32,
         output: completion.max_tokens.unwrap_or(OUTPUT_TOKENS_EXPECTED),
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -1,6 +1,6 @@
 //! One request: checked, admitted, routed, attempted and answered.
 
-use super::attempt::{Brought, OpenReply, WholeReply, attempt};
+use super::attempt::{Brought, OpenReply, WholeReply, attempt, is_event_stream};
 use super::codes;
 use super::constants::{ANSWER_MARGIN, BODY_PIECES, KEYED_RETRY_PAUSE};
 use super::events;
@@ -12,6 +12,7 @@
 use super::reply;
 use super::request::{Ask, KEY_HEADER, authenticate, check};
 use super::route::Routed;
+use super::stream::Streaming;
 use crate::base::code::{Code, Outcome};
 use crate::base::http::Body;
 use crate::base::name::Name;
@@ -208,6 +209,17 @@
         let deadline = self.started + self.ask.limit.saturating_sub(ANSWER_MARGIN);
         let status = open.head.status;
         let work = self.shared.work.clone();
+        if self.ask.prompt.is_some() && is_event_stream(&open.head) {
+            let (shared, ask) = (self.shared.clone(), self.ask.clone());
+            let upstream = self.upstream.clone();
+            let streaming = Streaming::open(shared, ask, deadline, upstream, ticket, sender);
+            work.spawn(async move {
+                let code = streaming.run(open).await;
+                self.log_end(code);
+                drop(pass);
+            });
+            return response;
+        }
         work.spawn(async move {
             let code = pump(self.ask.id, open, sender, deadline).await;
             let end = match (reply::outcome(code), code) {
@@ -248,17 +260,17 @@
 }
 
 /// Settles a ticket as cancelled if its request is dropped.
-struct TicketGuard {
+pub(crate) struct TicketGuard {
     shared: Arc<Shared>,
     ticket: Option<Ticket>,
 }
 
 impl TicketGuard {
-    fn new(shared: Arc<Shared>, ticket: Ticket) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, ticket: Ticket) -> Self {
         Self { shared, ticket: Some(ticket) }
     }
 
-    fn settle(mut self, end: End) {
+    pub(crate) fn settle(mut self, end: End) {
         if let Some(ticket) = self.ticket.take() {
             self.shared.routes.finished(ticket, end);
         }
--- a/papayaproxy/src/streams/resume.rs
+++ b/papayaproxy/src/streams/resume.rs
@@ -22,13 +22,13 @@
 
 /// A replica that could go on with the answer.
 #[derive(Clone, Debug)]
-pub struct Replica<'a> {
+pub struct Replica {
     /// The upstream's name.
     pub upstream: Name,
     /// Whether it takes new work.
     pub open: bool,
     /// What it has loaded.
-    pub loaded: &'a [LoadedModel],
+    pub loaded: Vec<LoadedModel>,
 }
 
 /// Why the stream broke off.
@@ -94,17 +94,17 @@
         &self.upstream
     }
 
-    /// Decides what follows a break. `replicas` stand in the order of preference; `left` is the
-    /// time until the deadline.
+    /// Decides what follows a break. `replicas` gives others in the order of preference, and is
+    /// asked only if the stream cannot go on where it is; `left` is the time until the deadline.
     pub fn plan(
         &mut self,
         cause: Break,
         progress: &Progress,
-        replicas: &[Replica<'_>],
         left: Duration,
+        replicas: impl FnOnce() -> Vec<Replica>,
     ) -> Plan {
         let before = self.upstream.clone();
-        let plan = self.decide(cause, progress, replicas, left);
+        let plan = self.decide(cause, progress, left, replicas);
         let from = progress.pieces();
         match &plan {
             Plan::Resume { .. } => {
@@ -124,8 +124,8 @@
         &mut self,
         cause: Break,
         progress: &Progress,
-        replicas: &[Replica<'_>],
         left: Duration,
+        replicas: impl FnOnce() -> Vec<Replica>,
     ) -> Plan {
         if left < RESUME_TIME_MIN {
             return Plan::Fail(codes::TIME_SPENT);
@@ -144,9 +144,9 @@
             return Plan::Fail(codes::RESUMES_SPENT);
         }
         let fits =
-            |r: &&Replica<'_>| r.open && r.upstream != self.upstream && self.model.fits(r.loaded);
-        match replicas.iter().find(fits) {
-            Some(replica) => self.go_on(replica.upstream.clone(), from),
+            |r: &Replica| r.open && r.upstream != self.upstream && self.model.fits(&r.loaded);
+        match replicas().into_iter().find(fits) {
+            Some(replica) => self.go_on(replica.upstream, from),
             None => Plan::Fail(codes::REPLICA_MISSING),
         }
     }
--- a/papayaproxy/src/streams/tests/resume.rs
+++ b/papayaproxy/src/streams/tests/resume.rs
@@ -29,8 +29,8 @@
     progress
 }
 
-fn replica<'a>(name: &str, open: bool, loaded: &'a [LoadedModel]) -> Replica<'a> {
-    Replica { upstream: name.into(), open, loaded }
+fn replica(name: &str, open: bool, loaded: &[LoadedModel]) -> Replica {
+    Replica { upstream: name.into(), open, loaded: loaded.to_vec() }
 }
 
 #[test]
@@ -38,7 +38,8 @@
     let fit = loaded(3, "cellar");
     let replicas = [replica("a-1", true, &fit), replica("a-2", true, &fit)];
     let mut resumes = resumes(true);
-    let mut plan = |pieces| resumes.plan(Break::Lost, &progress(pieces), &replicas, LEFT);
+    let mut plan =
+        |pieces| resumes.plan(Break::Lost, &progress(pieces), LEFT, || replicas.to_vec());
     assert_eq!(plan(2), Plan::Resume { from: 2 });
     assert_eq!(plan(2), Plan::Resume { from: 2 });
     assert_eq!(plan(4), Plan::Resume { from: 4 }, "new pieces came in between");
@@ -53,7 +54,7 @@
 #[case::closed(loaded(3, "cellar"), false)]
 fn plan_unfit_replica(#[case] has: Vec<LoadedModel>, #[case] open: bool) {
     let replicas = [replica("a-2", open, &has)];
-    let plan = resumes(true).plan(Break::Gone, &progress(1), &replicas, LEFT);
+    let plan = resumes(true).plan(Break::Gone, &progress(1), LEFT, || replicas.to_vec());
     assert_eq!(plan, Plan::Fail(codes::REPLICA_MISSING));
 }
 
@@ -63,7 +64,7 @@
 fn plan_fails(#[case] cause: Break, #[case] left: Duration, #[case] expected: Code) {
     let fit = loaded(3, "cellar");
     let replicas = [replica("a-2", true, &fit)];
-    let plan = resumes(false).plan(cause, &progress(1), &replicas, left);
+    let plan = resumes(false).plan(cause, &progress(1), left, || replicas.to_vec());
     assert_eq!(plan, Plan::Fail(expected));
 }
 
@@ -71,7 +72,7 @@
 fn plan_moved_skips_own_engine() {
     let fit = loaded(3, "cellar");
     let replicas = [replica("a-1", true, &fit), replica("a-2", true, &fit)];
-    let plan = resumes(true).plan(Break::Moved, &progress(7), &replicas, LEFT);
+    let plan = resumes(true).plan(Break::Moved, &progress(7), LEFT, || replicas.to_vec());
     assert_eq!(plan, Plan::Continue { upstream: "a-2".into(), from: 7 });
 }
 
@@ -80,7 +81,7 @@
     let fit = loaded(3, "cellar");
     let replicas = [replica("a-1", true, &fit), replica("a-2", true, &fit)];
     let mut resumes = resumes(true);
-    let mut plan = || resumes.plan(Break::Gone, &progress(1), &replicas, LEFT);
+    let mut plan = || resumes.plan(Break::Gone, &progress(1), LEFT, || replicas.to_vec());
     let plans: Vec<_> = (0..5).map(|_| plan()).collect();
     assert!(plans[..4].iter().all(|p| matches!(p, Plan::Continue { .. })));
     assert_eq!(plans[4], Plan::Fail(codes::RESUMES_SPENT));
