--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod forward;
 pub mod http;
+pub mod kills;
 pub mod load;
 pub mod plain;
 pub mod platform;
@@ -33,6 +34,9 @@
     Subcommand { command: demo::command, run: demo::run },
     Subcommand { command: bench::command, run: bench::run },
     Subcommand { command: load::command, run: load::run },
+    Subcommand { command: kills::command, run: kills::run },
+    Subcommand { command: kills::entry_command, run: kills::run_entry },
+    Subcommand { command: kills::agent_command, run: kills::run_agent },
     Subcommand { command: routing::command, run: routing::run },
     Subcommand { command: spread::command, run: spread::run },
 ];
