--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub(crate) mod daemon;
 pub mod demo;
 pub mod engine;
+mod experts;
 pub mod forward;
 pub mod http;
 pub mod kills;
@@ -39,6 +40,7 @@
     Subcommand { command: kills::agent_command, run: kills::run_agent },
     Subcommand { command: routing::command, run: routing::run },
     Subcommand { command: spread::command, run: spread::run },
+    Subcommand { command: experts::command, run: experts::execute },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
--- a/papayaproxy/src/ctl/reference.rs
+++ b/papayaproxy/src/ctl/reference.rs
@@ -38,6 +38,33 @@
     page
 }
 
+/// The page of settings, as Markdown.
+pub fn settings_page() -> String {
+    let mut page = String::from(
+        "# Settings\n\n\
+         Made by `papayactl reference settings`. A daemon reads an INI file (`--settings FILE`) and single\n\
+         values (`--set section.key=value`), and refuses whatever it does not know. Mistakes are reported\n\
+         with result code, file, section and key; `--check` validates and exits.\n",
+    );
+    for (daemon, tables) in crate::SETTING_TABLES {
+        let _ = writeln!(
+            page,
+            "\n## {daemon}\n\n| section | key | default | meaning |\n|---|---|---|---|"
+        );
+        for row in tables.iter().flat_map(|t| t.iter()) {
+            let default = match row.default {
+                None => "required".to_owned(),
+                Some("") => "none".to_owned(),
+                Some(value) => format!("`{value}`"),
+            };
+            let meaning = cell(row.meaning);
+            let _ =
+                writeln!(page, "| `{}` | `{}` | {default} | {meaning} |", row.section, row.key);
+        }
+    }
+    page
+}
+
 fn cell(text: &str) -> String {
     text.replace('|', "\\|")
 }
