Prove the order of versions and membership by randomised runs

Cause: a late pulse of a process' former run was counted for its present run, whose own beats were then ignored as older; members_random_runs found it (run, 18 events).

Change: a pulse counts only for the run that it names. Randomised runs of the order of versions, of membership and of the parser; running members against a stand-in of the platform.

--- a/papaya-lab/src/spread/command.rs
+++ b/papaya-lab/src/spread/command.rs
@@ -57,6 +57,7 @@
     if !plan.idle.is_zero() {
         parts::idle(&cluster, &sequence).await;
     }
+    parts::reports(&cluster, &sequence).await;
     if plan.changes > 0 {
         parts::changes(&mut cluster, &sequence, "changes").await;
     }
--- a/papaya-lab/src/spread/parts.rs
+++ b/papaya-lab/src/spread/parts.rs
@@ -1,6 +1,6 @@
 //! The parts of the experiment.
 
-use super::cluster::Cluster;
+use super::cluster::{AGREE_LIMIT, Cluster, LOOK_PAUSE};
 use super::cost::{Cost, print_times};
 use crate::platform::PlatformSwitches;
 use std::io;
@@ -12,6 +12,9 @@
 /// Time between two load reports of an agent.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Rounds of load reports that are measured.
+const REPORT_ROUNDS: u32 = 30;
+
 /// Every how many replacements the document changes too.
 const CHANGE_EVERY: u64 = 5;
 
@@ -39,6 +42,27 @@
     Cost::read(cluster).print_since(&before, cluster.plan.processes(), "idle");
 }
 
+/// Measures the time until every entry has the load reports of its zone, and of all zones.
+pub(crate) async fn reports(cluster: &Cluster, sequence: &Arc<AtomicU64>) {
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    for _ in 0..REPORT_ROUNDS {
+        let current = sequence.fetch_add(1, Ordering::Relaxed);
+        let started = Instant::now();
+        cluster.report(current);
+        let late = |started: Instant| started.elapsed() > AGREE_LIMIT;
+        while !cluster.has_reports(current, true) && !late(started) {
+            sleep(LOOK_PAUSE).await;
+        }
+        near.push(started.elapsed());
+        while !cluster.has_reports(current, false) && !late(started) {
+            sleep(LOOK_PAUSE).await;
+        }
+        far.push(started.elapsed());
+    }
+    print_times("reports: time until every entry has those of its zone", near);
+    print_times("reports: time until every entry has those of all zones", far);
+}
+
 /// Publishes changes and measures the time until the last process has each.
 pub(crate) async fn changes(cluster: &mut Cluster, sequence: &Arc<AtomicU64>, what: &str) {
     let before = Cost::read(cluster);
--- a/papayaproxy/src/fleet/tests/mod.rs
+++ b/papayaproxy/src/fleet/tests/mod.rs
@@ -1,3 +1,6 @@
 //! Tests of the fleet document.
 
 mod document;
+mod fetch;
+mod inputs;
+mod order;
--- a/papayaproxy/src/membership/constants.rs
+++ b/papayaproxy/src/membership/constants.rs
@@ -86,6 +86,9 @@
 /// Time between two reads of the platform's list of hosts.
 pub(crate) const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
 
+/// Shortest pause after a failed read of the list of hosts.
+pub(crate) const HOSTS_PAUSE: Duration = Duration::from_secs(5);
+
 /// Calls to the platform that one process may make at once.
 pub(crate) const CALLS_BURST: f64 = 10.0;
 
--- a/papayaproxy/src/membership/members.rs
+++ b/papayaproxy/src/membership/members.rs
@@ -212,7 +212,8 @@
         }
         match row {
             Row::Pulse(pulse) => {
-                let peer = self.peers.get_mut(&name)?;
+                // A late pulse of the run before must not count as one of this run.
+                let peer = self.peers.get_mut(&name).filter(|p| p.pulse.id == pulse.id)?;
                 peer.take(pulse, path, now);
             }
             Row::Full(portrait) => {
--- /dev/null
+++ b/papayaproxy/src/membership/tests/node.rs
@@ -0,0 +1,142 @@
+//! Running members on loopback: a document from a stand-in of the platform reaches every one.
+
+use crate::base::clock::Clock;
+use crate::base::http::{Body, full, serve};
+use crate::base::name::Incarnation;
+use crate::fleet::{Document, parse, render};
+use crate::membership::{Member, Node, NodeSettings, Process};
+use crate::wire::{Secret, Secrets};
+use hyper::header::{ETAG, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+use tokio::time::{Duration, sleep, timeout};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+const SAMPLE: &str = include_str!("../../../../sample/fleet.ini");
+
+/// Bounds a test that would otherwise hang; no measure of speed.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// A platform that serves one document; a watch answers as soon as that differs.
+struct Platform {
+    address: SocketAddr,
+    document: Arc<Mutex<String>>,
+    _stop: DropGuard,
+}
+
+impl Platform {
+    async fn bind(text: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let document = Arc::new(Mutex::new(text.to_owned()));
+        let stop = CancellationToken::new();
+        let shared = document.clone();
+        let handler = move |request| answer(request, shared.clone());
+        tokio::spawn(serve(listener, handler, stop.clone()));
+        Self { address, document, _stop: stop.drop_guard() }
+    }
+
+    fn publish(&self, text: &str) {
+        text.clone_into(&mut self.document.lock().unwrap());
+    }
+}
+
+async fn answer(
+    request: Request<hyper::body::Incoming>,
+    document: Arc<Mutex<String>>,
+) -> Response<Body> {
+    if request.uri().path() == "/v1/hosts" {
+        return Response::new(full(r#"{"hosts":[]}"#));
+    }
+    let after = request.uri().query().and_then(|q| q.split(['=', '&']).nth(1)).map(str::to_owned);
+    loop {
+        let text = document.lock().unwrap().clone();
+        let etag = format!("v{}", xxhash_rust::xxh3::xxh3_64(text.as_bytes()));
+        if after.as_ref() != Some(&etag) {
+            let mut response = Response::new(full(text));
+            response.headers_mut().insert(ETAG, HeaderValue::from_str(&etag).unwrap());
+            *response.status_mut() = StatusCode::OK;
+            return response;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn settings(name: &str, member: Member, platform: Option<SocketAddr>) -> NodeSettings {
+    let process = Process {
+        name: name.into(),
+        zone: "east".into(),
+        member,
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        incarnation: Incarnation::generate(),
+    };
+    let secrets = Secrets { current: Secret::new(1, &[1; 32]), other: None };
+    let mut settings = NodeSettings::new(process, secrets, Clock::start());
+    settings.platform = platform;
+    settings
+}
+
+async fn has(node: &Node, document: &Document) {
+    let mut feed = node.feed();
+    while feed.document.load().digest != document.digest {
+        timeout(LIMIT, feed.changed.changed()).await.unwrap().unwrap();
+    }
+}
+
+/// The sample with another generation.
+fn generation(number: u64) -> Document {
+    let mut document = parse(SAMPLE).unwrap();
+    document.generation = number;
+    document.sealed()
+}
+
+#[tokio::test]
+async fn node_document_from_peer() {
+    let platform = Platform::bind(&render(&generation(5))).await;
+    let entry = Node::spawn(settings("entry-1", Member::Entry, Some(platform.address)));
+    let entry = entry.await.unwrap();
+    let mut behind = settings("assistant-1", Member::Agent, None);
+    behind.peers = vec![entry.address()];
+    let agent = Node::spawn(behind).await.unwrap();
+    has(&agent, &generation(5)).await;
+    timeout(LIMIT, agent.ready()).await.unwrap();
+    platform.publish(&render(&generation(6)));
+    has(&entry, &generation(6)).await;
+    has(&agent, &generation(6)).await;
+    let mut feed = entry.feed();
+    while !feed.view.load().upstreams["assistant-1"].live {
+        timeout(LIMIT, feed.changed.changed()).await.unwrap().unwrap();
+    }
+}
+
+/// A stale platform, a corrupt text and a new process: nobody goes back.
+#[tokio::test]
+async fn node_stale_platform() {
+    let platform = Platform::bind(&render(&generation(9))).await;
+    let entry = Node::spawn(settings("entry-1", Member::Entry, Some(platform.address)));
+    let entry = entry.await.unwrap();
+    has(&entry, &generation(9)).await;
+    for text in [render(&generation(3)), "[fleet".to_owned(), "x".repeat(2 << 20)] {
+        let read = entry.calls().config.load(std::sync::atomic::Ordering::Relaxed);
+        platform.publish(&text);
+        while entry.calls().config.load(std::sync::atomic::Ordering::Relaxed) < read + 1 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let mut late = settings("entry-2", Member::Entry, Some(platform.address));
+    late.peers = vec![entry.address()];
+    platform.publish(&render(&generation(3)));
+    let late = Node::spawn(late).await.unwrap();
+    timeout(LIMIT, late.ready()).await.unwrap();
+    assert_eq!(late.feed().document.load().generation, 9);
+    assert_eq!(entry.feed().document.load().generation, 9);
+}
+
+#[tokio::test]
+async fn node_alone_ready() {
+    let node = Node::spawn(settings("entry-1", Member::Entry, None)).await.unwrap();
+    timeout(LIMIT, node.ready()).await.unwrap();
+    assert_eq!(node.feed().document.load().generation, 0);
+}
