--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -9,12 +9,11 @@
 use super::links::accept_links;
 use super::load::follow_load;
 use super::settings::AgentSettings;
-use crate::base::clock::Clock;
 use crate::base::code::Code;
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
 use crate::delivery::KeyCore;
-use crate::membership::{Feed, LoadReport};
+use crate::membership::{Feed, Joined, LoadReport};
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
 use crate::wire::server::{IncomingCall, OpenGuard};
 use crate::wire::{Action, Identity};
@@ -22,7 +21,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::SystemTime;
-use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
@@ -48,26 +46,24 @@
 }
 
 impl Agent {
-    /// Binds the slot's address and serves links. `take` receives the upstream's load reports.
+    /// Serves links at the slot's address. `take` receives the upstream's load reports.
     ///
     /// # Errors
-    /// An address that cannot be bound, or an exporter that cannot be set up.
+    /// An operators' address that cannot be bound, or an exporter that cannot be set up.
     pub async fn open(
         settings: AgentSettings,
-        identity: Identity,
-        feed: Feed,
+        joined: Joined,
         take: impl Fn(LoadReport) + Send + 'static,
     ) -> Result<Self, ProcessError> {
         let metrics = Metrics::open().map_err(|reason| ProcessError::Metrics { reason })?;
-        // The exclusive bind keeps two agents of one host from serving at the same time.
-        let listener = bind(settings.address).await?;
+        let Joined { identity, feed, clock, listener } = joined;
         let address = listener.local_addr().unwrap_or(settings.address);
         let client = UpstreamClient::new(settings.target);
         let ops_address = settings.process.ops;
         let keys = KeyCore::new(settings.process.name.clone(), identity.incarnation, settings.keys);
         let secrets = settings.process.secrets.clone();
         let shared = Arc::new(Shared {
-            desk: Arc::new(KeyDesk::new(keys, Clock::start(), secrets)),
+            desk: Arc::new(KeyDesk::new(keys, clock, secrets)),
             identity: identity.clone(),
             feed: feed.clone(),
             client: client.clone(),
@@ -112,11 +108,6 @@
     }
 }
 
-/// Binds a listener.
-async fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    TcpListener::bind(address).await.map_err(|source| ProcessError::Listen { address, source })
-}
-
 /// Starts each call as a task of its own.
 fn call_handler(
     shared: Arc<Shared>,
