--- a/papaya-lab/src/experts/run.rs
+++ b/papaya-lab/src/experts/run.rs
@@ -181,7 +181,7 @@
         }
         let drawn = self.draw_step();
         let time = self.group.time(&drawn, &pace);
-        if second % BOUND_EVERY_S == 0 {
+        if second.is_multiple_of(BOUND_EVERY_S) {
             self.bound = self.bound();
         }
         self.count(second, &pace);
@@ -225,7 +225,7 @@
         for (sums, shares) in self.summed.iter_mut().zip(&self.shares) {
             sums.iter_mut().zip(shares).for_each(|(sum, share)| *sum += share * tokens);
         }
-        if (second + 1) % self.window != 0 {
+        if !(second + 1).is_multiple_of(self.window) {
             return;
         }
         for rank in 0..self.setup.ranks {
--- a/papayaproxy/src/ctl/command.rs
+++ b/papayaproxy/src/ctl/command.rs
@@ -1,7 +1,7 @@
 //! The command line of `papayactl`.
 
 use super::explain::explain;
-use super::reference::{codes_page, events_page};
+use super::reference::{self, PAGES};
 use super::status::survey;
 use super::{codes, describe};
 use crate::fleet::{Document, DocumentError, credential_digest, diff, parse};
@@ -80,7 +80,7 @@
         .subcommand(
             Command::new("reference")
                 .about("Prints a page of the documentation")
-                .arg(Arg::new("page").required(true).value_parser(["codes", "events"])),
+                .arg(Arg::new("page").required(true).value_parser(PAGES)),
         )
 }
 
@@ -193,5 +193,5 @@
 
 fn reference(matches: &ArgMatches) -> Answer {
     let page = matches.get_one::<String>("page").map_or("", String::as_str);
-    Answer::success(if page == "codes" { codes_page() } else { events_page() })
+    Answer::success(reference::page(page).unwrap_or_default())
 }
--- a/papayaproxy/src/ctl/mod.rs
+++ b/papayaproxy/src/ctl/mod.rs
@@ -16,5 +16,5 @@
 pub use command::run;
 pub use describe::describe;
 pub use fetch::{FetchError, fetch};
-pub use reference::{codes_page, events_page};
+pub use reference::{PAGES, page as reference_page};
 pub use status::{Answered, Survey, survey};
--- a/papayaproxy/src/ctl/reference.rs
+++ b/papayaproxy/src/ctl/reference.rs
@@ -2,8 +2,21 @@
 
 use std::fmt::Write;
 
+/// Names of the pages.
+pub const PAGES: [&str; 3] = ["codes", "events", "settings"];
+
+/// Makes the page called `name`; `None` if there is no such page.
+pub fn page(name: &str) -> Option<String> {
+    match name {
+        "codes" => Some(codes_page()),
+        "events" => Some(events_page()),
+        "settings" => Some(settings_page()),
+        _ => None,
+    }
+}
+
 /// The page of result codes, as Markdown.
-pub fn codes_page() -> String {
+fn codes_page() -> String {
     let mut page = String::from(
         "# Result codes\n\n\
          Made by `papayactl reference codes`. The outcome is what a caller may conclude about its request.\n\n\
@@ -24,7 +37,7 @@
 }
 
 /// The page of log events, as Markdown.
-pub fn events_page() -> String {
+fn events_page() -> String {
     let mut page = String::from(
         "# Log events\n\n\
          Made by `papayactl reference events`. The number stands in the field `event` of a log line.\n\n\
@@ -39,10 +52,10 @@
 }
 
 /// The page of settings, as Markdown.
-pub fn settings_page() -> String {
+fn settings_page() -> String {
     let mut page = String::from(
         "# Settings\n\n\
-         Made by `papayactl reference settings`. A daemon reads an INI file (`--settings FILE`) and single\n\
+         Made by `papayactl reference settings`. A daemon reads an INI file (`--settings FILE`) and single \
          values (`--set section.key=value`), and refuses whatever it does not know. Mistakes are reported\n\
          with result code, file, section and key; `--check` validates and exits.\n",
     );
@@ -58,8 +71,7 @@
                 Some(value) => format!("`{value}`"),
             };
             let meaning = cell(row.meaning);
-            let _ =
-                writeln!(page, "| `{}` | `{}` | {default} | {meaning} |", row.section, row.key);
+            let _ = writeln!(page, "| `{}` | `{}` | {default} | {meaning} |", row.section, row.key);
         }
     }
     page
--- a/papayaproxy/src/ctl/tests/mod.rs
+++ b/papayaproxy/src/ctl/tests/mod.rs
@@ -2,7 +2,7 @@
 
 use super::command::{Answer, answer, command};
 use super::explain::explain;
-use super::{codes_page, events_page};
+use super::reference_page;
 use crate::fleet::{parse, render};
 use crate::telemetry::Status;
 use rstest::rstest;
@@ -116,9 +116,11 @@
 
 /// The pages in docs are those that the tables give; `papayactl reference` writes them anew.
 #[rstest]
-#[case::codes("codes", "result-codes.md", codes_page())]
-#[case::events("events", "events.md", events_page())]
-fn reference_pages_current(#[case] name: &str, #[case] file: &str, #[case] page: String) {
+#[case::codes("codes", "result-codes.md")]
+#[case::events("events", "events.md")]
+#[case::settings("settings", "settings.md")]
+fn reference_pages_current(#[case] name: &str, #[case] file: &str) {
+    let page = reference_page(name).unwrap();
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs").join(file);
     let found = std::fs::read_to_string(path).unwrap_or_default();
     let remedy = format!("cargo run -q --bin papayactl -- reference {name} > docs/{file}");
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -70,3 +70,10 @@
     telemetry::events::ROWS,
     wire::events::ROWS,
 ];
+
+/// The settings of every daemon.
+pub const SETTING_TABLES: &[(&str, &[&[settings::SettingRow]])] = &[
+    ("papaya-entry", entry::TABLES),
+    ("papaya-agent", agent::TABLES),
+    ("papaya-console", console::TABLES),
+];
--- a/papayaproxy/tests/settings.rs
+++ b/papayaproxy/tests/settings.rs
@@ -9,12 +9,12 @@
 }
 
 fn check(daemon: &str, settings: &Path, set: &[&str]) -> (bool, String) {
-    let mut command = Command::cargo_bin(daemon).unwrap();
+    let mut command = Command::cargo_bin(daemon).expect("the daemon is built");
     command.arg("--check").arg("--settings").arg(settings);
     for text in set {
         command.arg("--set").arg(text);
     }
-    let output = command.output().unwrap();
+    let output = command.output().expect("the daemon runs");
     (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
 
