--- a/papayaproxy/src/console/pages/glance.rs
+++ b/papayaproxy/src/console/pages/glance.rs
@@ -43,20 +43,20 @@
         } @else if silent + behind + ahead + raced == 0 {
             p.note { "In force on all " (total) " processes." }
         }
-        @if behind > 0 { p.note.warn { (behind) " processes do not have it in force yet." } }
+        @if behind > 0 { p.note.warn { "Processes that do not have it in force yet: " (behind) "." } }
         @if ahead > 0 {
             p.note.bad role="alert" {
-                (ahead) " processes have a later document than the platform serves. "
-                "Do not publish until the platform has caught up."
+                "Processes with a later document than the platform serves: " (ahead)
+                ". Do not publish until the platform has caught up."
             }
         }
         @if raced > 0 {
             p.note.bad role="alert" {
-                (raced) " processes have another document of this generation: two operators published at once. "
-                "Publish a document with a higher generation."
+                "Processes with another document of this generation: " (raced)
+                ". Two operators published at once; publish a document with a higher generation."
             }
         }
-        @if silent > 0 { p.note.warn { (silent) " processes do not answer." } }
+        @if silent > 0 { p.note.warn { "Processes that do not answer: " (silent) "." } }
     }
 }
 
