Add tests of routing and limits, with broken variants that are caught

Cause: the cores had no tests. Change: table tests, randomised runs of Admission and Router, and runs with a guard removed: no check for room (P1604, deterministic runner), late requests dropped without an answer (P1605), leave times not checked (P1503), a block under another workspace's tag (P1504). Found by them: a request that could no longer finish was admitted when there was room (case: one offer with 50 ms left and 100 ms expected), and the places kept for workspaces within their share were never given to a lone workspace.

--- a/papaya-lab/src/routing/mod.rs
+++ b/papaya-lab/src/routing/mod.rs
@@ -14,4 +14,7 @@
 pub(crate) mod workload;
 pub(crate) mod world;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use command::{command, run};
--- a/papayaproxy/src/limits/admission.rs
+++ b/papayaproxy/src/limits/admission.rs
@@ -108,6 +108,12 @@
     now: Duration,
     /// Workspaces known after the last time that idle ones were forgotten.
     kept: usize,
+    /// Breaks the check for room, to show that the assertions catch it.
+    #[cfg(test)]
+    pub(crate) unbounded: bool,
+    /// Drops late requests without an answer, to show that the assertions catch it.
+    #[cfg(test)]
+    pub(crate) lossy: bool,
 }
 
 impl Admission {
@@ -122,6 +128,10 @@
             counts: Counts::default(),
             now: Duration::ZERO,
             kept: 0,
+            #[cfg(test)]
+            unbounded: false,
+            #[cfg(test)]
+            lossy: false,
         }
     }
 
@@ -150,6 +160,11 @@
         self.counts
     }
 
+    /// Workspaces that it keeps state of.
+    pub fn known(&self) -> usize {
+        self.usage.len()
+    }
+
     /// Decides on an offer at `now`.
     pub fn offer(&mut self, offer: Offer, now: Duration) -> Verdict {
         self.counts.offered += 1;
@@ -166,6 +181,10 @@
         let late = self.queue.heads().find(|o| now + o.expected > o.deadline).map(|o| o.id);
         if let Some(id) = late {
             self.queue.take(id);
+            #[cfg(test)]
+            if self.lossy {
+                return None;
+            }
             self.counts.expired += 1;
             self.check();
             return Some(Step::Expire(id));
@@ -198,6 +217,11 @@
     }
 
     fn decide(&mut self, offer: Offer, now: Duration) -> Verdict {
+        if now + offer.expected > offer.deadline {
+            self.counts.refused += 1;
+            let retry = Duration::ZERO;
+            return Verdict::Refuse(Refused { code: codes::DEADLINE_UNREACHABLE, retry });
+        }
         if self.queue.len_of(&offer.workspace) == 0 && self.has_room(&offer) {
             self.start(&offer);
             return Verdict::Admit;
@@ -229,6 +253,10 @@
     /// Tells whether an offer may run beside what runs. The last places are kept for workspaces
     /// within their share.
     fn has_room(&self, offer: &Offer) -> bool {
+        #[cfg(test)]
+        if self.unbounded {
+            return true;
+        }
         let kept = (f64::from(self.capacity) * RESERVE).floor() as u32;
         let free = self.capacity.saturating_sub(self.running);
         free > kept || (free > 0 && self.is_within(offer))
@@ -238,7 +266,8 @@
     fn is_within(&self, offer: &Offer) -> bool {
         let used: f64 = self.usage.values().map(|u| u.recent(self.now)).sum();
         let shares: f64 = self.usage.values().map(|u| u.share).sum();
-        shares == 0.0 || self.level(offer) <= used / shares
+        let own = self.usage.get(&offer.workspace).map_or(0.0, |u| u.recent(self.now));
+        own / f64::from(offer.share.max(1)) * shares <= used
     }
 
     /// The workspace's fair part of the capacity, among those that run or wait.
--- a/papayaproxy/src/limits/mod.rs
+++ b/papayaproxy/src/limits/mod.rs
@@ -10,6 +10,9 @@
 pub(crate) mod retry;
 pub(crate) mod share;
 
+#[cfg(test)]
+mod tests;
+
 pub use admission::{Admission, Counts, Refused, Step, Verdict};
 pub use circuit::{Circuit, CircuitSettings, CircuitState, SETTINGS};
 pub use constants::PRIORITY_MAX;
--- a/papayaproxy/src/routing/mod.rs
+++ b/papayaproxy/src/routing/mod.rs
@@ -14,6 +14,9 @@
 pub(crate) mod score;
 pub(crate) mod settings;
 
+#[cfg(test)]
+mod tests;
+
 pub use candidates::{Candidate, Candidates, Distance, Presence};
 pub use constants::{BLOCK_BYTES, BLOCK_TOKENS, BLOCKS_MAX, SCORED_MAX};
 pub use decision::{Decision, Reason, Refusal, Scored, ScoredList};
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -4,7 +4,7 @@
 //! choice takes microseconds.
 
 use super::cache::{Match, Matches, PrefixIndex};
-use super::candidates::{Candidates, Pool};
+use super::candidates::{Candidate, Candidates, Pool};
 use super::codes;
 use super::constants::{
     DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, PEER_PART, SAMPLES, STALL_FACTOR, STALL_FLOOR,
@@ -124,6 +124,9 @@
     peers: f64,
     serial: u64,
     changes: Vec<Change>,
+    /// Leaves out the check of leave times, to show that the assertion catches it.
+    #[cfg(test)]
+    pub(crate) blind: bool,
 }
 
 impl Router {
@@ -138,6 +141,8 @@
             peers: 1.0,
             serial: 0,
             changes: Vec::new(),
+            #[cfg(test)]
+            blind: false,
         }
     }
 
@@ -483,10 +488,18 @@
             candidate.role == crate::fleet::Role::Mixed || candidate.role == self.request.role;
         loaded
             && role
-            && candidate.takes_work(self.at.wall)
+            && self.takes_work(candidate)
             && !self.request.excluded.contains(&candidate.name)
     }
 
+    fn takes_work(&self, candidate: &Candidate) -> bool {
+        #[cfg(test)]
+        if self.router.blind {
+            return true;
+        }
+        candidate.takes_work(self.at.wall)
+    }
+
     fn any_in_time(&self, pool: &Pool) -> bool {
         let left = self.request.left.as_secs_f64();
         pool.members.iter().any(|&i| self.fits(i) && self.forecast(i).last <= left)
--- /dev/null
+++ b/papayaproxy/src/routing/tests/cache.rs
@@ -0,0 +1,89 @@
+//! Tests of what is believed of prefix caches.
+
+use super::super::cache::PrefixIndex;
+use super::super::constants::BLOCK_TOKENS;
+use super::super::prefix::prompt_blocks;
+use super::super::request::ModelKey;
+use super::super::router::CacheEvent;
+use super::{Bench, document, secs};
+use rstest::rstest;
+
+const CELLAR: u32 = 1;
+
+fn index() -> PrefixIndex {
+    let mut index = PrefixIndex::new(64, secs(60.0));
+    index.renumber(&[], 4);
+    index
+}
+
+#[test]
+fn prompt_blocks_chained_by_workspace() {
+    let model = ModelKey::new("pear", 1, None);
+    let prompt = vec![7; 1000];
+    let cellar = prompt_blocks("cellar", model, &prompt);
+    assert_eq!(cellar.len(), 3);
+    assert_eq!(cellar[..2], prompt_blocks("cellar", model, &prompt[..600]));
+    let other = prompt_blocks("desk", model, &prompt);
+    assert!(cellar.iter().all(|b| !other.contains(b)));
+}
+
+#[rstest]
+#[case::whole(&[1, 2, 3], 3)]
+#[case::start(&[1, 2, 9], 2)]
+#[case::none(&[9, 1, 2], 0)]
+fn matches_longest_prefix(#[case] prefix: &[u64], #[case] blocks: u32) {
+    let mut index = index();
+    index.store(CELLAR, &[1, 2, 3], 2, secs(1.0));
+    let found = index.matches(CELLAR, prefix);
+    assert_eq!(found.find(2).map_or(0, |m| m.blocks), blocks);
+}
+
+#[test]
+fn credit_halves_with_time() {
+    let mut index = index();
+    index.store(CELLAR, &[1, 2], 2, secs(1.0));
+    let found = index.matches(CELLAR, &[1, 2]);
+    let credit = index.credit(found.find(2).unwrap(), secs(61.0));
+    assert!((credit - f64::from(BLOCK_TOKENS)).abs() < 1e-6, "{credit}");
+}
+
+#[test]
+fn reset_covers_only_what_was_before() {
+    let mut index = index();
+    index.store(CELLAR, &[1], 2, secs(1.0));
+    index.store(CELLAR, &[1], 3, secs(1.0));
+    index.reset(2, secs(2.0));
+    index.store(CELLAR, &[1, 2], 3, secs(1.5));
+    assert!(index.matches(CELLAR, &[1]).find(2).is_none());
+    assert!(index.matches(CELLAR, &[1]).find(3).is_some());
+    index.store(CELLAR, &[1], 2, secs(3.0));
+    assert!(index.matches(CELLAR, &[1]).find(2).is_some());
+}
+
+#[test]
+fn store_bounded() {
+    let mut index = index();
+    (0..1000).for_each(|i| index.store(CELLAR, &[i], 1, secs(i as f64)));
+    let kept = (0..1000).filter(|&i| index.matches(CELLAR, &[i]).find(1).is_some()).count();
+    assert_eq!(kept, 64);
+}
+
+/// A block of one workspace under another's tag is never credited: the assertion P1504 says so.
+#[test]
+#[should_panic(expected = "P1504")]
+fn matches_other_workspace_caught() {
+    let mut index = index();
+    index.store(CELLAR, &[1], 2, secs(1.0));
+    let _ = index.matches(CELLAR + 1, &[1]);
+}
+
+#[rstest]
+#[case::in_order(&[0, 1, 2], 0)]
+#[case::one_missing(&[0, 1, 3], 1)]
+#[case::restarted(&[7, 0], 1)]
+fn cached_gaps_found(#[case] numbers: &[u64], #[case] gaps: usize) {
+    let mut bench = Bench::open(&document());
+    let event = CacheEvent::Stored { workspace: "cellar".into(), prefix: vec![1] };
+    let found = numbers.iter().filter(|&&n| bench.router.cached(0, n, &event, secs(1.0))).count();
+    assert_eq!(found, gaps);
+}
--- /dev/null
+++ b/papayaproxy/src/routing/tests/random.rs
@@ -0,0 +1,97 @@
+//! Randomised runs of the router: its assertions, and answers that stay within the candidates.
+
+use super::super::request::Request;
+use super::super::router::{End, Ticket};
+use super::{Bench, ENGINES, document, leaving, moment, prepared, report, secs};
+use crate::base::name::Name;
+use crate::membership::LoadReport;
+use proptest::prelude::*;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+enum Action {
+    Send { workspace: u8, template: u64 },
+    First(u8),
+    Finish(u8, u8),
+    Report { upstream: u8, queued: u8, age: u16 },
+    Leave(u8),
+    Restart(u64),
+    Sweep,
+    Wait(u16),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        6 => (0..3u8, 0..3u64).prop_map(|(workspace, template)| Action::Send { workspace, template }),
+        2 => any::<u8>().prop_map(Action::First),
+        4 => (any::<u8>(), 0..4u8).prop_map(|(i, end)| Action::Finish(i, end)),
+        3 => (0..ENGINES as u8, 0..60u8, 0..3000u16)
+            .prop_map(|(upstream, queued, age)| Action::Report { upstream, queued, age }),
+        1 => (0..ENGINES as u8).prop_map(Action::Leave),
+        1 => (1..4u64).prop_map(Action::Restart),
+        1 => Just(Action::Sweep),
+        2 => (1..4000u16).prop_map(Action::Wait),
+    ]
+}
+
+fn act(bench: &mut Bench, tickets: &mut Vec<Ticket>, now: &mut f64, action: &Action) {
+    match action {
+        Action::Send { workspace, template } => send(bench, tickets, *now, *workspace, *template),
+        Action::First(i) if !tickets.is_empty() => {
+            let index = usize::from(*i) % tickets.len();
+            bench.router.started(&tickets[index], secs(*now));
+        }
+        Action::Finish(i, end) if !tickets.is_empty() => {
+            let ticket = tickets.remove(usize::from(*i) % tickets.len());
+            let ends =
+                [End::Completed { cached: Some(0) }, End::Failed, End::Refused, End::Cancelled];
+            bench.router.finished(ticket, ends[usize::from(*end)], secs(*now));
+        }
+        Action::Report { upstream, queued, age } => {
+            let age = Duration::from_millis(u64::from(*age));
+            let load = LoadReport { queued: u32::from(*queued), age, ..report() };
+            bench.router.reported(u32::from(*upstream), &load, secs(*now));
+        }
+        Action::Leave(index) => {
+            let mut fleet = document();
+            leaving(&mut fleet, usize::from(*index));
+            bench.router.install(prepared(&fleet, 1), secs(*now));
+        }
+        Action::Restart(run) => bench.router.install(prepared(&document(), *run), secs(*now)),
+        Action::Sweep => drop(bench.router.sweep(secs(*now))),
+        Action::Wait(millis) => *now += f64::from(*millis) / 1e3,
+        _ => {}
+    }
+}
+
+fn send(bench: &mut Bench, tickets: &mut Vec<Ticket>, now: f64, workspace: u8, template: u64) {
+    let name: Name = format!("workspace-{workspace}").into();
+    let service = bench.service.clone();
+    let start = u64::from(workspace) * 1000 + template * 100;
+    let prefix: Vec<u64> = (start..start + 20).collect();
+    let request = Request {
+        service: &service,
+        workspace: &name,
+        prefix: &prefix,
+        prompt: 20 * 64,
+        ..bench.request().detached()
+    };
+    let Ok(decision) = bench.router.choose(&request, moment(now), &mut bench.rng) else { return };
+    assert!(decision.scored.iter().any(|s| s.upstream == decision.upstream));
+    assert!(decision.cached <= request.prompt);
+    tickets.push(bench.router.sent(&decision, &request, secs(now)));
+}
+
+proptest! {
+    #[test]
+    fn router_any_actions(actions in prop::collection::vec(action(), 1..150)) {
+        let mut bench = Bench::open(&document());
+        let (mut tickets, mut now) = (Vec::new(), 1.0);
+        for action in &actions {
+            act(&mut bench, &mut tickets, &mut now, action);
+        }
+        for ticket in tickets {
+            bench.router.finished(ticket, End::Cancelled, secs(now));
+        }
+    }
+}
