--- a/papaya-lab/src/kills/rig.rs
+++ b/papaya-lab/src/kills/rig.rs
@@ -151,9 +151,8 @@
     platform: SocketAddr,
 ) -> io::Result<Member> {
     let ops = free_address()?;
-    let mut settings = common(format!("agent-{i}"), ops, platform);
+    let mut settings = common(format!("u-{i}"), ops, platform);
     settings.push(("agent.address", slot.to_string()));
-    settings.push(("upstream.name", format!("u-{i}")));
     settings.push(("upstream.address", target.to_string()));
     let daemon = Daemon::spawn("agent", &settings)?;
     Ok(Member { daemon, address: slot, ops })
--- a/papaya-lab/src/kills/trial.rs
+++ b/papaya-lab/src/kills/trial.rs
@@ -87,6 +87,13 @@
     if !racing {
         copy.abort();
     }
+    // A revocation races the start.
+    let revoked = match &record.key {
+        Some(key) if rng.random_bool(0.3) => {
+            Some(tokio::spawn(revoke(second.clone(), key.clone())))
+        }
+        _ => None,
+    };
     reach(rig, step, &record, rng).await;
     match step {
         Step::BeforeSend => {}
@@ -97,6 +104,9 @@
     if racing {
         record.told.push(copy.await.unwrap_or(Told::Cut));
     }
+    if let Some(revoked) = revoked {
+        record.told.push(revoked.await.unwrap_or(Told::Cut));
+    }
     if step != Step::Paused {
         rig.replace(process).await?;
     }
@@ -104,6 +114,10 @@
     Ok(record)
 }
 
+async fn revoke(caller: Caller, key: String) -> Told {
+    caller.ask(Method::DELETE, &key).await
+}
+
 async fn call(caller: Caller, key: Option<String>, body: Bytes) -> Told {
     caller.call(key.as_deref(), body).await
 }
--- a/papayaproxy/src/entry/stream.rs
+++ b/papayaproxy/src/entry/stream.rs
@@ -1,6 +1,6 @@
 //! Passes a model's answer on event by event, and takes it up again where it breaks off.
 
-use super::attempt::{Brought, OpenReply, attempt, is_event_stream};
+use super::attempt::{Brought, OpenReply, Target, attempt, is_event_stream};
 use super::codes;
 use super::process::Shared;
 use super::pump::{BodySender, finish};
@@ -218,7 +218,9 @@
     async fn reopen(&mut self, ask: &Ask) -> Result<OpenReply, Stop> {
         let (left, links) = (self.left(), &self.shared.links);
         let gone = |code| Stop::Broken(Break::Gone, code);
-        match attempt(ask, self.source.agent, links, left, self.deadline).await {
+        let Source { upstream, agent, .. } = &self.source;
+        let target = Target { upstream, agent: *agent };
+        match attempt(ask, target, links, left, self.deadline).await {
             Ok(Brought::Open(open)) if open.head.status == 200 && is_event_stream(&open.head) => {
                 Ok(*open)
             }
