Stop agents and entries gracefully

Cause: a stopping process closed its listener and links at once, so that a call on its way was cut, and streams of a leaving upstream were not handed over.

Change: an agent refuses new work by itself from the moment its document or a signal says so, counts what is in progress (runs under keys included), hands streams of idempotent services over after move_after, and lingers while entries hear of it; an entry that is refused by a stopping agent retires its link. An entry that stops is not ready at once and answers on for the linger time.

--- a/papayaproxy/src/agent/call.rs
+++ b/papayaproxy/src/agent/call.rs
@@ -4,7 +4,9 @@
 use super::codes;
 use super::constants::ANSWER_MARGIN;
 use super::events;
+use super::leaving::Piece;
 use crate::base::code::{Code, Outcome, row};
+use crate::streams::codes::STREAM_MOVED;
 use crate::wire::CallFailure;
 use crate::wire::server::{IncomingCall, Replier};
 use bytes::Bytes;
@@ -13,14 +15,27 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+/// Header of an engine's reply that names its stream.
+const STREAM_HEADER: &str = "engine-stream";
+
 /// Runs a call to its end and answers it.
-pub(crate) async fn run_call(call: IncomingCall, client: &UpstreamClient) {
+///
+/// `movable` tells whether another replica may go on with its stream.
+pub(crate) async fn run_call(
+    call: IncomingCall,
+    client: &UpstreamClient,
+    mut piece: Piece,
+    movable: bool,
+) {
     let started = Instant::now();
     let deadline = started + call.head.remaining.saturating_sub(ANSWER_MARGIN);
     let IncomingCall { tag, peer, head, body, cancelled, mut replier } = call;
     let result = match client.request(&head, body) {
         Ok(request) => {
-            let forwarded = timeout_at(deadline, forward(request, client, &mut replier));
+            let forwarded = timeout_at(
+                deadline,
+                forward(request, client, &mut replier, movable.then_some(&mut piece)),
+            );
             tokio::select! {
                 result = forwarded => result.unwrap_or(Err(codes::UPSTREAM_LATE)),
                 () = cancelled.cancelled() => Err(codes::CALL_CANCELLED),
@@ -58,11 +73,23 @@
     request: Request<Full<Bytes>>,
     client: &UpstreamClient,
     replier: &mut Replier,
+    movable: Option<&mut Piece>,
 ) -> Result<(), Code> {
     let response = client.send(request).await?;
+    let streams = response.headers().contains_key(STREAM_HEADER);
     let gone = |_| codes::CALL_CANCELLED;
     replier.head(reply_head(&response)).await.map_err(gone)?;
-    pass_body(response.into_body(), replier).await
+    let passed = pass_body(response.into_body(), replier);
+    match movable.filter(|_| streams) {
+        Some(piece) => {
+            piece.become_stream();
+            tokio::select! {
+                result = passed => result,
+                () = piece.moved() => Err(STREAM_MOVED),
+            }
+        }
+        None => passed.await,
+    }
 }
 
 async fn pass_body(mut body: Incoming, replier: &mut Replier) -> Result<(), Code> {
--- a/papayaproxy/src/agent/codes.rs
+++ b/papayaproxy/src/agent/codes.rs
@@ -7,7 +7,6 @@
     UPSTREAM_REFUSED = 2401, NotRun, 503, "The upstream accepts no connection; nothing of the call was sent to it.";
     UPSTREAM_LOST = 2402, Unknown, 502, "The upstream closed the connection before its answer was whole.";
     UPSTREAM_LATE = 2403, Unknown, 504, "The upstream did not answer before the deadline.";
-    AGENT_LEAVING = 2404, NotRun, 503, "The upstream is leaving and takes no new work.";
     SERVICE_FOREIGN = 2405, NotRun, 503, "The upstream does not offer this service.";
     CALL_MALFORMED = 2406, NotRun, 400, "The method, path or a header of the call is not valid HTTP.";
     AGENT_FULL = 2407, NotRun, 503, "The agent has as many calls in progress as it may.";
--- a/papayaproxy/src/agent/constants.rs
+++ b/papayaproxy/src/agent/constants.rs
@@ -20,6 +20,12 @@
 /// Part of the deadline that an agent leaves for its answer to reach the caller.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(5);
 
+/// Interval between looks at the reasons for leaving.
+pub(crate) const LEAVING_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Wait between two looks at the work of a stopping agent.
+pub(crate) const STOP_LOOK: Duration = Duration::from_millis(10);
+
 /// Wait after a failed accept, so that a shortage of descriptors does not spin.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
--- a/papayaproxy/src/agent/keyed.rs
+++ b/papayaproxy/src/agent/keyed.rs
@@ -6,6 +6,7 @@
 use super::codes;
 use super::constants::{ANSWER_MARGIN, KEYED_BYTES_MAX, RUN_GRACE};
 use super::desk::{KeyDesk, Run, RunEnd, Turn, claim};
+use super::leaving::Piece;
 use crate::base::code::Code;
 use crate::delivery::{Finish, Lookup, StoredHeader, StoredReply, codes as delivery};
 use crate::wire::server::{Gone, IncomingCall, Replier};
@@ -31,23 +32,23 @@
     code: Code,
 }
 
-/// Answers a call that issues, shows, revokes or uses keys. `refusal` says why nothing new may
-/// start now, if that is so.
+/// Answers a call that issues, shows, revokes or uses keys. `piece` is what the agent has taken on
+/// with it, or says why nothing new may start now.
 pub(crate) async fn answer_keyed(
     call: IncomingCall,
     desk: &Arc<KeyDesk>,
     client: &UpstreamClient,
     work: &TaskTracker,
-    refusal: Option<Code>,
+    piece: Result<Piece, Code>,
 ) {
     let IncomingCall { head, body, cancelled, replier, .. } = call;
     let answered = async {
         match head.action {
-            Action::Issue(count) => issue(desk, count, &head, refusal).map(completed),
+            Action::Issue(count) => issue(desk, count, &head, piece.err()).map(completed),
             Action::Lookup => desk.lookup(&head).and_then(told).map(completed),
             Action::Revoke => desk.revoke(&head).and_then(revoked),
             Action::Call => {
-                let run = run_once(&head, body, desk, client, work, refusal);
+                let run = run_once(&head, body, desk, client, work, piece);
                 run.await.map(completed)
             }
         }
@@ -106,16 +107,21 @@
     desk: &Arc<KeyDesk>,
     client: &UpstreamClient,
     work: &TaskTracker,
-    refusal: Option<Code>,
+    piece: Result<Piece, Code>,
 ) -> Result<Arc<StoredReply>, Code> {
     let allowed = head.remaining.saturating_sub(ANSWER_MARGIN);
     let claim = claim(head, &body, desk.now() + allowed);
-    let end = match desk.begin(head, claim, refusal)? {
+    let end = match desk.begin(head, claim, piece.as_ref().err().copied())? {
         Turn::Told(finish) => return reply_of(finish),
         Turn::Wait(end) => end,
         Turn::Run(run) => {
             let end = run.end();
-            work.spawn(run_detached(run, head.clone(), body, client.clone(), allowed));
+            let (head, client) = (head.clone(), client.clone());
+            work.spawn(async move {
+                run_detached(run, head, body, client, allowed).await;
+                // The work lasts as long as its run, whoever still waits for it.
+                drop(piece);
+            });
             end
         }
     };
--- a/papayaproxy/src/agent/links.rs
+++ b/papayaproxy/src/agent/links.rs
@@ -8,12 +8,21 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Accepts links until `stop`, and hands each call to `handle`.
+/// When a stopping agent closes what.
+#[derive(Clone)]
+pub(crate) struct Stops {
+    /// No new link is accepted from then on.
+    pub(crate) accept: CancellationToken,
+    /// Every link is closed.
+    pub(crate) links: CancellationToken,
+}
+
+/// Accepts links until it is told to stop, and hands each call to `handle`.
 pub(crate) async fn accept_links<F>(
     listener: TcpListener,
     context: Arc<LinkContext>,
     handle: F,
-    stop: CancellationToken,
+    stops: Stops,
 ) where
     F: Fn(IncomingCall, OpenGuard) + Send + Sync + Clone + 'static,
 {
@@ -21,13 +30,13 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
+            () = stops.accept.cancelled() => break,
         };
         let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(super::constants::ACCEPT_PAUSE).await;
             continue;
         };
-        let (context, handle, stop) = (context.clone(), handle.clone(), stop.clone());
+        let (context, handle, stop) = (context.clone(), handle.clone(), stops.links.clone());
         links.spawn(async move {
             let served = tokio::select! {
                 served = serve_link(stream, context, handle) => served,
--- a/papayaproxy/src/agent/mod.rs
+++ b/papayaproxy/src/agent/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod desk;
 pub(crate) mod events;
 pub(crate) mod keyed;
+pub(crate) mod leaving;
 pub(crate) mod links;
 pub(crate) mod load;
 pub(crate) mod process;
--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -3,10 +3,11 @@
 use super::call::{failure, run_call};
 use super::client::UpstreamClient;
 use super::codes;
-use super::constants::CALLS_MAX;
+use super::constants::{CALLS_MAX, LEAVING_INTERVAL, STOP_LOOK};
 use super::desk::KeyDesk;
 use super::keyed::answer_keyed;
-use super::links::accept_links;
+use super::leaving::{Leaving, Piece};
+use super::links::{Stops, accept_links};
 use super::load::follow_load;
 use super::settings::AgentSettings;
 use crate::base::clock::Clock;
@@ -14,6 +15,7 @@
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
 use crate::delivery::KeyCore;
+use crate::drain::{Reason, Step, Wishes};
 use crate::membership::{Feed, LoadReport};
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
 use crate::wire::server::{IncomingCall, OpenGuard};
@@ -21,7 +23,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::SystemTime;
+use std::time::{Instant, SystemTime};
 use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
@@ -33,6 +35,7 @@
     feed: Feed,
     client: UpstreamClient,
     desk: Arc<KeyDesk>,
+    leaving: Arc<Leaving>,
     stopping: AtomicBool,
     calls: AtomicUsize,
 }
@@ -43,7 +46,7 @@
     address: SocketAddr,
     ops: Ops,
     work: TaskTracker,
-    stop: CancellationToken,
+    stops: Stops,
     _guard: DropGuard,
 }
 
@@ -71,6 +74,7 @@
             identity: identity.clone(),
             feed: feed.clone(),
             client: client.clone(),
+            leaving: Arc::new(Leaving::new(settings.drain, Clock::start())),
             stopping: AtomicBool::new(false),
             calls: AtomicUsize::new(0),
             settings,
@@ -79,15 +83,18 @@
             .await
             .map_err(|source| ProcessError::Listen { address: ops_address, source })?;
         let stop = CancellationToken::new();
+        let stops = Stops { accept: stop.child_token(), links: stop.clone() };
         let work = TaskTracker::new();
         let context = feed.link_context(identity, shared.settings.process.secrets.clone());
         let handle = call_handler(shared.clone(), work.clone());
-        tokio::spawn(accept_links(listener, context, handle, stop.clone()));
+        tokio::spawn(accept_links(listener, context, handle, stops.clone()));
         let load = follow_load(shared.settings.process.name.clone(), client, take);
         let stopped = stop.clone();
-        tokio::spawn(async move { stopped.run_until_cancelled(load).await });
+        let watched = watch_leaving(shared.clone());
+        let followed = async move { tokio::join!(load, watched) };
+        tokio::spawn(async move { stopped.run_until_cancelled(followed).await });
         shared.log_started(address, ops.address());
-        Ok(Self { shared, address, ops, work, _guard: stop.clone().drop_guard(), stop })
+        Ok(Self { shared, address, ops, work, stops, _guard: stop.drop_guard() })
     }
 
     /// The bound address of the slot.
@@ -105,9 +112,18 @@
         let name = self.shared.identity.name.clone();
         tracing::info!(event = events::PROCESS_STOPPING, role = "agent", %name, "stopping");
         self.shared.stopping.store(true, Ordering::SeqCst);
-        self.work.close();
-        self.work.wait().await;
-        self.stop.cancel();
+        // Entries that are refused open no new link, and the old ones last until all have heard.
+        self.stops.accept.cancel();
+        let since = Instant::now();
+        let linger = self.shared.settings.drain.linger;
+        loop {
+            match self.shared.check_leaving() {
+                Step::Overdue => break,
+                Step::Drained if since.elapsed() >= linger && self.work.is_empty() => break,
+                _ => tokio::time::sleep(STOP_LOOK).await,
+            }
+        }
+        self.stops.links.cancel();
         tracing::info!(event = events::PROCESS_STOPPED, role = "agent", %name, "stopped");
     }
 }
@@ -127,14 +143,17 @@
         let tasks = work.clone();
         work.spawn(async move {
             shared.calls.fetch_add(1, Ordering::SeqCst);
-            let refusal = shared.refusal(&call.head.service);
+            let piece = shared.begin(&call.head.service);
             let keyed = call.head.key.is_some() || call.head.action != Action::Call;
-            match refusal {
-                _ if keyed => {
-                    answer_keyed(call, &shared.desk, &shared.client, &tasks, refusal).await;
+            match piece {
+                piece if keyed => {
+                    answer_keyed(call, &shared.desk, &shared.client, &tasks, piece).await;
+                }
+                Err(code) => drop(call.replier.fail(failure(code)).await),
+                Ok(piece) => {
+                    let movable = shared.is_idempotent(&call.head.service);
+                    run_call(call, &shared.client, piece, movable).await;
                 }
-                Some(code) => drop(call.replier.fail(failure(code)).await),
-                None => run_call(call, &shared.client).await,
             }
             shared.calls.fetch_sub(1, Ordering::SeqCst);
             drop(guard);
@@ -142,8 +161,44 @@
     }
 }
 
+/// Follows the reasons for leaving, also while no call comes.
+async fn watch_leaving(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(LEAVING_INTERVAL);
+    loop {
+        ticks.tick().await;
+        // Before the first document nothing is known of a reason.
+        if shared.feed.is_ready() {
+            shared.check_leaving();
+        }
+    }
+}
+
 impl Shared {
-    /// Why a call to `service` is not taken, if it is not.
+    /// Takes a call to `service`, or says why it is not taken.
+    fn begin(&self, service: &Name) -> Result<Piece, Code> {
+        if let Some(code) = self.refusal(service) {
+            return Err(code);
+        }
+        self.leaving.begin(self.reason())
+    }
+
+    /// Why the agent takes no new work, by its document and its own stop.
+    fn reason(&self) -> Option<Reason> {
+        let document = self.feed.document.load();
+        let upstream = document.upstreams.get(&self.settings.process.name);
+        let stopping = self.stopping.load(Ordering::SeqCst);
+        Wishes { stopping, upstream, host_leaving: false }.reason(SystemTime::now())
+    }
+
+    fn check_leaving(&self) -> Step {
+        self.leaving.check(self.reason())
+    }
+
+    fn is_idempotent(&self, service: &Name) -> bool {
+        self.feed.document.load().services.get(service).is_some_and(|s| s.idempotent)
+    }
+
+    /// Why a call to `service` is not taken, if it is not and the agent is not leaving.
     fn refusal(&self, service: &Name) -> Option<Code> {
         let document = self.feed.document.load();
         let Some(upstream) = document.upstreams.get(&self.settings.process.name) else {
@@ -152,9 +207,6 @@
         if !self.feed.is_ready() {
             return Some(codes::AGENT_NOT_READY);
         }
-        if self.stopping.load(Ordering::SeqCst) || !upstream.takes_work(SystemTime::now()) {
-            return Some(codes::AGENT_LEAVING);
-        }
         if !upstream.services.contains(service) {
             return Some(codes::SERVICE_FOREIGN);
         }
@@ -166,15 +218,11 @@
     }
 
     fn status(&self) -> Status {
-        let document = self.feed.document.load();
-        let own = document.upstreams.get(&self.settings.process.name);
-        let open = own.is_some_and(|u| u.takes_work(SystemTime::now()));
-        let stopping = self.stopping.load(Ordering::SeqCst);
         let mut status = self.feed.status(&self.identity, &self.settings.process.zone);
         status.role = "agent".to_owned();
-        status.ready = self.feed.is_ready() && open && !stopping;
-        status.leaving = stopping || own.is_some() && !open;
-        status.calls = self.calls.load(Ordering::Relaxed) as u64;
+        status.ready = self.feed.is_ready() && self.reason().is_none();
+        status.leaving = self.leaving.is_leaving();
+        status.calls = u64::from(self.leaving.in_progress());
         status
     }
 
--- a/papayaproxy/src/agent/settings.rs
+++ b/papayaproxy/src/agent/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an agent.
 
 use crate::delivery::{self, KeySettings};
+use crate::drain::{self, DrainSettings};
 use crate::membership;
 use crate::settings::process;
 use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError};
@@ -25,7 +26,7 @@
 
 /// Every table of settings that an agent reads.
 pub const TABLES: &[&[SettingRow]] =
-    &[process::ROWS, ROWS, delivery::SETTINGS, membership::SETTINGS];
+    &[process::ROWS, ROWS, delivery::SETTINGS, drain::SETTINGS, membership::SETTINGS];
 
 /// The checked settings of an agent.
 #[derive(Clone, Debug)]
@@ -40,6 +41,8 @@
     pub target: SocketAddr,
     /// Limits of the key state.
     pub keys: KeySettings,
+    /// Times of a planned stop.
+    pub drain: DrainSettings,
 }
 
 impl AgentSettings {
@@ -60,12 +63,14 @@
         let peers = membership::read_peers(reader);
         let target = process::read_address(reader, "upstream");
         let keys = KeySettings::read(reader);
+        let drain = DrainSettings::read(reader);
         Some(Self {
             process: process?,
             address: address?,
             peers: peers?,
             target: target?,
             keys: keys?,
+            drain: drain?,
         })
     }
 }
--- a/papayaproxy/src/drain/machine.rs
+++ b/papayaproxy/src/drain/machine.rs
@@ -76,6 +76,12 @@
         Ok(())
     }
 
+    /// Counts a piece of work as of another kind, whether or not new work is taken.
+    pub fn change(&mut self, from: Work, to: Work) {
+        self.end(from);
+        *self.count(to) += 1;
+    }
+
     /// Counts the end of a piece of work.
     pub fn end(&mut self, work: Work) {
         let count = self.count(work);
@@ -89,7 +95,7 @@
         match (self.leaving, reason) {
             (None, Some(reason)) => self.leave(reason, now),
             (Some(l), _) if l.reason == Reason::Stopping => {}
-            (Some(l), Some(reason)) if l.reason != reason => self.change(l, reason, now),
+            (Some(l), Some(reason)) if l.reason != reason => self.rename(l, reason, now),
             (Some(_), None) => {
                 self.leaving = None;
                 tracing::info!(event = events::RETURNED, "taking new work again");
@@ -160,7 +166,7 @@
     }
 
     /// A signal to stop starts its own time limit; other changes keep the time of leaving.
-    fn change(&mut self, leaving: Leaving, reason: Reason, now: Duration) {
+    fn rename(&mut self, leaving: Leaving, reason: Reason, now: Duration) {
         if reason == Reason::Stopping {
             return self.leave(reason, now);
         }
--- a/papayaproxy/src/drain/settings.rs
+++ b/papayaproxy/src/drain/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of this slice.
 
-use super::constants::{MOVE_AFTER, STOP_LIMIT};
+use super::constants::{LINGER, MOVE_AFTER, STOP_LIMIT};
 use crate::settings::{Reader, SettingRow, parse_duration};
 use std::time::Duration;
 
@@ -21,6 +21,13 @@
         default: Some("620s"),
         meaning: "a duration that a stopping process waits at most for work in progress",
     },
+    SettingRow {
+        section: SECTION,
+        key: "linger",
+        default: Some("3s"),
+        meaning: "a duration for which a stopping process goes on answering, so that those who \
+                  send to it have heard",
+    },
 ];
 
 /// Times of a planned stop.
@@ -30,11 +37,13 @@
     pub move_after: Duration,
     /// A stopping process waits no longer than this.
     pub stop_limit: Duration,
+    /// A stopping process answers at least for so long.
+    pub linger: Duration,
 }
 
 impl Default for DrainSettings {
     fn default() -> Self {
-        Self { move_after: MOVE_AFTER, stop_limit: STOP_LIMIT }
+        Self { move_after: MOVE_AFTER, stop_limit: STOP_LIMIT, linger: LINGER }
     }
 }
 
@@ -43,6 +52,7 @@
     pub fn read(reader: &mut Reader) -> Option<Self> {
         let move_after = reader.value(SECTION, "move_after", parse_duration);
         let stop_limit = reader.value(SECTION, "stop_limit", parse_duration);
-        Some(Self { move_after: move_after?, stop_limit: stop_limit? })
+        let linger = reader.value(SECTION, "linger", parse_duration);
+        Some(Self { move_after: move_after?, stop_limit: stop_limit?, linger: linger? })
     }
 }
--- a/papayaproxy/src/drain/tests.rs
+++ b/papayaproxy/src/drain/tests.rs
@@ -14,7 +14,7 @@
 }
 
 fn drain() -> Drain {
-    Drain::new(DrainSettings { move_after: secs(20), stop_limit: secs(100) })
+    Drain::new(DrainSettings { move_after: secs(20), stop_limit: secs(100), linger: secs(3) })
 }
 
 fn at(n: u64) -> SystemTime {
--- a/papayaproxy/src/entry/attempt.rs
+++ b/papayaproxy/src/entry/attempt.rs
@@ -8,6 +8,7 @@
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::delivery::Failure;
+use crate::drain::codes::PROCESS_STOPPING;
 use crate::wire::{Call, CallHead, LinkLost, Reply, ReplyHead};
 use bytes::{Bytes, BytesMut};
 use std::net::SocketAddr;
@@ -61,7 +62,11 @@
     // A call that is dropped before it is queued is never written.
     let late = Failure::Unsent(codes::REPLY_LATE);
     let mut call = timeout_at(deadline, sending).await.map_err(|_| late)??;
-    match timeout_at(deadline, receive(&mut call)).await {
+    let received = timeout_at(deadline, receive(&mut call)).await;
+    if matches!(received, Ok(Err(Failure::Refused(PROCESS_STOPPING)))) {
+        links.retire(target.agent);
+    }
+    match received {
         Ok(received) => received.map(|r| r.brought(call)),
         Err(_) if call.withdraw() => Err(late),
         Err(_) => Err(Failure::Lost(codes::REPLY_LATE)),
--- a/papayaproxy/src/entry/links.rs
+++ b/papayaproxy/src/entry/links.rs
@@ -49,6 +49,12 @@
         Ok(link)
     }
 
+    /// Sends no further call over the link to `address`; calls in progress on it go on.
+    pub(crate) fn retire(&self, address: SocketAddr) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    }
+
     /// Closes links to agents that `keep` does not name.
     pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
--- a/papayaproxy/src/entry/process.rs
+++ b/papayaproxy/src/entry/process.rs
@@ -108,6 +108,8 @@
         let name = self.shared.identity.name.clone();
         tracing::info!(event = events::PROCESS_STOPPING, role = "entry", %name, "stopping");
         self.shared.stopping.store(true, Ordering::SeqCst);
+        // The balancer goes on sending until it has heard that this entry is not ready.
+        tokio::time::sleep(self.shared.settings.drain.linger).await;
         self.stop.cancel();
         let _ = self.server.await;
         self.shared.work.close();
--- a/papayaproxy/src/entry/settings.rs
+++ b/papayaproxy/src/entry/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry.
 
+use crate::drain::{self, DrainSettings};
 use crate::limits;
 use crate::membership;
 use crate::routing;
@@ -27,8 +28,14 @@
 ];
 
 /// Every table of settings that an entry reads.
-pub const TABLES: &[&[SettingRow]] =
-    &[process::ROWS, ROWS, routing::SETTINGS, limits::SETTINGS, membership::SETTINGS];
+pub const TABLES: &[&[SettingRow]] = &[
+    process::ROWS,
+    ROWS,
+    routing::SETTINGS,
+    limits::SETTINGS,
+    drain::SETTINGS,
+    membership::SETTINGS,
+];
 
 /// The checked settings of an entry.
 #[derive(Clone, Debug)]
@@ -43,6 +50,8 @@
     pub peers: Vec<SocketAddr>,
     /// Settings of routing.
     pub routing: routing::Settings,
+    /// Times of a planned stop.
+    pub drain: DrainSettings,
 }
 
 impl EntrySettings {
@@ -63,12 +72,14 @@
         let capacity = reader.value("entry", "capacity", parse_capacity);
         let peers = membership::read_peers(reader);
         let routing = routing::Settings::read(reader);
+        let drain = DrainSettings::read(reader);
         Some(Self {
             process: process?,
             address: address?,
             capacity: capacity?,
             peers: peers?,
             routing: routing?,
+            drain: drain?,
         })
     }
 }
