--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -10,13 +10,12 @@
 use super::links::{Stops, accept_links};
 use super::load::follow_load;
 use super::settings::AgentSettings;
-use crate::base::clock::Clock;
 use crate::base::code::Code;
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
 use crate::delivery::KeyCore;
 use crate::drain::{Reason, Step, Wishes};
-use crate::membership::{Feed, LoadReport};
+use crate::membership::{Feed, Joined, LoadReport};
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
 use crate::wire::server::{IncomingCall, OpenGuard};
 use crate::wire::{Action, Identity};
@@ -24,7 +23,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Instant, SystemTime};
-use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
@@ -51,30 +49,28 @@
 }
 
 impl Agent {
-    /// Binds the slot's address and serves links. `take` receives the upstream's load reports.
+    /// Serves links at the slot's address. `take` receives the upstream's load reports.
     ///
     /// # Errors
-    /// An address that cannot be bound, or an exporter that cannot be set up.
+    /// An operators' address that cannot be bound, or an exporter that cannot be set up.
     pub async fn open(
         settings: AgentSettings,
-        identity: Identity,
-        feed: Feed,
+        joined: Joined,
         take: impl Fn(LoadReport) + Send + 'static,
     ) -> Result<Self, ProcessError> {
         let metrics = Metrics::open().map_err(|reason| ProcessError::Metrics { reason })?;
-        // The exclusive bind keeps two agents of one host from serving at the same time.
-        let listener = bind(settings.address).await?;
+        let Joined { identity, feed, clock, listener } = joined;
         let address = listener.local_addr().unwrap_or(settings.address);
         let client = UpstreamClient::new(settings.target);
         let ops_address = settings.process.ops;
         let keys = KeyCore::new(settings.process.name.clone(), identity.incarnation, settings.keys);
         let secrets = settings.process.secrets.clone();
         let shared = Arc::new(Shared {
-            desk: Arc::new(KeyDesk::new(keys, Clock::start(), secrets)),
+            desk: Arc::new(KeyDesk::new(keys, clock, secrets)),
             identity: identity.clone(),
             feed: feed.clone(),
             client: client.clone(),
-            leaving: Arc::new(Leaving::new(settings.drain, Clock::start())),
+            leaving: Arc::new(Leaving::new(settings.drain, clock)),
             stopping: AtomicBool::new(false),
             calls: AtomicUsize::new(0),
             settings,
@@ -128,11 +124,6 @@
     }
 }
 
-/// Binds a listener.
-async fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    TcpListener::bind(address).await.map_err(|source| ProcessError::Listen { address, source })
-}
-
 /// Starts each call as a task of its own.
 fn call_handler(
     shared: Arc<Shared>,
--- a/papayaproxy/src/entry/process.rs
+++ b/papayaproxy/src/entry/process.rs
@@ -11,14 +11,13 @@
 use crate::base::error::ProcessError;
 use crate::base::http::serve;
 use crate::limits::RetryBudget;
-use crate::membership::Feed;
+use crate::membership::{Feed, Joined};
 use crate::routing::Router;
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
 use crate::wire::Identity;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
@@ -61,22 +60,15 @@
 }
 
 impl Entry {
-    /// Binds the callers' address and serves it.
+    /// Serves callers at the entry's address.
     ///
     /// # Errors
-    /// An address that cannot be bound, or an exporter that cannot be set up.
-    pub async fn open(
-        settings: EntrySettings,
-        identity: Identity,
-        feed: Feed,
-        clock: Clock,
-    ) -> Result<Self, ProcessError> {
+    /// An operators' address that cannot be bound, or an exporter that cannot be set up.
+    pub async fn open(settings: EntrySettings, joined: Joined) -> Result<Self, ProcessError> {
         let metrics = Metrics::open().map_err(|reason| ProcessError::Metrics { reason })?;
-        let (address, ops_address) = (settings.address, settings.process.ops);
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|source| ProcessError::Listen { address, source })?;
-        let address = listener.local_addr().unwrap_or(address);
+        let Joined { identity, feed, clock, listener } = joined;
+        let ops_address = settings.process.ops;
+        let address = listener.local_addr().unwrap_or(settings.address);
         let shared = Arc::new(Shared::new(settings, identity, feed, clock, &metrics));
         let ops = Ops::bind(ops_address, metrics, shared.clone().status_source())
             .await
--- a/papayaproxy/src/entry/stream.rs
+++ b/papayaproxy/src/entry/stream.rs
@@ -218,8 +218,7 @@
     async fn reopen(&mut self, ask: &Ask) -> Result<OpenReply, Stop> {
         let (left, links) = (self.left(), &self.shared.links);
         let gone = |code| Stop::Broken(Break::Gone, code);
-        let Source { upstream, agent, .. } = &self.source;
-        let target = Target { upstream, agent: *agent };
+        let target = Target { upstream: &self.source.upstream, agent: self.source.agent };
         match attempt(ask, target, links, left, self.deadline).await {
             Ok(Brought::Open(open)) if open.head.status == 200 && is_event_stream(&open.head) => {
                 Ok(*open)
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -402,7 +402,11 @@
         self.draw(near, Reason::Drawn, scored, rng);
         self.draw(far, Reason::Spilled, scored, rng);
         if scored.iter().next().is_none() {
-            self.scan(&pool.members, scored);
+            self.scan(&pool.members, Reason::Scanned, scored);
+        }
+        if scored.iter().next().is_none() {
+            // Liveness is a belief: a call tells more than a refusal would.
+            self.scan(&pool.silent, Reason::Silent, scored);
         }
     }
 
@@ -420,12 +424,12 @@
         }
     }
 
-    fn scan(&self, members: &[u32], scored: &mut ScoredList) {
+    fn scan(&self, members: &[u32], reason: Reason, scored: &mut ScoredList) {
         let fitting = members.iter().filter(|&&i| self.fits(i));
         let best =
             fitting.min_by(|&&a, &&b| self.forecast(a).score.total_cmp(&self.forecast(b).score));
         if let Some(&index) = best {
-            self.score(index, Reason::Scanned, scored);
+            self.score(index, reason, scored);
         }
     }
 
