--- a/papaya-lab/src/kills/command.rs
+++ b/papaya-lab/src/kills/command.rs
@@ -1,12 +1,14 @@
 //! The subcommand `kills`, and the daemons as subcommands, so that one program is all it needs.
 
 use super::report::Report;
+use super::stops::run_stops;
 use super::trial::run_trials;
 use crate::daemon::{self, number_arg, threads_arg};
 use clap::{Arg, ArgMatches, Command};
 use std::ffi::OsString;
 use std::io;
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::task::JoinSet;
 
 /// Describes the subcommand.
@@ -45,6 +47,30 @@
     Ok(report)
 }
 
+/// Time after publishing in which a leaving upstream may still be given work.
+const LEAVE_LIMIT: Duration = papayaproxy::constants::LEAVE_LIMIT;
+
+/// Describes the subcommand `stops`.
+pub fn stops_command() -> Command {
+    Command::new("stops")
+        .about("Lets an engine and a ledger leave under load, again and again")
+        .arg(threads_arg())
+        .arg(number_arg("stops", "20", "Planned stops"))
+        .arg(number_arg("seed", "1", "Seed of the load"))
+}
+
+/// Runs `stops`; fails if a call was not completed or work came too late.
+pub fn run_stop_command(matches: &ArgMatches) -> ExitCode {
+    let stops = daemon::value::<u64>(matches, "stops") as usize;
+    let seed = daemon::value(matches, "seed");
+    daemon::run(daemon::value(matches, "threads"), async move {
+        let report = run_stops(stops, seed).await?;
+        println!("{}", serde_json::to_string_pretty(&report)?);
+        let held = report.holds(LEAVE_LIMIT);
+        Ok(if held { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    })
+}
+
 /// Describes the daemon `papaya-entry` as a subcommand.
 pub fn entry_command() -> Command {
     daemon_command("run-entry")
--- a/papaya-lab/src/kills/mod.rs
+++ b/papaya-lab/src/kills/mod.rs
@@ -5,6 +5,10 @@
 mod daemon;
 mod report;
 mod rig;
+mod stops;
 mod trial;
 
-pub use command::{agent_command, command, entry_command, run, run_agent, run_entry};
+pub use command::{
+    agent_command, command, entry_command, run, run_agent, run_entry, run_stop_command,
+    stops_command,
+};
--- a/papaya-lab/src/kills/rig.rs
+++ b/papaya-lab/src/kills/rig.rs
@@ -1,4 +1,4 @@
-//! Two entries and two agents as processes, with the stand-ins in this one.
+//! Two entries and some agents as processes, with the stand-ins in this one.
 
 use super::caller::Caller;
 use super::daemon::{Daemon, free_address};
@@ -8,16 +8,20 @@
 use crate::plain::{self, Plain, PlainSettings};
 use crate::platform::{self, Platform, PlatformSettings};
 use http_body_util::Full;
+use humantime::format_rfc3339_seconds;
 use hyper::Request;
 use papayaproxy::fleet::credential_digest;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::time::{Instant, sleep};
 
 /// How long a plain call takes.
 const SERVICE_TIME: Duration = Duration::from_millis(15);
 
+/// How long a leaving upstream stays away.
+const AWAY: Duration = Duration::from_secs(3600);
+
 /// How long a started process may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -41,35 +45,55 @@
     ops: SocketAddr,
 }
 
-/// The running rig. Ledger agents stand before one plain service, which counts every run; model
-/// agents before engines of their own.
+/// What a rig is made of.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Layout {
+    /// Plain services, which the ledgers share in turn.
+    pub(crate) plains: usize,
+    /// Agents of the ledger; they stand first.
+    pub(crate) ledgers: usize,
+    /// Agents of the model, each with an engine of its own.
+    pub(crate) engines: usize,
+    /// How long streams of a leaving upstream are left before they move.
+    pub(crate) move_after: Duration,
+}
+
+/// The running rig.
 pub(crate) struct Rig {
-    pub(crate) plain: Plain,
+    pub(crate) plains: Vec<Plain>,
+    pub(crate) engines: Vec<Engine>,
+    layout: Layout,
+    slots: Vec<SocketAddr>,
+    generation: u64,
     entries: Vec<Member>,
     agents: Vec<Member>,
-    _engines: Vec<Engine>,
-    _platform: Platform,
+    platform: Platform,
 }
 
-/// Agents of the ledger stand first in the rig, then those of the model.
-pub(crate) const LEDGERS: usize = 2;
-
 impl Rig {
     /// Starts everything and waits until it is ready.
-    pub(crate) async fn open() -> io::Result<Self> {
-        let settings = PlainSettings { service: SERVICE_TIME, ..PlainSettings::default() };
-        let plain = plain::bind(settings).await?;
+    pub(crate) async fn open(layout: Layout) -> io::Result<Self> {
         let platform = platform::bind(PlatformSettings::default()).await?;
-        let engines = vec![open_engine().await?, open_engine().await?];
-        let targets = [plain.addr(), plain.addr(), engines[0].addr(), engines[1].addr()];
+        let (mut plains, mut engines) = (Vec::new(), Vec::new());
+        for _ in 0..layout.plains {
+            let settings = PlainSettings { service: SERVICE_TIME, ..PlainSettings::default() };
+            plains.push(plain::bind(settings).await?);
+        }
+        for _ in 0..layout.engines {
+            engines.push(open_engine().await?);
+        }
+        let ledgers = (0..layout.ledgers).map(|i| plains[i % layout.plains].addr());
+        let targets: Vec<_> = ledgers.chain(engines.iter().map(Engine::addr)).collect();
         let slots: Vec<_> = targets.iter().map(|_| free_address()).collect::<io::Result<_>>()?;
-        platform.publish(document(&slots));
+        let entries = vec![entry(0, platform.addr())?, entry(1, platform.addr())?];
         let mut agents = Vec::new();
         for (i, (slot, target)) in slots.iter().zip(targets).enumerate() {
-            agents.push(agent(i, *slot, target, platform.addr())?);
+            agents.push(agent(i, *slot, target, platform.addr(), layout.move_after)?);
         }
-        let entries = vec![entry(0, platform.addr())?, entry(1, platform.addr())?];
-        let rig = Self { plain, entries, agents, _engines: engines, _platform: platform };
+        let generation = 0;
+        let mut rig =
+            Self { plains, engines, layout, slots, generation, entries, agents, platform };
+        rig.publish(&[]);
         for i in 0..rig.agents.len() {
             rig.wait_ready(Process::Agent(i)).await?;
         }
@@ -79,6 +103,18 @@
         Ok(rig)
     }
 
+    /// Publishes the next document, in which the upstreams `leaving` leave now.
+    pub(crate) fn publish(&mut self, leaving: &[usize]) {
+        self.generation += 1;
+        let text = document(self.generation, self.layout.ledgers, &self.slots, leaving);
+        self.platform.publish(text);
+    }
+
+    /// The callers' address of each entry.
+    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.address).collect()
+    }
+
     /// A caller that speaks to entry `i`.
     pub(crate) fn caller(&self, i: usize) -> Caller {
         Caller::open(self.entries[i].address, credential())
@@ -149,11 +185,13 @@
     slot: SocketAddr,
     target: SocketAddr,
     platform: SocketAddr,
+    move_after: Duration,
 ) -> io::Result<Member> {
     let ops = free_address()?;
     let mut settings = common(format!("u-{i}"), ops, platform);
     settings.push(("agent.address", slot.to_string()));
     settings.push(("upstream.address", target.to_string()));
+    settings.push(("drain.move_after", format!("{}ms", move_after.as_millis())));
     let daemon = Daemon::spawn("agent", &settings)?;
     Ok(Member { daemon, address: slot, ops })
 }
@@ -177,20 +215,25 @@
     ]
 }
 
-fn document(slots: &[SocketAddr]) -> String {
+fn document(generation: u64, ledgers: usize, slots: &[SocketAddr], leaving: &[usize]) -> String {
     let digest = credential_digest(TOKEN);
     let mut text = format!(
-        "[fleet]\nname = kills\ngeneration = 1\n[zone.z1]\nregion = local\n\
+        "[fleet]\nname = kills\ngeneration = {generation}\n[zone.z1]\nregion = local\n\
          [model.pear]\nversion = 1\n\
          [service.ledger]\nidempotent = no\ndeadline = 2s\n\
          [service.assistant]\nmodel = pear\nidempotent = yes\ndeadline = 10s\n\
          [workspaces]\n{WORKSPACE} = 100 {digest}\n"
     );
     for (i, slot) in slots.iter().enumerate() {
-        let service = if i < LEDGERS { "ledger" } else { "assistant" };
+        let service = if i < ledgers { "ledger" } else { "assistant" };
         text.push_str(&format!(
             "[upstream.u-{i}]\nzone = z1\nagent = {slot}\nservices = {service}\n"
         ));
+        if leaving.contains(&i) {
+            let now = SystemTime::now();
+            let (from, until) = (format_rfc3339_seconds(now), format_rfc3339_seconds(now + AWAY));
+            text.push_str(&format!("leave-from = {from}\nleave-until = {until}\n"));
+        }
     }
     text
 }
--- a/papaya-lab/src/kills/trial.rs
+++ b/papaya-lab/src/kills/trial.rs
@@ -3,7 +3,7 @@
 use super::caller::{Caller, Told};
 use super::daemon::Signal;
 use super::report::{Report, Step};
-use super::rig::{LEDGERS, LOOK, Process, Rig, credential};
+use super::rig::{LOOK, Layout, Process, Rig, credential};
 use crate::engine::Ask;
 use crate::load::call::Call;
 use crate::load::{CallKind, Verdict};
@@ -22,6 +22,10 @@
 /// How long a paused process is paused; longer than any deadline of the rig.
 const PAUSE: Duration = Duration::from_millis(2500);
 
+/// Both ledgers stand before one plain service, which counts every run.
+const LAYOUT: Layout =
+    Layout { plains: 1, ledgers: 2, engines: 2, move_after: Duration::from_secs(20) };
+
 /// Pieces of a streamed answer.
 const PIECES: u32 = 40;
 
@@ -39,7 +43,7 @@
 
 /// Makes `kills` trials one after the other, then judges all of them.
 pub(crate) async fn run_trials(kills: u64, seed: u64) -> io::Result<Report> {
-    let mut rig = Rig::open().await?;
+    let mut rig = Rig::open(LAYOUT).await?;
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut report = Report::default();
     let mut records = Vec::new();
@@ -53,7 +57,7 @@
     }
     // What runs late must have run before it is judged.
     sleep(STEP_LIMIT).await;
-    let counts = rig.plain.counts();
+    let counts = rig.plains[0].counts();
     for record in &records {
         let by_key = record.key.as_ref().and_then(|k| counts.keys.get(k));
         let by_body = counts.references.get(&record.reference);
@@ -139,7 +143,7 @@
 /// The agent that issued `key`, found by its name within the key.
 fn home_of(key: Option<&str>) -> usize {
     let hex = |i: usize| format!("u-{i}").bytes().map(|b| format!("{b:02x}")).collect::<String>();
-    let found = key.and_then(|k| (0..LEDGERS).find(|i| k.contains(&hex(*i))));
+    let found = key.and_then(|k| (0..LAYOUT.ledgers).find(|i| k.contains(&hex(*i))));
     found.unwrap_or(0)
 }
 
@@ -155,7 +159,7 @@
         Step::AfterStart | Step::AfterReply | Step::Paused => {
             let since = Instant::now();
             while since.elapsed() < STEP_LIMIT {
-                let counts = rig.plain.counts();
+                let counts = rig.plains[0].counts();
                 let by_key = record.key.as_ref().and_then(|k| counts.keys.get(k));
                 let runs = by_key.or(counts.references.get(&record.reference));
                 if runs.is_some_and(|r| reached(*r)) {
@@ -210,7 +214,7 @@
     sleep(Duration::from_millis(rng.random_range(10..150))).await;
     let process = match rng.random_range(0..4) {
         0 => Process::Entry(0),
-        i => Process::Agent(LEDGERS + i % 2),
+        i => Process::Agent(LAYOUT.ledgers + i % LAYOUT.engines),
     };
     rig.kill(process).await?;
     let verdict = calling.await.map_or(Verdict::Cut("lost".to_owned()), |s| s.verdict);
--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -36,6 +36,7 @@
     Subcommand { command: bench::command, run: bench::run },
     Subcommand { command: load::command, run: load::run },
     Subcommand { command: kills::command, run: kills::run },
+    Subcommand { command: kills::stops_command, run: kills::run_stop_command },
     Subcommand { command: kills::entry_command, run: kills::run_entry },
     Subcommand { command: kills::agent_command, run: kills::run_agent },
     Subcommand { command: routing::command, run: routing::run },
