Give up attempts and streams that stand still

Cause: with one of four engines stalled, 6 of 300 idempotent requests waited until their deadline of 8 s and ended unknown, although other engines were free: the entry ignored the router's overdue attempts, and an event stream counted as begun with its head. Change: a streamed reply is passed on from its first event; an attempt that the router finds overdue is cancelled and made elsewhere if another live upstream, an attempt and a retry of the budget are left; a stream without a piece for 1.5 s goes on at another replica under the same conditions. The router is told the number of live entries. Ruled out: giving up without a retry in hand, which answers unknown early.

--- a/papayaproxy/src/delivery/attempt.rs
+++ b/papayaproxy/src/delivery/attempt.rs
@@ -128,6 +128,12 @@
         }
     }
 
+    /// Whether a further attempt would be allowed after one that may have run.
+    pub fn may_repeat(&self, now: Duration) -> bool {
+        let left = self.deadline.saturating_sub(now);
+        self.kind == CallKind::Idempotent && self.made < ATTEMPTS_MAX && left >= ATTEMPT_TIME_MIN
+    }
+
     /// The code for a call whose deadline passes now.
     pub fn deadline_code(&self) -> Code {
         let doubt = self.doubtful || self.writing;
--- a/papayaproxy/src/entry/attempt.rs
+++ b/papayaproxy/src/entry/attempt.rs
@@ -106,6 +106,10 @@
     let streams = is_event_stream(&head);
     let mut received =
         Received { head, body: BytesMut::new(), verifier: Verifier::new(), end: None };
+    if streams {
+        // The first event is awaited, so that a stalled engine can still be given up unseen.
+        received.take(call).await?;
+    }
     while !streams && received.end.is_none() && received.body.len() <= WHOLE_BYTES_MAX {
         received.take(call).await?;
     }
--- a/papayaproxy/src/entry/codes.rs
+++ b/papayaproxy/src/entry/codes.rs
@@ -19,5 +19,6 @@
     MODEL_FOREIGN = 2315, NotRun, 400, "The service does not serve the model that the request names.";
     KEYS_MALFORMED = 2316, NotRun, 400, "A request for keys is POST /v1/keys with {\"service\", \"count\"}, or GET or DELETE /v1/keys/{key}.";
     AGENT_FOREIGN = 2317, NotRun, 503, "The agent at the upstream's address stands before another upstream.";
+    UPSTREAM_OVERDUE = 2318, Unknown, 504, "The upstream gave no first byte in the time expected of it; the idempotent request was cancelled there and tried elsewhere.";
     CALLER_GONE = 2313, Unknown, 499, "The caller went away before its answer was whole.";
 }
--- a/papayaproxy/src/entry/constants.rs
+++ b/papayaproxy/src/entry/constants.rs
@@ -9,6 +9,9 @@
 /// Pieces of a reply that may wait for a slow caller, besides the link's own window.
 pub(crate) const BODY_PIECES: usize = 8;
 
+/// A stream without a piece for so long is taken to stand still.
+pub(crate) const PIECE_GAP_LIMIT: Duration = Duration::from_millis(1500);
+
 /// Interval between checks of the view, of circuits and of overdue attempts.
 pub(crate) const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/papayaproxy/src/entry/route.rs
+++ b/papayaproxy/src/entry/route.rs
@@ -10,15 +10,19 @@
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
+use tokio_util::sync::CancellationToken;
 
 /// The router with its source of randomness.
 struct Core {
     router: Router,
     rng: SmallRng,
-    /// Number of the last report taken from each upstream, by index.
+    /// When the last report taken of each upstream arrived, by index.
     taken: Vec<Duration>,
+    /// Attempts that wait for their first byte, by number.
+    waiting: HashMap<u64, CancellationToken>,
 }
 
 /// Chooses upstreams for the requests of one entry.
@@ -33,12 +37,14 @@
 pub(crate) struct Routed {
     pub(crate) decision: Decision,
     pub(crate) ticket: Ticket,
+    /// Cancelled once the first byte is later than expected.
+    pub(crate) overdue: CancellationToken,
 }
 
 impl Routes {
     pub(crate) fn new(router: Router, feed: Feed, zone: Name, clock: Clock) -> Self {
         let rng = SmallRng::from_rng(&mut rand::rng());
-        let core = Core { router, rng, taken: Vec::new() };
+        let core = Core { router, rng, taken: Vec::new(), waiting: HashMap::new() };
         Self { core: Mutex::new(core), feed, zone, clock }
     }
 
@@ -56,12 +62,14 @@
         let id = format!("{:016x}", ask.id);
         let at = Moment { now: self.clock.now(), wall: SystemTime::now() };
         let mut core = self.lock();
-        let Core { router, rng, .. } = &mut *core;
+        let Core { router, rng, waiting, .. } = &mut *core;
         let chosen = router.choose(&request, at, rng);
         let candidates = router.candidates().clone();
         let routed = chosen.map(|decision| {
             let ticket = router.sent(&decision, &request, at.now);
-            Routed { decision, ticket }
+            let overdue = CancellationToken::new();
+            waiting.insert(ticket.serial(), overdue.clone());
+            Routed { decision, ticket, overdue }
         });
         drop(core);
         match &routed {
@@ -71,14 +79,26 @@
         routed
     }
 
+    /// Whether a live upstream of `service` is left besides those of `excluded`.
+    pub(crate) fn has_other(&self, service: &Name, excluded: &[Name]) -> bool {
+        let candidates = self.lock().router.candidates().clone();
+        let wall = SystemTime::now();
+        candidates.members(service).any(|c| c.takes_work(wall) && !excluded.contains(&c.name))
+    }
+
     /// Notes the first piece of a reply.
     pub(crate) fn started(&self, ticket: &Ticket) {
-        self.lock().router.started(ticket, self.clock.now());
+        let mut core = self.lock();
+        core.waiting.remove(&ticket.serial());
+        core.router.started(ticket, self.clock.now());
     }
 
     /// Settles an attempt.
     pub(crate) fn finished(&self, ticket: Ticket, end: End) {
-        self.lock().router.finished(ticket, end, self.clock.now());
+        let mut core = self.lock();
+        core.waiting.remove(&ticket.serial());
+        core.router.finished(ticket, end, self.clock.now());
+        drop(core);
         self.log_changes();
     }
 
@@ -91,8 +111,9 @@
         let now = self.clock.now();
         let mut core = self.lock();
         core.router.install(Arc::new(next), now);
+        core.router.observe_entries(view.entries);
         core.take_reports(&view, now);
-        let _ = core.router.sweep(now);
+        core.sweep(now);
         drop(core);
         self.log_changes();
     }
@@ -108,6 +129,15 @@
 }
 
 impl Core {
+    /// Tells the attempts whose first byte is overdue.
+    fn sweep(&mut self, now: Duration) {
+        for overdue in self.router.sweep(now) {
+            if let Some(waiting) = self.waiting.remove(&overdue.serial) {
+                waiting.cancel();
+            }
+        }
+    }
+
     fn take_reports(&mut self, view: &View, now: Duration) {
         let candidates = self.router.candidates().clone();
         self.taken.resize(candidates.upstreams.len(), Duration::MAX);
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -27,6 +27,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
 
 /// Why a request gets no reply of an upstream.
 pub(crate) struct Rejection {
@@ -123,7 +124,7 @@
             })?;
             self.made += 1;
             self.upstream = routed.decision.name.clone();
-            match self.attempt(routed, left).await {
+            match self.attempt(routed, left, &excluded).await {
                 Ok((brought, ticket)) => return Ok((brought, Some(ticket))),
                 Err(failure) => {
                     last = Some(self.decide(failure)?);
@@ -156,11 +157,22 @@
         Rejection { code: self.attempts.told(code), retry: Some(retry), doubtful: false }
     }
 
-    async fn attempt(&self, routed: Routed, left: Duration) -> Result<(Brought, Ticket), Failure> {
+    async fn attempt(
+        &self,
+        routed: Routed,
+        left: Duration,
+        excluded: &[Name],
+    ) -> Result<(Brought, Ticket), Failure> {
         let target = Target { upstream: &routed.decision.name, agent: routed.decision.agent };
         let deadline = Instant::now() + left;
         let ticket = TicketGuard::new(self.shared.clone(), routed.ticket);
-        match attempt(&self.ask, target, &self.shared.links, left, deadline).await {
+        let attempted = tokio::select! {
+            brought = attempt(&self.ask, target, &self.shared.links, left, deadline) => brought,
+            () = self.give_up(&routed.overdue, excluded) => {
+                Err(Failure::Lost(codes::UPSTREAM_OVERDUE))
+            }
+        };
+        match attempted {
             Ok(brought) => {
                 let ticket = ticket.keep();
                 self.shared.routes.started(&ticket);
@@ -173,11 +185,25 @@
         }
     }
 
+    /// Waits until the attempt is overdue and can be made elsewhere; for ever if it cannot.
+    async fn give_up(&self, overdue: &CancellationToken, excluded: &[Name]) {
+        overdue.cancelled().await;
+        let excluded = [excluded, std::slice::from_ref(&self.upstream)].concat();
+        let movable = self.attempts.may_repeat(self.shared.clock.now())
+            && self.shared.routes.has_other(&self.ask.service, &excluded)
+            && self.shared.retries.lock().try_take(&self.ask.caller.workspace);
+        if !movable {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Decides what follows a failed attempt: `Ok` to retry.
     fn decide(&mut self, failure: Failure) -> Result<Code, Rejection> {
         let now = self.shared.clock.now();
         let workspace = &self.ask.caller.workspace;
-        let budget = || self.shared.retries.lock().try_take(workspace);
+        // An attempt that was given up as overdue has taken its retry already.
+        let paid = failure == Failure::Lost(codes::UPSTREAM_OVERDUE);
+        let budget = || paid || self.shared.retries.lock().try_take(workspace);
         let next = self.attempts.failed(failure, now, budget);
         let (code, written) = match failure {
             Failure::Unsent(code) => (code, false),
--- a/papayaproxy/src/entry/stream.rs
+++ b/papayaproxy/src/entry/stream.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{Brought, OpenReply, Target, attempt, is_event_stream};
 use super::codes;
+use super::constants::PIECE_GAP_LIMIT;
 use super::process::Shared;
 use super::pump::{BodySender, finish};
 use super::request::Ask;
@@ -22,7 +23,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Header of an engine's reply that names its stream.
 const STREAM_HEADER: &str = "engine-stream";
@@ -130,7 +131,7 @@
         splitter.push(&begun);
         loop {
             self.pass_events(&mut splitter).await?;
-            match next(&mut call).await? {
+            match self.next(&mut call).await? {
                 Reply::Piece { sequence, data } => {
                     verifier.piece(sequence, &data).map_err(lost)?;
                     splitter.push(&data);
@@ -145,6 +146,26 @@
         }
     }
 
+    /// Waits for the next part of the reply. A stream that stands still is given up if another
+    /// replica can take it and the workspace has a retry left.
+    async fn next(&self, call: &mut Call) -> Result<Reply, Stop> {
+        loop {
+            match timeout(PIECE_GAP_LIMIT, call.next()).await {
+                Ok(reply) => return reply.map_err(|_| lost(crate::wire::codes::LINK_CLOSED)),
+                Err(_) if self.may_move() => {
+                    return Err(Stop::Broken(Break::Gone, codes::UPSTREAM_OVERDUE));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn may_move(&self) -> bool {
+        let excluded = [&self.excluded[..], std::slice::from_ref(&self.source.upstream)].concat();
+        self.shared.routes.has_other(&self.ask.service, &excluded)
+            && self.shared.retries.lock().try_take(&self.ask.caller.workspace)
+    }
+
     async fn pass_events(&mut self, splitter: &mut EventSplitter) -> Result<(), Stop> {
         while let Some(raw) = splitter.next_event().map_err(lost)? {
             let event = read_event(&raw).map_err(lost)?;
@@ -240,10 +261,6 @@
     }
 }
 
-async fn next(call: &mut Call) -> Result<Reply, Stop> {
-    call.next().await.map_err(|_| lost(crate::wire::codes::LINK_CLOSED))
-}
-
 fn lost(code: Code) -> Stop {
     Stop::Broken(Break::Lost, code)
 }
--- a/papayaproxy/src/routing/candidates.rs
+++ b/papayaproxy/src/routing/candidates.rs
@@ -109,6 +109,12 @@
         built
     }
 
+    /// The live upstreams of a service, whether they take new work or not.
+    pub fn members(&self, service: &Name) -> impl Iterator<Item = &Candidate> {
+        let members = self.pools.get(service).map_or(&[][..], |p| &p.members);
+        members.iter().map(|i| &self.upstreams[*i as usize])
+    }
+
     /// Finds the index of an upstream.
     pub fn index_of(&self, name: &str) -> Option<u32> {
         self.upstreams.iter().position(|c| c.name == name).map(|i| i as u32)
