--- a/papayaproxy/src/membership/constants.rs
+++ b/papayaproxy/src/membership/constants.rs
@@ -6,7 +6,7 @@
 pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Live processes of a zone up to which the interval of beats stays the shortest.
-pub(crate) const ZONE_SMALL: usize = 40;
+pub(crate) const ZONE_SMALL: usize = 100;
 
 /// Beats between two full descriptions of one process.
 pub(crate) const FULL_EVERY: u64 = 10;
--- a/papayaproxy/src/membership/grid.rs
+++ b/papayaproxy/src/membership/grid.rs
@@ -36,7 +36,16 @@
 /// root of all entries and still hears of every process within two beats.
 pub(crate) struct Grid {
     names: Vec<Name>,
-    columns: usize,
+    rows: usize,
+}
+
+/// Where an entry stands.
+#[derive(Clone, Copy)]
+struct Place {
+    row: usize,
+    column: usize,
+    /// Entries of its row; rows differ in length by at most one.
+    length: usize,
 }
 
 impl Grid {
@@ -44,16 +53,14 @@
     pub(crate) fn new(mut names: Vec<Name>) -> Self {
         names.sort_unstable();
         names.dedup();
-        let count = names.len();
-        let columns = if count <= GRID_SINGLE { count } else { count.isqrt().max(1) };
-        Self { names, columns }
+        let rows = if names.len() <= GRID_SINGLE { 1 } else { names.len().isqrt() };
+        Self { names, rows }
     }
 
     /// Most peers that one entry exchanges rows with.
     pub(crate) fn fanout_max(&self) -> usize {
-        let rows = self.names.len().div_ceil(self.columns.max(1));
-        // A short last row serves several columns with each of its entries.
-        self.columns + rows + self.columns * 2
+        // The first entry of a shorter row stands for two columns.
+        self.names.len().div_ceil(self.rows) + 2 * self.rows
     }
 
     /// How `a` stands to `b`.
@@ -64,10 +71,14 @@
         if a == b {
             return Relation::None;
         }
-        if a / self.columns == b / self.columns {
-            return Relation::Row;
+        let (a, b) = (self.place(a), self.place(b));
+        if a.row == b.row {
+            Relation::Row
+        } else if a.serves(b) || b.serves(a) {
+            Relation::Column
+        } else {
+            Relation::None
         }
-        if self.serves(a, b) || self.serves(b, a) { Relation::Column } else { Relation::None }
     }
 
     /// The peers of `name` and how they stand to it.
@@ -76,11 +87,21 @@
         relations.filter(|(_, r)| *r != Relation::None).collect()
     }
 
-    /// Whether `a` is the one of its row for the column of `b`.
-    fn serves(&self, a: usize, b: usize) -> bool {
-        let row = a / self.columns * self.columns;
-        let length = (self.names.len() - row).min(self.columns);
-        let column = b % self.columns;
-        a - row == column % length
+    fn place(&self, at: usize) -> Place {
+        let base = self.names.len() / self.rows;
+        let longer = self.names.len() % self.rows;
+        let boundary = longer * (base + 1);
+        if at < boundary {
+            return Place { row: at / (base + 1), column: at % (base + 1), length: base + 1 };
+        }
+        let at = at - boundary;
+        Place { row: longer + at / base, column: at % base, length: base }
+    }
+}
+
+impl Place {
+    /// Whether it is the one of its row for the column of `other`.
+    fn serves(self, other: Self) -> bool {
+        self.column == other.column % self.length
     }
 }
