--- a/papaya-lab/src/kills/daemon.rs
+++ b/papaya-lab/src/kills/daemon.rs
@@ -24,6 +24,7 @@
 pub(crate) enum Signal {
     Stop,
     Continue,
+    Terminate,
 }
 
 /// A daemon and how it is started again.
@@ -58,6 +59,17 @@
         self.child.kill().await
     }
 
+    /// Asks the process to stop and waits until it has, then starts another.
+    pub(crate) async fn renew(&mut self) -> io::Result<()> {
+        self.signal(Signal::Terminate).await?;
+        let ended = self.child.wait().await?;
+        if !ended.success() {
+            return Err(io::Error::other(format!("a stopping process ended by {ended}")));
+        }
+        self.child = start(&self.program, &self.args)?;
+        Ok(())
+    }
+
     /// Stops or continues the process, by its id.
     pub(crate) async fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(id) = self.child.id() else {
@@ -66,6 +78,7 @@
         let name = match signal {
             Signal::Stop => "-STOP",
             Signal::Continue => "-CONT",
+            Signal::Terminate => "-TERM",
         };
         let done = Command::new("kill").args([name, &id.to_string()]).status().await?;
         if done.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
--- a/papaya-lab/src/kills/rig.rs
+++ b/papaya-lab/src/kills/rig.rs
@@ -131,6 +131,15 @@
         self.wait_ready(process).await
     }
 
+    /// Asks two agents to stop, waits until they have, and starts others in their place.
+    pub(crate) async fn renew_agents(&mut self, first: usize, second: usize) -> io::Result<()> {
+        let [one, other] =
+            self.agents.get_disjoint_mut([first, second]).map_err(io::Error::other)?;
+        tokio::try_join!(one.daemon.renew(), other.daemon.renew())?;
+        self.wait_ready(Process::Agent(first)).await?;
+        self.wait_ready(Process::Agent(second)).await
+    }
+
     /// The daemon of a process.
     pub(crate) fn daemon(&self, process: Process) -> &Daemon {
         &self.member(process).daemon
--- a/papaya-lab/src/kills/stops.rs
+++ b/papaya-lab/src/kills/stops.rs
@@ -18,6 +18,9 @@
 /// Wait between two looks at the counts.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// Time in which two agents are replaced, so that the load lasts as long as the stops.
+const RENEWED: Duration = Duration::from_millis(3500);
+
 /// Time for which an upstream that is back takes work before the next leaves.
 const BACK: Duration = Duration::from_secs(1);
 
@@ -35,6 +38,8 @@
     pub(crate) engine_seconds: Vec<f64>,
     /// The same of the leaving ledger.
     pub(crate) ledger_seconds: Vec<f64>,
+    /// Seconds from asking the two agents to stop to others being ready in their place.
+    pub(crate) renew_seconds: Vec<f64>,
     /// Streams that another engine went on with.
     pub(crate) continued: u64,
     /// Calls sent.
@@ -57,7 +62,7 @@
 /// Makes `stops` planned stops one after the other.
 pub(crate) async fn run_stops(stops: usize, seed: u64) -> io::Result<StopReport> {
     let mut rig = Rig::open(LAYOUT).await?;
-    let duration = (WATCHED + BACK) * stops as u32;
+    let duration = (WATCHED + BACK + RENEWED + BACK) * stops as u32;
     let plan = plan(&rig, duration, seed);
     let load = tokio::spawn(async move { run_plan(&plan, |_| {}).await });
     let mut report = StopReport::default();
@@ -70,6 +75,11 @@
         report.engine_seconds.push(last.engine.as_secs_f64());
         rig.publish(&[]);
         sleep(BACK).await;
+        // Their agents are replaced too, without a word in the document.
+        let since = Instant::now();
+        rig.renew_agents(ledger, LAYOUT.ledgers + engine).await?;
+        report.renew_seconds.push(since.elapsed().as_secs_f64());
+        sleep(BACK).await;
     }
     let load = load.await.map_err(io::Error::other)?;
     report.continued = rig.engines.iter().map(|e| e.counts().continued).sum();
