--- a/papaya-lab/src/demo/stage.rs
+++ b/papaya-lab/src/demo/stage.rs
@@ -1,17 +1,17 @@
 //! Opens everything, sends the load and performs the stops.
 
 use super::fleet::{self, credential};
-use super::processes::{Host, Stand, open_host, open_zone_entry};
+use super::processes::{Common, Host, Stand, open_host, open_zone_entry};
 use super::stop::{StopReport, perform};
 use super::summary::{Place, Summary};
 use crate::load::{Credential, ModelTarget, PlainTarget, Plan, run_plan};
 use crate::platform::{self, Platform, PlatformSettings};
+use crate::ports::free_addresses;
 use indexmap::IndexMap;
-use papayaproxy::Control;
-use papayaproxy::Name;
 use papayaproxy::ctl::survey;
 use papayaproxy::daemon::RunningEntry;
 use papayaproxy::fleet::Document;
+use papayaproxy::{Control, Name};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -99,23 +99,22 @@
 
 async fn open() -> io::Result<Stage> {
     let platform = platform::bind(PlatformSettings::default()).await?;
-    let control = Control::spawn()?;
     let sample = fleet::sample()?;
+    let mut addresses = free_addresses(sample.zones.len() + sample.upstreams.len())?;
+    let peers = addresses.split_off(sample.upstreams.len());
+    let document = fleet::place(sample, &addresses);
+    platform.publish(fleet::text(&document)?);
+    let control = Control::spawn()?;
+    let common = Common { control, platform: platform.addr(), peers };
     let mut hosts = Vec::new();
-    for name in sample.upstreams.keys() {
-        hosts.push(open_host(&sample, name, platform.addr(), &control).await?);
+    for name in document.upstreams.keys() {
+        hosts.push(open_host(&common, &document, name).await?);
     }
-    let agents: IndexMap<Name, SocketAddr> = hosts
-        .iter()
-        .filter_map(|h| Some((h.name.clone(), h.agent.as_ref()?.agent.address())))
-        .collect();
-    let document = fleet::place(sample, &agents);
-    platform.publish(fleet::text(&document)?);
     let mut entries = Vec::new();
-    for zone in document.zones.keys() {
-        entries.push(open_zone_entry(zone, platform.addr(), &control).await?);
+    for (zone, address) in document.zones.keys().zip(&common.peers) {
+        entries.push(open_zone_entry(&common, zone, *address).await?);
     }
-    Ok(Stage { platform, document, hosts, entries, _control: control })
+    Ok(Stage { platform, document, hosts, entries, _control: common.control })
 }
 
 impl Stage {
--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub(crate) mod ports;
 mod routing;
 mod spread;
 
