--- a/papayaproxy/src/entry/keys_api.rs
+++ b/papayaproxy/src/entry/keys_api.rs
@@ -2,7 +2,7 @@
 
 use super::codes;
 use super::constants::KEYS_LIMIT;
-use super::request::{Ask, Caller, PRIORITY_DEFAULT, read_body};
+use super::request::{Ask, Caller, PRIORITY_DEFAULT, deadline, read_body};
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::delivery::CallKind;
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use serde::Deserialize;
+use std::time::Duration;
 
 /// Path under which keys stand.
 const KEYS_PATH: &str = "/v1/keys";
@@ -45,6 +46,7 @@
 ) -> Result<Ask, Code> {
     let path = parts.uri.path();
     let rest = path.strip_prefix(KEYS_PATH).and_then(|r| r.strip_prefix('/'));
+    let limit = deadline(&parts, KEYS_LIMIT)?;
     let key = rest.filter(|k| !k.is_empty()).map(str::to_owned);
     match (&parts.method, key) {
         (&Method::POST, None) => {
@@ -52,20 +54,20 @@
             let issue = issue.map_err(|_| codes::KEYS_MALFORMED)?;
             let service = document.services.get_key_value(issue.service.as_str());
             let service = service.ok_or(codes::SERVICE_UNKNOWN)?.0.clone();
-            let ask = ask(id, caller, Action::Issue(issue.count), service);
+            let ask = ask(id, caller, Action::Issue(issue.count), service, limit);
             Ok(Ask { kind: CallKind::Idempotent, ..ask })
         }
-        (&Method::GET, Some(key)) => Ok(shown(id, caller, Action::Lookup, key)),
-        (&Method::DELETE, Some(key)) => Ok(shown(id, caller, Action::Revoke, key)),
+        (&Method::GET, Some(key)) => Ok(shown(id, caller, Action::Lookup, key, limit)),
+        (&Method::DELETE, Some(key)) => Ok(shown(id, caller, Action::Revoke, key, limit)),
         _ => Err(codes::KEYS_MALFORMED),
     }
 }
 
-fn shown(id: u64, caller: Caller, action: Action, key: String) -> Ask {
-    Ask { key: Some(key), ..ask(id, caller, action, Name::new()) }
+fn shown(id: u64, caller: Caller, action: Action, key: String, limit: Duration) -> Ask {
+    Ask { key: Some(key), ..ask(id, caller, action, Name::new(), limit) }
 }
 
-fn ask(id: u64, caller: Caller, action: Action, service: Name) -> Ask {
+fn ask(id: u64, caller: Caller, action: Action, service: Name, limit: Duration) -> Ask {
     Ask {
         id,
         caller,
@@ -77,7 +79,7 @@
         action,
         key: None,
         priority: PRIORITY_DEFAULT,
-        limit: KEYS_LIMIT,
+        limit,
         prompt: None,
         body: Bytes::new(),
     }
--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -118,7 +118,7 @@
     let (service, path) = split_path(&parts)?;
     let (service, entry) =
         document.services.get_key_value(service).ok_or(codes::SERVICE_UNKNOWN)?;
-    let limit = deadline(&parts, entry)?;
+    let limit = deadline(&parts, entry.deadline)?;
     let priority = priority(&parts)?;
     // A repeated call of an idempotent service needs no key, and is routed like any other.
     let key = header(&parts, KEY_HEADER).filter(|_| !entry.idempotent).map(str::to_owned);
@@ -165,9 +165,10 @@
     parts.headers.get(name).and_then(|v| v.to_str().ok())
 }
 
-fn deadline(parts: &Parts, service: &Service) -> Result<Duration, Code> {
+/// Time allowed for the whole answer; `usual` where the caller names none.
+pub(crate) fn deadline(parts: &Parts, usual: Duration) -> Result<Duration, Code> {
     let Some(value) = parts.headers.get("papaya-deadline") else {
-        return Ok(service.deadline);
+        return Ok(usual);
     };
     let text = value.to_str().ok();
     let limit = text.and_then(|t| humantime::parse_duration(t).ok());
