--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -7,7 +7,7 @@
 use crate::base::constants::{BODY_BYTES_MAX, DEADLINE_MAX};
 use crate::base::name::{Name, is_name};
 use crate::delivery::CallKind;
-use crate::fleet::{Document, Kind, Service, credential_digest};
+use crate::fleet::{Document, Kind, credential_digest};
 use crate::routing::{ModelKey, prompt_blocks};
 use crate::wire::{Action, Header};
 use bytes::Bytes;
