Let the start that decides a prompt's home grow while it is hot

Cause: when all prompts of a large workspace begin with the same long text, three homes get its whole load. Change: entries count how many of their requests share each block; a start with more than half of its homes' fair load is doubled in length. Upstreams are found by a map; an attempt sent before its upstream left and came back in the document is settled without a failed assertion. Ruled out: a fixed longer start, which would split what could share a home.

--- a/papayaproxy/src/routing/cache.rs
+++ b/papayaproxy/src/routing/cache.rs
@@ -4,7 +4,7 @@
 //! belief halves with time, and a gap drops whatever was believed before it.
 
 use super::codes;
-use super::constants::{BLOCK_TOKENS, EVICT_WINDOW, HOLDERS_MAX, MATCHES_MAX};
+use super::constants::{BLOCK_TOKENS, EVICT_WINDOW, HEAT_HALF, HEAT_MIN, HOLDERS_MAX, MATCHES_MAX};
 use indexmap::IndexMap;
 use std::hash::{BuildHasherDefault, Hasher};
 use std::time::Duration;
@@ -34,9 +34,28 @@
     seen: u32,
 }
 
+/// A count of requests that fades with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heat {
+    count: f32,
+    at: u32,
+}
+
+impl Heat {
+    fn read(&self, now: u32) -> f64 {
+        let age = f64::from(now.saturating_sub(self.at)) / 1e3;
+        f64::from(self.count) * (-age / HEAT_HALF).exp2()
+    }
+
+    fn add(&mut self, now: u32) {
+        *self = Self { count: self.read(now) as f32 + 1.0, at: now };
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Block {
     workspace: u32,
+    heat: Heat,
     holders: [Option<Holder>; HOLDERS_MAX],
 }
 
@@ -81,6 +100,8 @@
     blocks: IndexMap<u64, Block, BuildHasherDefault<KeyHasher>>,
     /// Beliefs of an upstream up to this time, in milliseconds, are void.
     void: Vec<u32>,
+    /// Every request.
+    heat: Heat,
     capacity: usize,
     cursor: usize,
     half_life: f64,
@@ -95,6 +116,7 @@
         Self {
             blocks: IndexMap::default(),
             void: Vec::new(),
+            heat: Heat::default(),
             capacity: capacity.max(EVICT_WINDOW),
             cursor: 0,
             half_life: half_life.as_secs_f64(),
@@ -129,13 +151,37 @@
         for &key in prefix {
             if !self.blocks.contains_key(&key) {
                 self.make_room();
-                self.blocks.insert(key, Block { workspace, holders: [None; HOLDERS_MAX] });
+                self.blocks.insert(
+                    key,
+                    Block { workspace, heat: Heat::default(), holders: [None; HOLDERS_MAX] },
+                );
             }
             let Some(block) = self.blocks.get_mut(&key) else { continue };
             put_holder(&mut block.holders, Holder { upstream, seen });
         }
     }
 
+    /// Counts a request with `prefix`.
+    pub(crate) fn count(&mut self, prefix: &[u64], now: Duration) {
+        let now = millis(now);
+        self.heat.add(now);
+        for key in prefix {
+            if let Some(block) = self.blocks.get_mut(key) {
+                block.heat.add(now);
+            }
+        }
+    }
+
+    /// The part of all requests of late that had the block `key`; 0 while there were few.
+    pub(crate) fn heat(&self, key: u64, now: Duration) -> f64 {
+        let now = millis(now);
+        let all = self.heat.read(now);
+        if all < HEAT_MIN {
+            return 0.0;
+        }
+        self.blocks.get(&key).map_or(0.0, |b| b.heat.read(now) / all)
+    }
+
     /// Drops the belief that an upstream holds the blocks.
     pub(crate) fn evict(&mut self, prefix: &[u64], upstream: u32) {
         for key in prefix {
--- a/papayaproxy/src/routing/candidates.rs
+++ b/papayaproxy/src/routing/candidates.rs
@@ -70,6 +70,7 @@
     /// Upstreams by index, in the document's order.
     pub upstreams: Vec<Candidate>,
     pub(crate) pools: IndexMap<Name, Pool>,
+    indices: IndexMap<Name, u32>,
     pub(crate) groups: usize,
 }
 
@@ -98,6 +99,7 @@
                 seed: xxh3_64(name.as_bytes()),
                 upstream: upstream.clone(),
             };
+            built.indices.insert(name.clone(), index as u32);
             built.upstreams.push(candidate);
             if seen.live && upstream.open {
                 built.offer(index as u32, &upstream.services);
@@ -109,7 +111,7 @@
 
     /// Finds the index of an upstream.
     pub fn index_of(&self, name: &str) -> Option<u32> {
-        self.upstreams.iter().position(|c| c.name == name).map(|i| i as u32)
+        self.indices.get(name).copied()
     }
 
     fn offer(&mut self, index: u32, services: &[Name]) {
--- a/papayaproxy/src/routing/constants.rs
+++ b/papayaproxy/src/routing/constants.rs
@@ -14,6 +14,15 @@
 /// Blocks of a prompt that decide its home.
 pub const HOME_BLOCKS: usize = 8;
 
+/// Part of its homes' fair load above which the start of a prompt is hot.
+pub(crate) const HOT_PART: f64 = 0.5;
+
+/// Time in which the heat of a block halves, in seconds.
+pub(crate) const HEAT_HALF: f64 = 30.0;
+
+/// Requests below which no block is hot.
+pub(crate) const HEAT_MIN: f64 = 50.0;
+
 /// Homes of a prompt that are scored.
 pub(crate) const HOMES: usize = 3;
 
--- a/papayaproxy/src/routing/home.rs
+++ b/papayaproxy/src/routing/home.rs
@@ -4,8 +4,17 @@
 use super::constants::{HOME_BLOCKS, HOMES};
 
 /// The hash that decides the home of a prefix; `None` for a prompt without a whole block.
-pub(crate) fn home_key(prefix: &[u64]) -> Option<u64> {
-    prefix.get(prefix.len().min(HOME_BLOCKS).checked_sub(1)?).copied()
+///
+/// It covers the first blocks, and twice as many as long as that start is hot: a start that a large
+/// part of all requests share would be more than its homes could serve.
+pub(crate) fn home_key(prefix: &[u64], is_hot: impl Fn(u64) -> bool) -> Option<u64> {
+    let mut depth = prefix.len().min(HOME_BLOCKS);
+    let mut key = *prefix.get(depth.checked_sub(1)?)?;
+    while depth < prefix.len() && is_hot(key) {
+        depth = (2 * depth).min(prefix.len());
+        key = prefix[depth - 1];
+    }
+    Some(key)
 }
 
 /// The members with the highest weights for `key` that `fits` lets through, best first.
--- a/papayaproxy/src/routing/load.rs
+++ b/papayaproxy/src/routing/load.rs
@@ -46,12 +46,14 @@
     pub circuit: Circuit,
     /// Since when it takes work, for slow start.
     pub since: Option<Duration>,
+    /// Number of the last attempt of the router before this state was made.
+    pub born: u64,
     /// Number of the next cache event.
     pub next_event: Option<u64>,
 }
 
 impl Load {
-    pub(crate) fn new(circuit: CircuitSettings, since: Option<Duration>) -> Self {
+    pub(crate) fn new(circuit: CircuitSettings, since: Option<Duration>, born: u64) -> Self {
         Self {
             report: None,
             taken: Duration::ZERO,
@@ -63,6 +65,7 @@
             call: CALL_SECONDS,
             circuit: Circuit::new(circuit),
             since,
+            born,
             next_event: None,
         }
     }
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -7,8 +7,8 @@
 use super::candidates::{Candidate, Candidates, Pool};
 use super::codes;
 use super::constants::{
-    DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, PEER_PART, SAMPLES, STALL_FACTOR, STALL_FLOOR,
-    STRAY_TRUST,
+    DRAWS, HOME_TRUST, HOMES, HOT_PART, INDEX_BLOCKS, PEER_PART, SAMPLES, STALL_FACTOR,
+    STALL_FLOOR, STRAY_TRUST,
 };
 use super::decision::{Decision, Reason, Refusal, Scored, ScoredList};
 use super::home::{home_key, homes};
@@ -169,7 +169,7 @@
             }
         }
         let since = (!first).then_some(now);
-        let fresh = || Load::new(self.settings.circuit, since);
+        let fresh = || Load::new(self.settings.circuit, since, self.serial);
         self.loads = kept.into_iter().map(|k| k.unwrap_or_else(fresh)).collect();
         self.index.renumber(&moved, next.upstreams.len());
         for (old, target) in self.candidates.upstreams.iter().zip(&moved) {
@@ -179,7 +179,7 @@
                 self.index.reset(index, now);
                 let load = &mut self.loads[index as usize];
                 let attempts = std::mem::take(&mut load.attempts);
-                *load = Load::new(self.settings.circuit, Some(now));
+                *load = Load::new(self.settings.circuit, Some(now), load.born);
                 load.attempts = attempts;
             }
         }
@@ -281,6 +281,7 @@
             probe: load.circuit.take(now),
         });
         self.index.store(workspace, request.prefix, decision.upstream, now);
+        self.index.count(request.prefix, now);
         Ticket {
             serial: self.serial,
             name: decision.name.clone(),
@@ -302,7 +303,7 @@
         let load = &mut self.loads[index as usize];
         let attempt = load.end(ticket.serial, now);
         assert!(
-            attempt.is_some(),
+            attempt.is_some() || ticket.serial <= load.born,
             "{}: attempt {} is not on its way",
             codes::TICKET_FOREIGN,
             ticket.serial
@@ -394,7 +395,9 @@
 
 impl Choice<'_> {
     fn find_homes(&mut self, pool: &Pool) {
-        let Some(key) = home_key(self.request.prefix) else { return };
+        let hot = HOT_PART * HOMES as f64 / pool.members.len().max(1) as f64;
+        let is_hot = |key: u64| self.router.index.heat(key, self.at.now) > hot;
+        let Some(key) = home_key(self.request.prefix, is_hot) else { return };
         self.homes = homes(&self.router.candidates, &pool.members, key, |i| self.fits(i));
     }
 
