Give prompts two homes in small pools

Cause: cut off with six engines, a zone spread its prefixes over half of them each. Change: two homes where a service has fewer than 12 upstreams.

--- a/papayaproxy/src/routing/constants.rs
+++ b/papayaproxy/src/routing/constants.rs
@@ -23,6 +23,9 @@
 /// Requests below which no block is hot.
 pub(crate) const HEAT_MIN: f64 = 50.0;
 
+/// Upstreams of a service below which a prompt has one home less.
+pub(crate) const SMALL_POOL: usize = 12;
+
 /// Homes of a prompt that are scored.
 pub(crate) const HOMES: usize = 3;
 
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -7,7 +7,7 @@
 use super::candidates::{Candidate, Candidates, Pool};
 use super::codes;
 use super::constants::{
-    DRAWS, HOME_TRUST, HOMES, HOT_PART, INDEX_BLOCKS, PEER_PART, SAMPLES, STALL_FACTOR,
+    DRAWS, HOME_TRUST, HOMES, HOT_PART, INDEX_BLOCKS, PEER_PART, SAMPLES, SMALL_POOL, STALL_FACTOR,
     STALL_FLOOR, STRAY_TRUST,
 };
 use super::decision::{Decision, Reason, Refusal, Scored, ScoredList};
@@ -399,6 +399,9 @@
         let is_hot = |key: u64| self.router.index.heat(key, self.at.now) > hot;
         let Some(key) = home_key(self.request.prefix, is_hot) else { return };
         self.homes = homes(&self.router.candidates, &pool.members, key, |i| self.fits(i));
+        if pool.members.len() < SMALL_POOL {
+            self.homes[HOMES - 1] = None;
+        }
     }
 
     fn score_all(&self, pool: &Pool, scored: &mut ScoredList, rng: &mut impl Rng) {
