--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -1,14 +1,19 @@
 //! Stand-ins, load tool and experiments for papayaproxy. Used on test machines only.
 
+pub mod bench;
 pub(crate) mod daemon;
+pub mod demo;
 pub mod engine;
 mod experts;
 pub mod forward;
 pub mod http;
+pub mod kills;
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub(crate) mod ports;
 mod routing;
+mod spread;
 
 use clap::{ArgMatches, Command};
 use std::ffi::OsString;
@@ -28,8 +33,15 @@
     Subcommand { command: plain::command, run: plain::run },
     Subcommand { command: platform::command, run: platform::run },
     Subcommand { command: forward::command, run: forward::run },
+    Subcommand { command: demo::command, run: demo::run },
+    Subcommand { command: bench::command, run: bench::run },
     Subcommand { command: load::command, run: load::run },
+    Subcommand { command: kills::command, run: kills::run },
+    Subcommand { command: kills::stops_command, run: kills::run_stop_command },
+    Subcommand { command: kills::entry_command, run: kills::run_entry },
+    Subcommand { command: kills::agent_command, run: kills::run_agent },
     Subcommand { command: routing::command, run: routing::run },
+    Subcommand { command: spread::command, run: spread::run },
     Subcommand { command: experts::command, run: experts::execute },
 ];
 
--- a/papayaproxy/src/agent/process.rs
+++ b/papayaproxy/src/agent/process.rs
@@ -3,22 +3,26 @@
 use super::call::{failure, run_call};
 use super::client::UpstreamClient;
 use super::codes;
-use super::constants::CALLS_MAX;
-use super::links::accept_links;
+use super::constants::{CALLS_MAX, LEAVING_INTERVAL, STOP_LOOK};
+use super::desk::KeyDesk;
+use super::keyed::answer_keyed;
+use super::leaving::{Leaving, Piece};
+use super::links::{Stops, accept_links};
 use super::load::follow_load;
 use super::settings::AgentSettings;
 use crate::base::code::Code;
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
-use crate::membership::{Feed, LoadReport};
+use crate::delivery::KeyCore;
+use crate::drain::{Reason, Step, Wishes};
+use crate::membership::{Feed, Joined, LoadReport};
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
 use crate::wire::server::{IncomingCall, OpenGuard};
-use crate::wire::{Identity, LinkContext};
+use crate::wire::{Action, Identity};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::SystemTime;
-use tokio::net::TcpListener;
+use std::time::{Instant, SystemTime};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
@@ -28,6 +32,8 @@
     identity: Identity,
     feed: Feed,
     client: UpstreamClient,
+    desk: Arc<KeyDesk>,
+    leaving: Arc<Leaving>,
     stopping: AtomicBool,
     calls: AtomicUsize,
 }
@@ -38,31 +44,33 @@
     address: SocketAddr,
     ops: Ops,
     work: TaskTracker,
-    stop: CancellationToken,
+    stops: Stops,
     _guard: DropGuard,
 }
 
 impl Agent {
-    /// Binds the slot's address and serves links. `take` receives the upstream's load reports.
+    /// Serves links at the slot's address. `take` receives the upstream's load reports.
     ///
     /// # Errors
-    /// An address that cannot be bound, or an exporter that cannot be set up.
+    /// An operators' address that cannot be bound, or an exporter that cannot be set up.
     pub async fn open(
         settings: AgentSettings,
-        identity: Identity,
-        feed: Feed,
+        joined: Joined,
         take: impl Fn(LoadReport) + Send + 'static,
     ) -> Result<Self, ProcessError> {
         let metrics = Metrics::open().map_err(|reason| ProcessError::Metrics { reason })?;
-        // The exclusive bind keeps two agents of one host from serving at the same time.
-        let listener = bind(settings.address).await?;
+        let Joined { identity, feed, clock, listener } = joined;
         let address = listener.local_addr().unwrap_or(settings.address);
         let client = UpstreamClient::new(settings.target);
         let ops_address = settings.process.ops;
+        let keys = KeyCore::new(settings.process.name.clone(), identity.incarnation, settings.keys);
+        let secrets = settings.process.secrets.clone();
         let shared = Arc::new(Shared {
+            desk: Arc::new(KeyDesk::new(keys, clock, secrets)),
             identity: identity.clone(),
             feed: feed.clone(),
             client: client.clone(),
+            leaving: Arc::new(Leaving::new(settings.drain, clock)),
             stopping: AtomicBool::new(false),
             calls: AtomicUsize::new(0),
             settings,
@@ -71,15 +79,18 @@
             .await
             .map_err(|source| ProcessError::Listen { address: ops_address, source })?;
         let stop = CancellationToken::new();
+        let stops = Stops { accept: stop.child_token(), links: stop.clone() };
         let work = TaskTracker::new();
         let context = feed.link_context(identity, shared.settings.process.secrets.clone());
         let handle = call_handler(shared.clone(), work.clone());
-        tokio::spawn(accept_links(listener, context, handle, stop.clone()));
-        let load = follow_load(shared.settings.upstream.clone(), client, take);
+        tokio::spawn(accept_links(listener, context, handle, stops.clone()));
+        let load = follow_load(shared.settings.process.name.clone(), client, take);
         let stopped = stop.clone();
-        tokio::spawn(async move { stopped.run_until_cancelled(load).await });
+        let watched = watch_leaving(shared.clone());
+        let followed = async move { tokio::join!(load, watched) };
+        tokio::spawn(async move { stopped.run_until_cancelled(followed).await });
         shared.log_started(address, ops.address());
-        Ok(Self { shared, address, ops, work, _guard: stop.clone().drop_guard(), stop })
+        Ok(Self { shared, address, ops, work, stops, _guard: stop.drop_guard() })
     }
 
     /// The bound address of the slot.
@@ -97,18 +108,22 @@
         let name = self.shared.identity.name.clone();
         tracing::info!(event = events::PROCESS_STOPPING, role = "agent", %name, "stopping");
         self.shared.stopping.store(true, Ordering::SeqCst);
-        self.work.close();
-        self.work.wait().await;
-        self.stop.cancel();
+        // Entries that are refused open no new link, and the old ones last until all have heard.
+        self.stops.accept.cancel();
+        let since = Instant::now();
+        let linger = self.shared.settings.drain.linger;
+        loop {
+            match self.shared.check_leaving() {
+                Step::Overdue => break,
+                Step::Drained if since.elapsed() >= linger && self.work.is_empty() => break,
+                _ => tokio::time::sleep(STOP_LOOK).await,
+            }
+        }
+        self.stops.links.cancel();
         tracing::info!(event = events::PROCESS_STOPPED, role = "agent", %name, "stopped");
     }
 }
 
-/// Binds a listener.
-async fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    TcpListener::bind(address).await.map_err(|source| ProcessError::Listen { address, source })
-}
-
 /// Starts each call as a task of its own.
 fn call_handler(
     shared: Arc<Shared>,
@@ -116,11 +131,20 @@
 ) -> impl Fn(IncomingCall, OpenGuard) + Clone + Send + Sync + 'static {
     move |call, guard| {
         let shared = shared.clone();
+        let tasks = work.clone();
         work.spawn(async move {
             shared.calls.fetch_add(1, Ordering::SeqCst);
-            match shared.refusal(&call.head.service) {
-                Some(code) => drop(call.replier.fail(failure(code)).await),
-                None => run_call(call, &shared.client).await,
+            let piece = shared.begin(&call.head.service);
+            let keyed = call.head.key.is_some() || call.head.action != Action::Call;
+            match piece {
+                piece if keyed => {
+                    answer_keyed(call, &shared.desk, &shared.client, &tasks, piece).await;
+                }
+                Err(code) => drop(call.replier.fail(failure(code)).await),
+                Ok(piece) => {
+                    let movable = shared.is_idempotent(&call.head.service);
+                    run_call(call, &shared.client, piece, movable).await;
+                }
             }
             shared.calls.fetch_sub(1, Ordering::SeqCst);
             drop(guard);
@@ -128,15 +152,51 @@
     }
 }
 
+/// Follows the reasons for leaving, also while no call comes.
+async fn watch_leaving(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(LEAVING_INTERVAL);
+    loop {
+        ticks.tick().await;
+        // Before the first document nothing is known of a reason.
+        if shared.feed.is_ready() {
+            shared.check_leaving();
+        }
+    }
+}
+
 impl Shared {
-    /// Why a call to `service` is not taken, if it is not.
+    /// Takes a call to `service`, or says why it is not taken.
+    fn begin(&self, service: &Name) -> Result<Piece, Code> {
+        if let Some(code) = self.refusal(service) {
+            return Err(code);
+        }
+        self.leaving.begin(self.reason())
+    }
+
+    /// Why the agent takes no new work, by its document and its own stop.
+    fn reason(&self) -> Option<Reason> {
+        let document = self.feed.document.load();
+        let upstream = document.upstreams.get(&self.settings.process.name);
+        let stopping = self.stopping.load(Ordering::SeqCst);
+        Wishes { stopping, upstream, host_leaving: false }.reason(SystemTime::now())
+    }
+
+    fn check_leaving(&self) -> Step {
+        self.leaving.check(self.reason())
+    }
+
+    fn is_idempotent(&self, service: &Name) -> bool {
+        self.feed.document.load().services.get(service).is_some_and(|s| s.idempotent)
+    }
+
+    /// Why a call to `service` is not taken, if it is not and the agent is not leaving.
     fn refusal(&self, service: &Name) -> Option<Code> {
         let document = self.feed.document.load();
-        let Some(upstream) = document.upstreams.get(&self.settings.upstream) else {
+        let Some(upstream) = document.upstreams.get(&self.settings.process.name) else {
             return Some(codes::SERVICE_FOREIGN);
         };
-        if self.stopping.load(Ordering::SeqCst) || !upstream.takes_work(SystemTime::now()) {
-            return Some(codes::AGENT_LEAVING);
+        if !self.feed.is_ready() {
+            return Some(codes::AGENT_NOT_READY);
         }
         if !upstream.services.contains(service) {
             return Some(codes::SERVICE_FOREIGN);
@@ -149,15 +209,11 @@
     }
 
     fn status(&self) -> Status {
-        let document = self.feed.document.load();
-        let own = document.upstreams.get(&self.settings.upstream);
-        let open = own.is_some_and(|u| u.takes_work(SystemTime::now()));
-        let stopping = self.stopping.load(Ordering::SeqCst);
         let mut status = self.feed.status(&self.identity, &self.settings.process.zone);
         status.role = "agent".to_owned();
-        status.ready = open && !stopping;
-        status.leaving = stopping || own.is_some() && !open;
-        status.calls = self.calls.load(Ordering::Relaxed) as u64;
+        status.ready = self.feed.is_ready() && self.reason().is_none();
+        status.leaving = self.leaving.is_leaving();
+        status.calls = u64::from(self.leaving.in_progress());
         status
     }
 
@@ -167,7 +223,6 @@
             role = "agent",
             name = %self.identity.name,
             incarnation = %self.identity.incarnation,
-            upstream = %self.settings.upstream,
             %address,
             %ops,
             "open"
--- /dev/null
+++ b/papayaproxy/src/daemon/open.rs
@@ -0,0 +1,116 @@
+//! Opens whole processes: a member on the control thread and the role on the traffic threads.
+
+use crate::agent::{Agent, AgentSettings};
+use crate::base::clock::Clock;
+use crate::base::control::Control;
+use crate::base::error::ProcessError;
+use crate::entry::{Entry, EntrySettings};
+use crate::membership::{Joined, Member, Node, NodeError, NodeSettings, Process};
+use crate::settings::ProcessSettings;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+/// A running entry that takes part in membership.
+pub struct RunningEntry {
+    /// The entry.
+    pub entry: Entry,
+    /// Its member.
+    pub node: Node,
+}
+
+/// A running agent that takes part in membership.
+pub struct RunningAgent {
+    /// The agent.
+    pub agent: Agent,
+    /// Its member.
+    pub node: Node,
+}
+
+impl RunningEntry {
+    /// Lets the requests in progress finish, then closes everything.
+    pub async fn stop(self) {
+        self.entry.stop().await;
+    }
+}
+
+impl RunningAgent {
+    /// Lets the calls in progress finish, then closes everything.
+    pub async fn stop(self) {
+        self.agent.stop().await;
+    }
+}
+
+/// Opens an entry with its member on `control`.
+///
+/// # Errors
+/// An address that cannot be bound, or an exporter that cannot be set up.
+pub async fn open_entry(
+    settings: EntrySettings,
+    control: &Control,
+) -> Result<RunningEntry, ProcessError> {
+    let place =
+        Place { member: Member::Entry, address: settings.address, peers: settings.peers.clone() };
+    let (node, joined) = join(&settings.process, place, control).await?;
+    let entry = Entry::open(settings, joined).await?;
+    Ok(RunningEntry { entry, node })
+}
+
+/// Opens an agent with its member on `control`.
+///
+/// # Errors
+/// An address that cannot be bound, or an exporter that cannot be set up.
+pub async fn open_agent(
+    settings: AgentSettings,
+    control: &Control,
+) -> Result<RunningAgent, ProcessError> {
+    let place =
+        Place { member: Member::Agent, address: settings.address, peers: settings.peers.clone() };
+    let (node, joined) = join(&settings.process, place, control).await?;
+    let agent = Agent::open(settings, joined, node.reporter()).await?;
+    Ok(RunningAgent { agent, node })
+}
+
+/// What a process does, where peers reach it, and some peers.
+struct Place {
+    member: Member,
+    address: SocketAddr,
+    peers: Vec<SocketAddr>,
+}
+
+/// Binds the address of a process and starts its member on the control thread.
+async fn join(
+    settings: &ProcessSettings,
+    place: Place,
+    control: &Control,
+) -> Result<(Node, Joined), ProcessError> {
+    let clock = Clock::start();
+    let identity = settings.identity();
+    // The exclusive bind keeps two agents of one host from serving at the same time.
+    let address = place.address;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| ProcessError::Listen { address, source })?;
+    let process = Process {
+        name: identity.name.clone(),
+        zone: settings.zone.clone(),
+        member: place.member,
+        // Heartbeats use the same port over UDP.
+        address: listener.local_addr().unwrap_or(address),
+        incarnation: identity.incarnation,
+    };
+    let mut node = NodeSettings::new(process, settings.secrets.clone(), clock);
+    node.platform = Some(settings.platform);
+    node.peers = place.peers;
+    let node = spawn(node, control).await?;
+    let feed = node.feed();
+    Ok((node, Joined { identity, feed, clock, listener }))
+}
+
+async fn spawn(settings: NodeSettings, control: &Control) -> Result<Node, NodeError> {
+    let address = settings.process.address;
+    let node = control.handle().spawn(Node::spawn(settings)).await;
+    node.unwrap_or_else(|error| {
+        let source = std::io::Error::other(error.to_string());
+        Err(NodeError::Socket { address, source })
+    })
+}
--- a/papayaproxy/src/entry/attempt.rs
+++ b/papayaproxy/src/entry/attempt.rs
@@ -6,7 +6,9 @@
 use super::request::Ask;
 use super::verify::Verifier;
 use crate::base::code::Code;
+use crate::base::name::Name;
 use crate::delivery::Failure;
+use crate::drain::codes::PROCESS_STOPPING;
 use crate::wire::{Call, CallHead, LinkLost, Reply, ReplyHead};
 use bytes::{Bytes, BytesMut};
 use std::net::SocketAddr;
@@ -35,24 +37,39 @@
     Open(Box<OpenReply>),
 }
 
-/// Makes one attempt at `agent`, which may take until `deadline`.
+/// Where an attempt goes.
+#[derive(Clone, Copy)]
+pub(crate) struct Target<'a> {
+    pub(crate) upstream: &'a Name,
+    pub(crate) agent: SocketAddr,
+}
+
+/// Makes one attempt at `target`, which may take until `deadline`.
 ///
 /// # Errors
 /// How it failed; nothing of a reply was passed on.
 pub(crate) async fn attempt(
     ask: &Ask,
-    agent: SocketAddr,
+    target: Target<'_>,
     links: &Links,
     remaining: Duration,
     deadline: Instant,
 ) -> Result<Brought, Failure> {
-    let link = links.get(agent).await.map_err(|e| Failure::Unsent(e.code()))?;
-    let sent = link.call(call_head(ask, remaining), ask.body.clone()).await;
-    let mut call = sent.map_err(lost)?;
-    match timeout_at(deadline, receive(&mut call)).await {
+    let sending = async {
+        let link = links.get(target.agent, target.upstream).await.map_err(Failure::Unsent)?;
+        link.call(call_head(ask, remaining), ask.body.clone()).await.map_err(lost)
+    };
+    // A call that is dropped before it is queued is never written.
+    let late = Failure::Unsent(codes::REPLY_LATE);
+    let mut call = timeout_at(deadline, sending).await.map_err(|_| late)??;
+    let received = timeout_at(deadline, receive(&mut call)).await;
+    if matches!(received, Ok(Err(Failure::Refused(PROCESS_STOPPING)))) {
+        links.retire(target.agent);
+    }
+    match received {
         Ok(received) => received.map(|r| r.brought(call)),
-        Err(_) if call.is_written() => Err(Failure::Lost(codes::REPLY_LATE)),
-        Err(_) => Err(Failure::Unsent(codes::REPLY_LATE)),
+        Err(_) if call.withdraw() => Err(late),
+        Err(_) => Err(Failure::Lost(codes::REPLY_LATE)),
     }
 }
 
@@ -89,6 +106,10 @@
     let streams = is_event_stream(&head);
     let mut received =
         Received { head, body: BytesMut::new(), verifier: Verifier::new(), end: None };
+    if streams {
+        // The first event is awaited, so that a stalled engine can still be given up unseen.
+        received.take(call).await?;
+    }
     while !streams && received.end.is_none() && received.body.len() <= WHOLE_BYTES_MAX {
         received.take(call).await?;
     }
@@ -133,6 +154,7 @@
         method: ask.method.clone(),
         path: ask.path.clone(),
         headers: ask.headers.clone(),
+        action: ask.action,
         key: ask.key.clone(),
         priority: ask.priority,
         remaining,
--- a/papayaproxy/src/entry/mod.rs
+++ b/papayaproxy/src/entry/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod constants;
 pub(crate) mod events;
 pub(crate) mod gate;
+pub(crate) mod keyed;
+pub(crate) mod keys_api;
 pub(crate) mod links;
 pub(crate) mod meters;
 pub(crate) mod process;
@@ -14,6 +16,7 @@
 pub(crate) mod route;
 pub(crate) mod serve;
 pub(crate) mod settings;
+pub(crate) mod stream;
 pub(crate) mod verify;
 
 pub use process::Entry;
--- a/papayaproxy/src/entry/process.rs
+++ b/papayaproxy/src/entry/process.rs
@@ -11,14 +11,13 @@
 use crate::base::error::ProcessError;
 use crate::base::http::serve;
 use crate::limits::RetryBudget;
-use crate::membership::Feed;
+use crate::membership::{Feed, Joined};
 use crate::routing::Router;
 use crate::telemetry::{Metrics, Ops, Status, StatusSource, events};
 use crate::wire::Identity;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
@@ -45,7 +44,7 @@
     pub(crate) meters: Meters,
     /// Streamed replies in progress.
     pub(crate) work: TaskTracker,
-    settings: EntrySettings,
+    pub(crate) settings: EntrySettings,
     identity: Identity,
     stopping: AtomicBool,
 }
@@ -61,22 +60,15 @@
 }
 
 impl Entry {
-    /// Binds the callers' address and serves it.
+    /// Serves callers at the entry's address.
     ///
     /// # Errors
-    /// An address that cannot be bound, or an exporter that cannot be set up.
-    pub async fn open(
-        settings: EntrySettings,
-        identity: Identity,
-        feed: Feed,
-        clock: Clock,
-    ) -> Result<Self, ProcessError> {
+    /// An operators' address that cannot be bound, or an exporter that cannot be set up.
+    pub async fn open(settings: EntrySettings, joined: Joined) -> Result<Self, ProcessError> {
         let metrics = Metrics::open().map_err(|reason| ProcessError::Metrics { reason })?;
-        let (address, ops_address) = (settings.address, settings.process.ops);
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|source| ProcessError::Listen { address, source })?;
-        let address = listener.local_addr().unwrap_or(address);
+        let Joined { identity, feed, clock, listener } = joined;
+        let ops_address = settings.process.ops;
+        let address = listener.local_addr().unwrap_or(settings.address);
         let shared = Arc::new(Shared::new(settings, identity, feed, clock, &metrics));
         let ops = Ops::bind(ops_address, metrics, shared.clone().status_source())
             .await
@@ -108,6 +100,8 @@
         let name = self.shared.identity.name.clone();
         tracing::info!(event = events::PROCESS_STOPPING, role = "entry", %name, "stopping");
         self.shared.stopping.store(true, Ordering::SeqCst);
+        // The balancer goes on sending until it has heard that this entry is not ready.
+        tokio::time::sleep(self.shared.settings.drain.linger).await;
         self.stop.cancel();
         let _ = self.server.await;
         self.shared.work.close();
@@ -158,6 +152,11 @@
         }
     }
 
+    /// Whether there is a fleet document to serve by.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.feed.is_ready() && self.feed.document.load().generation > 0
+    }
+
     fn status_source(self: Arc<Self>) -> StatusSource {
         Arc::new(move || self.status())
     }
@@ -166,7 +165,7 @@
         let stopping = self.stopping.load(Ordering::SeqCst);
         let mut status = self.feed.status(&self.identity, &self.settings.process.zone);
         status.role = "entry".to_owned();
-        status.ready = status.generation > 0 && !stopping;
+        status.ready = self.is_ready() && !stopping;
         status.leaving = stopping;
         status.calls = u64::from(self.gate.running());
         status
--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -7,9 +7,9 @@
 use crate::base::constants::{BODY_BYTES_MAX, DEADLINE_MAX};
 use crate::base::name::{Name, is_name};
 use crate::delivery::CallKind;
-use crate::fleet::{Document, Kind, Service, credential_digest};
+use crate::fleet::{Document, Kind, credential_digest};
 use crate::routing::{ModelKey, prompt_blocks};
-use crate::wire::Header;
+use crate::wire::{Action, Header};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -22,7 +22,9 @@
 pub(crate) const SERVICES_PATH: &str = "/v1/services/";
 
 /// Headers that an entry reads itself and does not pass on.
-const OWN_HEADERS: [&str; 6] = [
+const OWN_HEADERS: [&str; 7] = [
+    // The body may be changed, and the client states its length anew.
+    "content-length",
     "papaya-workspace",
     "papaya-deadline",
     "papaya-priority",
@@ -31,8 +33,11 @@
     "idempotency-key",
 ];
 
+/// Header that carries an issued key.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+
 /// Priority of a request that names none.
-const PRIORITY_DEFAULT: u8 = 5;
+pub(crate) const PRIORITY_DEFAULT: u8 = 5;
 
 /// Highest priority.
 const PRIORITY_MAX: u8 = 9;
@@ -54,6 +59,7 @@
     pub(crate) method: String,
     pub(crate) path: String,
     pub(crate) headers: Vec<Header>,
+    pub(crate) action: Action,
     pub(crate) key: Option<String>,
     pub(crate) priority: u8,
     /// Time allowed for the whole answer.
@@ -66,19 +72,24 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Prompt {
     pub(crate) model: ModelKey,
+    pub(crate) version: u32,
+    pub(crate) adapter: Option<Name>,
     pub(crate) prefix: Vec<u64>,
     pub(crate) tokens: u32,
     pub(crate) output: u32,
 }
 
 /// The fields of a model request that an entry reads; the others pass through.
-#[derive(Deserialize)]
+#[derive(Deserialize, Default)]
+#[serde(default)]
 struct Completion<'a> {
-    #[serde(borrow, default)]
+    #[serde(borrow)]
+    model: Option<std::borrow::Cow<'a, str>>,
+    version: Option<u32>,
+    #[serde(borrow)]
     adapter: Option<std::borrow::Cow<'a, str>>,
-    #[serde(borrow, default)]
+    #[serde(borrow)]
     prompt: std::borrow::Cow<'a, str>,
-    #[serde(default)]
     max_tokens: Option<u32>,
 }
 
@@ -107,9 +118,10 @@
     let (service, path) = split_path(&parts)?;
     let (service, entry) =
         document.services.get_key_value(service).ok_or(codes::SERVICE_UNKNOWN)?;
-    let limit = deadline(&parts, entry)?;
+    let limit = deadline(&parts, entry.deadline)?;
     let priority = priority(&parts)?;
-    let key = header(&parts, "idempotency-key").map(str::to_owned);
+    // A repeated call of an idempotent service needs no key, and is routed like any other.
+    let key = header(&parts, KEY_HEADER).filter(|_| !entry.idempotent).map(str::to_owned);
     let kind = match (entry.idempotent, &key) {
         (true, _) => CallKind::Idempotent,
         (false, Some(_)) => CallKind::Keyed,
@@ -117,8 +129,11 @@
     };
     let mut headers = end_to_end(&parts.headers);
     headers.retain(|h| !OWN_HEADERS.contains(&h.name.as_str()));
-    let body = read_body(body).await?;
-    let prompt = prompt(&caller.workspace, entry, document, &body);
+    let mut body = read_body(body).await?;
+    let prompt = match &entry.kind {
+        Kind::Model(model) => Some(read_prompt(&caller.workspace, model, document, &mut body)?),
+        Kind::Plain => None,
+    };
     Ok(Ask {
         id,
         service: service.clone(),
@@ -126,6 +141,7 @@
         method: parts.method.as_str().to_owned(),
         path,
         headers,
+        action: Action::Call,
         key,
         priority,
         limit,
@@ -149,9 +165,10 @@
     parts.headers.get(name).and_then(|v| v.to_str().ok())
 }
 
-fn deadline(parts: &Parts, service: &Service) -> Result<Duration, Code> {
+/// Time allowed for the whole answer; `usual` where the caller names none.
+pub(crate) fn deadline(parts: &Parts, usual: Duration) -> Result<Duration, Code> {
     let Some(value) = parts.headers.get("papaya-deadline") else {
-        return Ok(service.deadline);
+        return Ok(usual);
     };
     let text = value.to_str().ok();
     let limit = text.and_then(|t| humantime::parse_duration(t).ok());
@@ -167,7 +184,7 @@
     number.filter(|p| *p <= PRIORITY_MAX).ok_or(codes::PRIORITY_INVALID)
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Code> {
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Code> {
     let collected = Limited::new(body, BODY_BYTES_MAX).collect().await;
     let collected = collected.map_err(|error| {
         let oversized = error.downcast_ref::<LengthLimitError>().is_some();
@@ -176,20 +193,42 @@
     Ok(collected?.to_bytes())
 }
 
-/// Reads what routing needs. A body of another form is left to the engine to judge.
-fn prompt(workspace: &str, service: &Service, document: &Document, body: &[u8]) -> Option<Prompt> {
-    let Kind::Model(model) = &service.kind else {
-        return None;
-    };
+/// Reads what routing needs of a model request, and names model and version in the body where
+/// the caller has left them out.
+fn read_prompt(
+    workspace: &str,
+    model: &Name,
+    document: &Document,
+    body: &mut Bytes,
+) -> Result<Prompt, Code> {
     let version = document.models.get(model).map_or(0, |m| m.version);
-    let empty = Completion { adapter: None, prompt: "".into(), max_tokens: None };
-    let completion: Completion<'_> = serde_json::from_slice(body).unwrap_or(empty);
+    let completion: Completion<'_> =
+        serde_json::from_slice(body).map_err(|_| codes::COMPLETION_MALFORMED)?;
+    if completion.model.as_ref().is_some_and(|m| **m != **model) {
+        return Err(codes::MODEL_FOREIGN);
+    }
+    let version = completion.version.unwrap_or(version);
     let key = ModelKey::new(model, version, completion.adapter.as_deref());
     let text = completion.prompt.as_bytes();
-    Some(Prompt {
+    let prompt = Prompt {
         model: key,
+        version,
+        adapter: completion.adapter.as_deref().map(Name::from),
         prefix: prompt_blocks(workspace, key, text),
         tokens: text.len().div_ceil(TOKEN_BYTES) as u32,
         output: completion.max_tokens.unwrap_or(OUTPUT_TOKENS_EXPECTED),
-    })
+    };
+    if completion.model.is_none() || completion.version.is_none() {
+        *body = name_model(body, model, version)?;
+    }
+    Ok(prompt)
+}
+
+fn name_model(body: &[u8], model: &Name, version: u32) -> Result<Bytes, Code> {
+    let malformed = |_| codes::COMPLETION_MALFORMED;
+    let mut fields: serde_json::Map<String, serde_json::Value> =
+        serde_json::from_slice(body).map_err(malformed)?;
+    fields.insert("model".to_owned(), model.as_str().into());
+    fields.insert("version".to_owned(), version.into());
+    serde_json::to_vec(&fields).map(Bytes::from).map_err(malformed)
 }
--- a/papayaproxy/src/entry/settings.rs
+++ b/papayaproxy/src/entry/settings.rs
@@ -1,5 +1,8 @@
 //! Settings of an entry.
 
+use crate::drain::{self, DrainSettings};
+use crate::limits;
+use crate::membership;
 use crate::routing;
 use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, process};
 use std::net::SocketAddr;
@@ -25,8 +28,14 @@
 ];
 
 /// Every table of settings that an entry reads.
-pub const TABLES: &[&[SettingRow]] =
-    &[process::ROWS, ROWS, routing::SETTINGS, crate::limits::SETTINGS];
+pub const TABLES: &[&[SettingRow]] = &[
+    process::ROWS,
+    ROWS,
+    routing::SETTINGS,
+    limits::SETTINGS,
+    drain::SETTINGS,
+    membership::SETTINGS,
+];
 
 /// The checked settings of an entry.
 #[derive(Clone, Debug)]
@@ -37,8 +46,12 @@
     pub address: SocketAddr,
     /// Requests that run at a time.
     pub capacity: u32,
+    /// Addresses of some peers.
+    pub peers: Vec<SocketAddr>,
     /// Settings of routing.
     pub routing: routing::Settings,
+    /// Times of a planned stop.
+    pub drain: DrainSettings,
 }
 
 impl EntrySettings {
@@ -57,8 +70,17 @@
         let process = ProcessSettings::read(reader);
         let address = process::read_address(reader, "entry");
         let capacity = reader.value("entry", "capacity", parse_capacity);
+        let peers = membership::read_peers(reader);
         let routing = routing::Settings::read(reader);
-        Some(Self { process: process?, address: address?, capacity: capacity?, routing: routing? })
+        let drain = DrainSettings::read(reader);
+        Some(Self {
+            process: process?,
+            address: address?,
+            capacity: capacity?,
+            peers: peers?,
+            routing: routing?,
+            drain: drain?,
+        })
     }
 }
 
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod console;
 pub mod ctl;
+pub mod daemon;
 pub mod delivery;
 pub mod drain;
 pub mod entry;
@@ -69,3 +70,10 @@
     telemetry::events::ROWS,
     wire::events::ROWS,
 ];
+
+/// The settings of every daemon.
+pub const SETTING_TABLES: &[(&str, &[&[settings::SettingRow]])] = &[
+    ("papaya-entry", entry::TABLES),
+    ("papaya-agent", agent::TABLES),
+    ("papaya-console", console::TABLES),
+];
--- a/papayaproxy/src/routing/candidates.rs
+++ b/papayaproxy/src/routing/candidates.rs
@@ -60,6 +60,8 @@
 pub(crate) struct Pool {
     pub members: Vec<u32>,
     pub near: usize,
+    /// Upstreams that nothing is heard of, tried only where no other can take a request.
+    pub silent: Vec<u32>,
 }
 
 /// Every upstream with the pools of the services.
@@ -70,6 +72,7 @@
     /// Upstreams by index, in the document's order.
     pub upstreams: Vec<Candidate>,
     pub(crate) pools: IndexMap<Name, Pool>,
+    indices: IndexMap<Name, u32>,
     pub(crate) groups: usize,
 }
 
@@ -98,24 +101,32 @@
                 seed: xxh3_64(name.as_bytes()),
                 upstream: upstream.clone(),
             };
+            built.indices.insert(name.clone(), index as u32);
             built.upstreams.push(candidate);
-            if seen.live && upstream.open {
-                built.offer(index as u32, &upstream.services);
+            if upstream.open {
+                built.offer(index as u32, &upstream.services, seen.live);
             }
         }
         built.sort_pools();
         built
     }
 
+    /// The live upstreams of a service, whether they take new work or not.
+    pub fn members(&self, service: &Name) -> impl Iterator<Item = &Candidate> {
+        let members = self.pools.get(service).map_or(&[][..], |p| &p.members);
+        members.iter().map(|i| &self.upstreams[*i as usize])
+    }
+
     /// Finds the index of an upstream.
     pub fn index_of(&self, name: &str) -> Option<u32> {
-        self.upstreams.iter().position(|c| c.name == name).map(|i| i as u32)
+        self.indices.get(name).copied()
     }
 
-    fn offer(&mut self, index: u32, services: &[Name]) {
+    fn offer(&mut self, index: u32, services: &[Name], live: bool) {
         for service in services {
             if let Some(pool) = self.pools.get_mut(service) {
-                pool.members.push(index);
+                let list = if live { &mut pool.members } else { &mut pool.silent };
+                list.push(index);
             }
         }
     }
--- a/papayaproxy/src/routing/decision.rs
+++ b/papayaproxy/src/routing/decision.rs
@@ -22,6 +22,8 @@
     Spilled,
     /// It was found by a scan of the whole pool.
     Scanned,
+    /// Nothing is heard of it, and no other upstream can take the request.
+    Silent,
 }
 
 impl Reason {
@@ -33,6 +35,7 @@
             Self::Drawn => "drawn",
             Self::Spilled => "spilled",
             Self::Scanned => "scanned",
+            Self::Silent => "silent",
         }
     }
 }
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -4,10 +4,11 @@
 //! choice takes microseconds.
 
 use super::cache::{Match, Matches, PrefixIndex};
-use super::candidates::{Candidates, Pool};
+use super::candidates::{Candidate, Candidates, Pool};
 use super::codes;
 use super::constants::{
-    DRAWS, HOME_TRUST, HOMES, INDEX_BLOCKS, SAMPLES, STALL_FACTOR, STALL_FLOOR, STRAY_TRUST,
+    DRAWS, HOME_TRUST, HOMES, HOT_PART, INDEX_BLOCKS, PEER_PART, SAMPLES, SMALL_POOL, STALL_FACTOR,
+    STALL_FLOOR, STRAY_TRUST,
 };
 use super::decision::{Decision, Reason, Refusal, Scored, ScoredList};
 use super::home::{home_key, homes};
@@ -119,8 +120,13 @@
     /// Step time of each lock-step group: that of its slowest rank, in seconds.
     groups: Vec<f64>,
     index: PrefixIndex,
+    /// Entries whose sends since a report the own ones stand for.
+    peers: f64,
     serial: u64,
     changes: Vec<Change>,
+    /// Leaves out the check of leave times, to show that the assertion catches it.
+    #[cfg(test)]
+    pub(crate) blind: bool,
 }
 
 impl Router {
@@ -132,8 +138,11 @@
             loads: Vec::new(),
             groups: Vec::new(),
             index: PrefixIndex::new(INDEX_BLOCKS, settings.half_life),
+            peers: 1.0,
             serial: 0,
             changes: Vec::new(),
+            #[cfg(test)]
+            blind: false,
         }
     }
 
@@ -142,6 +151,12 @@
         &self.candidates
     }
 
+    /// Takes the number of live entries, this one included. They share the upstreams, so what this
+    /// entry has sent since a report hints at what the others have.
+    pub fn observe_entries(&mut self, live: u32) {
+        self.peers = (f64::from(live) * PEER_PART).max(1.0);
+    }
+
     /// Takes new candidates. What is known of an upstream is kept while its incarnation stays.
     pub fn install(&mut self, next: Arc<Candidates>, now: Duration) {
         let first = self.candidates.upstreams.is_empty();
@@ -154,7 +169,7 @@
             }
         }
         let since = (!first).then_some(now);
-        let fresh = || Load::new(self.settings.circuit, since);
+        let fresh = || Load::new(self.settings.circuit, since, self.serial);
         self.loads = kept.into_iter().map(|k| k.unwrap_or_else(fresh)).collect();
         self.index.renumber(&moved, next.upstreams.len());
         for (old, target) in self.candidates.upstreams.iter().zip(&moved) {
@@ -164,7 +179,7 @@
                 self.index.reset(index, now);
                 let load = &mut self.loads[index as usize];
                 let attempts = std::mem::take(&mut load.attempts);
-                *load = Load::new(self.settings.circuit, Some(now));
+                *load = Load::new(self.settings.circuit, Some(now), load.born);
                 load.attempts = attempts;
             }
         }
@@ -253,7 +268,8 @@
         let load = &mut self.loads[index];
         let tokens = f64::from(request.prompt.saturating_sub(decision.cached));
         let stall = decision.first.mul_f64(STALL_FACTOR).max(STALL_FLOOR);
-        let ahead = if request.model.is_some() { load.waiting(now) + tokens } else { 0.0 };
+        let ahead =
+            if request.model.is_some() { load.waiting(now, self.peers) + tokens } else { 0.0 };
         load.attempts.push_back(Attempt {
             serial: self.serial,
             sent: now,
@@ -265,6 +281,7 @@
             probe: load.circuit.take(now),
         });
         self.index.store(workspace, request.prefix, decision.upstream, now);
+        self.index.count(request.prefix, now);
         Ticket {
             serial: self.serial,
             name: decision.name.clone(),
@@ -286,7 +303,7 @@
         let load = &mut self.loads[index as usize];
         let attempt = load.end(ticket.serial, now);
         assert!(
-            attempt.is_some(),
+            attempt.is_some() || ticket.serial <= load.born,
             "{}: attempt {} is not on its way",
             codes::TICKET_FOREIGN,
             ticket.serial
@@ -378,8 +395,13 @@
 
 impl Choice<'_> {
     fn find_homes(&mut self, pool: &Pool) {
-        let Some(key) = home_key(self.request.prefix) else { return };
+        let hot = HOT_PART * HOMES as f64 / pool.members.len().max(1) as f64;
+        let is_hot = |key: u64| self.router.index.heat(key, self.at.now) > hot;
+        let Some(key) = home_key(self.request.prefix, is_hot) else { return };
         self.homes = homes(&self.router.candidates, &pool.members, key, |i| self.fits(i));
+        if pool.members.len() < SMALL_POOL {
+            self.homes[HOMES - 1] = None;
+        }
     }
 
     fn score_all(&self, pool: &Pool, scored: &mut ScoredList, rng: &mut impl Rng) {
@@ -391,7 +413,11 @@
         self.draw(near, Reason::Drawn, scored, rng);
         self.draw(far, Reason::Spilled, scored, rng);
         if scored.iter().next().is_none() {
-            self.scan(&pool.members, scored);
+            self.scan(&pool.members, Reason::Scanned, scored);
+        }
+        if scored.iter().next().is_none() {
+            // Liveness is a belief: a call tells more than a refusal would.
+            self.scan(&pool.silent, Reason::Silent, scored);
         }
     }
 
@@ -409,12 +435,12 @@
         }
     }
 
-    fn scan(&self, members: &[u32], scored: &mut ScoredList) {
+    fn scan(&self, members: &[u32], reason: Reason, scored: &mut ScoredList) {
         let fitting = members.iter().filter(|&&i| self.fits(i));
         let best =
             fitting.min_by(|&&a, &&b| self.forecast(a).score.total_cmp(&self.forecast(b).score));
         if let Some(&index) = best {
-            self.score(index, Reason::Scanned, scored);
+            self.score(index, reason, scored);
         }
     }
 
@@ -452,6 +478,7 @@
             distance: candidate.distance,
             step: candidate.group.map(|g| self.router.groups[usize::from(g)]),
             cached: self.cached(index),
+            peers: self.router.peers,
         };
         forecast(self.request, &input, &self.router.settings, self.at.now)
     }
@@ -471,10 +498,18 @@
             candidate.role == crate::fleet::Role::Mixed || candidate.role == self.request.role;
         loaded
             && role
-            && candidate.takes_work(self.at.wall)
+            && self.takes_work(candidate)
             && !self.request.excluded.contains(&candidate.name)
     }
 
+    fn takes_work(&self, candidate: &Candidate) -> bool {
+        #[cfg(test)]
+        if self.router.blind {
+            return true;
+        }
+        candidate.takes_work(self.at.wall)
+    }
+
     fn any_in_time(&self, pool: &Pool) -> bool {
         let left = self.request.left.as_secs_f64();
         pool.members.iter().any(|&i| self.fits(i) && self.forecast(i).last <= left)
