--- a/papayaproxy/src/orders/codes.rs
+++ b/papayaproxy/src/orders/codes.rs
@@ -2,4 +2,12 @@
 
 use crate::base::code::codes;
 
-codes! {}
+codes! {
+    FENCE_REVERSED = 1800, Unknown, 500, "A fencing number did not rise. The process stops.";
+    ORDER_STALE = 1801, NotRun, 409, "A later order for the same target has been given.";
+    ORDER_DONE = 1802, Completed, 200, "The order has already taken effect; nothing was sent.";
+    ORDER_BUSY = 1803, NotRun, 503, "Another order to the engine is in progress.";
+    ORDER_EARLY = 1804, NotRun, 503, "Orders of a predecessor may still arrive; the agent does not order yet.";
+    AGENT_SUPERSEDED = 1805, NotRun, 409, "The engine has taken orders from a later agent; this one orders no more.";
+    ORDER_EXPIRED = 1806, NotRun, 409, "The order was decided too long ago to be sent.";
+}
