--- a/papaya-lab/src/kills/rig.rs
+++ b/papaya-lab/src/kills/rig.rs
@@ -2,11 +2,13 @@
 
 use super::caller::Caller;
 use super::daemon::{Daemon, free_address};
-use crate::engine::{self, Engine, EngineSettings, LoadedModel};
+use crate::engine::{self, Ask, Engine, EngineSettings, LoadedModel};
 use crate::http::Client;
-use crate::load::Credential;
+use crate::load::call::Call;
+use crate::load::{CallKind, Credential};
 use crate::plain::{self, Plain, PlainSettings};
 use crate::platform::{self, Platform, PlatformSettings};
+use bytes::Bytes;
 use http_body_util::Full;
 use humantime::format_rfc3339_seconds;
 use hyper::Request;
@@ -140,6 +142,12 @@
         self.wait_ready(Process::Agent(second)).await
     }
 
+    /// Asks an entry to stop, waits until it has, and starts another in its place.
+    pub(crate) async fn renew_entry(&mut self, i: usize) -> io::Result<()> {
+        self.entries[i].daemon.renew().await?;
+        self.wait_ready(Process::Entry(i)).await
+    }
+
     /// The daemon of a process.
     pub(crate) fn daemon(&self, process: Process) -> &Daemon {
         &self.member(process).daemon
@@ -172,6 +180,20 @@
     }
 }
 
+/// A streamed answer of `pieces` pieces.
+pub(crate) fn stream_call(prompt: String, pieces: u32, deadline: Duration) -> Call {
+    let (model, version) = ("pear".to_owned(), 1);
+    Call {
+        kind: CallKind::Model,
+        service: "assistant".to_owned(),
+        credential: credential(),
+        deadline,
+        keyed: false,
+        ask: Ask { model, version, prompt, max_tokens: pieces, ..Ask::default() },
+        body: Bytes::new(),
+    }
+}
+
 /// The workspace's credential.
 pub(crate) fn credential() -> Credential {
     Credential { workspace: WORKSPACE.to_owned(), token: TOKEN.to_owned() }
--- a/papayaproxy/src/delivery/codes.rs
+++ b/papayaproxy/src/delivery/codes.rs
@@ -24,6 +24,7 @@
     RUN_ABANDONED = 1218, Unknown, 502, "The agent lost the call to the upstream after it had started.";
     KEY_NEEDED = 1219, NotRun, 400, "The agent takes calls of this service only under an issued idempotency key.";
     KEY_UNISSUED = 1220, Unknown, 500, "The idempotency key is authentic, but this incarnation has not issued it.";
+    KEYS_WORKSPACE_FULL = 1221, NotRun, 429, "The workspace has as many idempotency keys of this agent as one workspace may; ask again later.";
     INVARIANT_SECOND_START = 1230, Unknown, 500, "Invariant: an idempotency key would have started twice.";
     INVARIANT_FALSE_NOT_RUN = 1231, Unknown, 500, "Invariant: not-run would have been said of a key that has started or may start.";
     INVARIANT_OUTCOME_CHANGED = 1232, Unknown, 500, "Invariant: the outcome of a finished key would have changed.";
--- a/papayaproxy/src/delivery/constants.rs
+++ b/papayaproxy/src/delivery/constants.rs
@@ -11,6 +11,9 @@
 /// Keys that are remembered at a time.
 pub(crate) const KEYS_MAX: usize = 200_000;
 
+/// Keys that are remembered of one workspace at a time.
+pub(crate) const WORKSPACE_KEYS_MAX: usize = 50_000;
+
 /// Bytes of replies that are kept.
 pub(crate) const REPLY_BYTES_MAX: usize = 16 << 20;
 
--- a/papayaproxy/src/delivery/keys.rs
+++ b/papayaproxy/src/delivery/keys.rs
@@ -85,7 +85,7 @@
     /// Issues `count` keys to a workspace for calls of one service.
     ///
     /// # Errors
-    /// `KEY_COUNT`, `KEYS_FULL`, or the code given to [`KeyCore::close`].
+    /// `KEY_COUNT`, `KEYS_FULL`, `KEYS_WORKSPACE_FULL`, or the code given to [`KeyCore::close`].
     pub fn issue(
         &mut self,
         count: u32,
@@ -104,7 +104,10 @@
         if held + count as usize > self.settings.keys_max {
             return Err(codes::KEYS_FULL);
         }
-        self.window.add(count as usize, now);
+        if self.window.of(workspace) + count as usize > self.settings.workspace_max {
+            return Err(codes::KEYS_WORKSPACE_FULL);
+        }
+        self.window.add(workspace, count as usize, now);
         tracing::info!(event = events::KEYS_ISSUED, %workspace, %service, count, "keys issued");
         Ok((0..count).map(|_| self.token(workspace, service, now)).collect())
     }
--- a/papayaproxy/src/delivery/tests/keys.rs
+++ b/papayaproxy/src/delivery/tests/keys.rs
@@ -3,6 +3,7 @@
 use super::super::codes;
 use super::super::keys::{Claim, KeyCore};
 use super::super::record::{Begin, Finish, Lookup};
+use super::super::settings::KeySettings;
 use super::{LIFE, RETENTION, claim, core, issue, reply, secs};
 use crate::base::code::Code;
 use crate::base::name::Incarnation;
@@ -143,6 +144,17 @@
     core.issue(1, &"north".into(), &"ledger".into(), secs(102)).unwrap();
 }
 
+#[test]
+fn issue_bounded_by_workspace() {
+    let settings = KeySettings { workspace_max: 2, ..super::settings() };
+    let mut core = KeyCore::new("ledger-1".into(), Incarnation(7), settings);
+    let mut ask = |name: &str, now| core.issue(2, &name.into(), &"ledger".into(), secs(now)).err();
+    assert_eq!(ask("north", 1), None);
+    assert_eq!(ask("north", 2), Some(codes::KEYS_WORKSPACE_FULL));
+    assert_eq!(ask("south", 2), None);
+    assert_eq!(ask("north", 102), None, "the first two have left the window");
+}
+
 #[test]
 #[should_panic(expected = "P1232")]
 fn finish_twice() {
