--- a/papaya-lab/src/kills/rig.rs
+++ b/papaya-lab/src/kills/rig.rs
@@ -58,6 +58,8 @@
     pub(crate) engines: usize,
     /// How long streams of a leaving upstream are left before they move.
     pub(crate) move_after: Duration,
+    /// How long callers wait beyond their deadline before an answer counts as missing.
+    pub(crate) patience: Duration,
 }
 
 /// The running rig.
@@ -119,7 +121,7 @@
 
     /// A caller that speaks to entry `i`.
     pub(crate) fn caller(&self, i: usize) -> Caller {
-        Caller::open(self.entries[i].address, credential())
+        Caller::open(self.entries[i].address, credential(), self.layout.patience)
     }
 
     /// Kills a process.
--- a/papaya-lab/src/kills/stops.rs
+++ b/papaya-lab/src/kills/stops.rs
@@ -10,8 +10,13 @@
 use tokio::time::{Instant, sleep};
 
 /// One of three ledgers and one of four engines leaves.
-const LAYOUT: Layout =
-    Layout { plains: 3, ledgers: 3, engines: 4, move_after: Duration::from_millis(1500) };
+const LAYOUT: Layout = Layout {
+    plains: 3,
+    ledgers: 3,
+    engines: 4,
+    move_after: Duration::from_millis(1500),
+    patience: Duration::from_millis(500),
+};
 
 /// How long the runs of a leaving upstream are watched; the limit is 3 s.
 const WATCHED: Duration = Duration::from_secs(4);
