--- a/papayaproxy/benches/planning.rs
+++ b/papayaproxy/benches/planning.rs
@@ -1,5 +1,7 @@
 //! Time to decide on moves: 128 experts, 60 layers, from 16 to 256 ranks.
 
+#![allow(missing_docs, reason = "criterion_group makes an undocumented function")]
+
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use papayaproxy::experts::{
     ExpertCount, ExpertMap, LoadCost, Popularity, RankReport, Shape, Situation, Weights, decide,
