--- a/papayaproxy/src/console/effects.rs
+++ b/papayaproxy/src/console/effects.rs
@@ -90,7 +90,13 @@
         let (old, new) = (fewest(before, service), fewest(after, service));
         let changed =
             format!("Service {service} has at least {new} upstreams at any time; before {old}.");
-        (old != new).then_some(changed)
+        match (old == new, new) {
+            (true, _) => None,
+            (false, 0) => Some(format!(
+                "Service {service} has NO upstream for some time: its calls are refused then."
+            )),
+            (false, _) => Some(changed),
+        }
     };
     after.services.keys().filter_map(text).collect()
 }
