--- a/papayaproxy/src/routing/candidates.rs
+++ b/papayaproxy/src/routing/candidates.rs
@@ -72,6 +72,7 @@
     /// Upstreams by index, in the document's order.
     pub upstreams: Vec<Candidate>,
     pub(crate) pools: IndexMap<Name, Pool>,
+    indices: IndexMap<Name, u32>,
     pub(crate) groups: usize,
 }
 
@@ -100,6 +101,7 @@
                 seed: xxh3_64(name.as_bytes()),
                 upstream: upstream.clone(),
             };
+            built.indices.insert(name.clone(), index as u32);
             built.upstreams.push(candidate);
             if upstream.open {
                 built.offer(index as u32, &upstream.services, seen.live);
@@ -109,9 +111,15 @@
         built
     }
 
+    /// The live upstreams of a service, whether they take new work or not.
+    pub fn members(&self, service: &Name) -> impl Iterator<Item = &Candidate> {
+        let members = self.pools.get(service).map_or(&[][..], |p| &p.members);
+        members.iter().map(|i| &self.upstreams[*i as usize])
+    }
+
     /// Finds the index of an upstream.
     pub fn index_of(&self, name: &str) -> Option<u32> {
-        self.upstreams.iter().position(|c| c.name == name).map(|i| i as u32)
+        self.indices.get(name).copied()
     }
 
     fn offer(&mut self, index: u32, services: &[Name], live: bool) {
