Add papaya-lab slopes: cost by size of documents, routing, keys, membership

Cause: docs/CAPACITY.md may only hold figures that a run gave. Change: lines measured over a range of sizes and extended to the size ahead. Ruled out: a counting allocator, which needs unsafe code; resident memory is read.

--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 pub(crate) mod ports;
 mod routing;
+mod slopes;
 mod spread;
 
 use clap::{ArgMatches, Command};
@@ -43,6 +44,7 @@
     Subcommand { command: routing::command, run: routing::run },
     Subcommand { command: spread::command, run: spread::run },
     Subcommand { command: experts::command, run: experts::execute },
+    Subcommand { command: slopes::command, run: slopes::run },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
--- /dev/null
+++ b/papaya-lab/src/slopes/command.rs
@@ -0,0 +1,43 @@
+//! The subcommand `slopes`.
+
+use super::line::Line;
+use super::{choices, documents, keys, members, plans};
+use clap::{Arg, ArgMatches, Command};
+use std::process::ExitCode;
+
+/// Parts that can be measured alone.
+const PARTS: [&str; 5] = ["document", "routing", "keys", "membership", "experts"];
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("slopes")
+        .about("Measures how cost grows with size, as a Markdown table for docs/CAPACITY.md")
+        .arg(
+            Arg::new("part")
+                .value_parser(PARTS)
+                .num_args(0..)
+                .help("Measures only these parts; all of them if none is named"),
+        )
+}
+
+/// Runs the subcommand.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let named: Vec<&String> = matches.get_many("part").into_iter().flatten().collect();
+    println!("| what | by | measured | slope | extended |\n|---|---|---|---|---|");
+    for part in PARTS {
+        if named.is_empty() || named.iter().any(|n| *n == part) {
+            lines(part).iter().for_each(|line| println!("{line}"));
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn lines(part: &str) -> Vec<Line> {
+    match part {
+        "document" => documents::measure(),
+        "routing" => choices::measure(),
+        "keys" => keys::measure(),
+        "membership" => members::measure(),
+        _ => plans::measure(),
+    }
+}
--- a/papayaproxy/src/membership/members.rs
+++ b/papayaproxy/src/membership/members.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Agents that are held to be live.
+    pub fn live_agents(&self) -> usize {
+        let agents = self.peers.values().filter(|p| p.process.member == Member::Agent);
+        agents.filter(|p| is_live(p)).count()
+    }
+
     /// Interval of this process' beats; it grows with its zone.
     pub fn interval(&self) -> Duration {
         let near = self.peers.values().filter(|p| self.is_near(p) && is_live(p)).count();
