Check replies in one place

Cause: two checks of pieces, length and checksum stood side by side. Change: an entry uses the streams' assembler, which drops and counts repeated and crossed pieces; a caller that brings a prior text of its own is followed from there.

--- a/papayaproxy/src/entry/attempt.rs
+++ b/papayaproxy/src/entry/attempt.rs
@@ -4,11 +4,11 @@
 use super::constants::WHOLE_BYTES_MAX;
 use super::links::Links;
 use super::request::Ask;
-use super::verify::Verifier;
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::delivery::Failure;
 use crate::drain::codes::PROCESS_STOPPING;
+use crate::streams::Assembler;
 use crate::wire::{Call, CallHead, LinkLost, Reply, ReplyHead};
 use bytes::{Bytes, BytesMut};
 use std::net::SocketAddr;
@@ -28,7 +28,7 @@
     /// What has come of the body already.
     pub(crate) begun: Bytes,
     pub(crate) call: Call,
-    pub(crate) verifier: Verifier,
+    pub(crate) assembler: Assembler,
 }
 
 /// What an attempt brought.
@@ -77,7 +77,7 @@
 struct Received {
     head: ReplyHead,
     body: BytesMut,
-    verifier: Verifier,
+    assembler: Assembler,
     end: Option<Code>,
 }
 
@@ -90,7 +90,7 @@
                 head: self.head,
                 begun: body,
                 call,
-                verifier: self.verifier,
+                assembler: self.assembler,
             })),
         }
     }
@@ -105,7 +105,7 @@
     };
     let streams = is_event_stream(&head);
     let mut received =
-        Received { head, body: BytesMut::new(), verifier: Verifier::new(), end: None };
+        Received { head, body: BytesMut::new(), assembler: Assembler::new(call.tag()), end: None };
     if streams {
         // The first event is awaited, so that a stalled engine can still be given up unseen.
         received.take(call).await?;
@@ -120,13 +120,16 @@
     async fn take(&mut self, call: &mut Call) -> Result<(), Failure> {
         match call.next().await.map_err(lost)? {
             Reply::Piece { sequence, data } => {
-                self.verifier.piece(sequence, &data).map_err(Failure::Lost)?;
+                let next = self.assembler.piece(call.tag(), sequence, &data);
                 call.consume(data.len());
-                self.body.extend_from_slice(&data);
+                if next.map_err(Failure::Lost)? {
+                    self.body.extend_from_slice(&data);
+                }
             }
             Reply::End(end) => {
-                self.verifier.end(&end).map_err(Failure::Lost)?;
-                self.end = Some(end.code);
+                if self.assembler.end(call.tag(), &end).map_err(Failure::Lost)? {
+                    self.end = Some(end.code);
+                }
             }
             Reply::Failure(failure) => return Err(Failure::Refused(failure.code)),
             Reply::Head(_) => return Err(Failure::Lost(codes::REPLY_CORRUPT)),
--- a/papayaproxy/src/entry/mod.rs
+++ b/papayaproxy/src/entry/mod.rs
@@ -17,7 +17,6 @@
 pub(crate) mod serve;
 pub(crate) mod settings;
 pub(crate) mod stream;
-pub(crate) mod verify;
 
 pub use process::Entry;
 pub use settings::{EntrySettings, TABLES};
--- a/papayaproxy/src/entry/pump.rs
+++ b/papayaproxy/src/entry/pump.rs
@@ -47,21 +47,23 @@
 }
 
 async fn pass(reply: OpenReply, body: &mut BodySender) -> Result<Code, Code> {
-    let OpenReply { begun, mut call, mut verifier, .. } = reply;
+    let OpenReply { begun, mut call, mut assembler, .. } = reply;
     if !begun.is_empty() {
         body.send_data(begun).await.map_err(|_| codes::CALLER_GONE)?;
     }
     loop {
         match call.next().await {
             Ok(Reply::Piece { sequence, data }) => {
-                verifier.piece(sequence, &data)?;
                 let length = data.len();
-                body.send_data(data).await.map_err(|_| codes::CALLER_GONE)?;
+                if assembler.piece(call.tag(), sequence, &data)? {
+                    body.send_data(data).await.map_err(|_| codes::CALLER_GONE)?;
+                }
                 call.consume(length);
             }
             Ok(Reply::End(end)) => {
-                verifier.end(&end)?;
-                return Ok(end.code);
+                if assembler.end(call.tag(), &end)? {
+                    return Ok(end.code);
+                }
             }
             Ok(Reply::Failure(failure)) => return Err(mid_stream(failure.code)),
             Ok(Reply::Head(_)) => return Err(codes::REPLY_CORRUPT),
--- a/papayaproxy/src/entry/stream.rs
+++ b/papayaproxy/src/entry/stream.rs
@@ -7,7 +7,6 @@
 use super::pump::{BodySender, finish};
 use super::request::Ask;
 use super::serve::TicketGuard;
-use super::verify::Verifier;
 use crate::agent::codes as agent;
 use crate::base::code::{Code, Outcome, row};
 use crate::base::name::Name;
@@ -20,6 +19,7 @@
     read_event,
 };
 use crate::wire::{Call, Reply, ReplyEnd, ReplyHead};
+use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +28,14 @@
 /// Header of an engine's reply that names its stream.
 const STREAM_HEADER: &str = "engine-stream";
 
+/// What a caller may have of the answer already.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Prior {
+    prior: String,
+    prior_tokens: u64,
+}
+
 /// Why an answer is not followed any further.
 enum Stop {
     /// The caller went away.
@@ -79,7 +87,8 @@
         let resumes = Resumes::new(model_ref(&ask, model), idempotent, upstream.clone());
         let ticket = ticket.map(|t| TicketGuard::new(shared.clone(), t));
         let source = Source { upstream, agent, stream: None, ticket };
-        let progress = Progress::default();
+        let prior: Prior = serde_json::from_slice(&ask.body).unwrap_or_default();
+        let progress = Progress::after(&prior.prior, prior.prior_tokens);
         Self { shared, ask, deadline, source, excluded: Vec::new(), progress, resumes, body }
     }
 
@@ -125,7 +134,7 @@
 
     /// Passes events on until the reply ends.
     async fn pass(&mut self, reply: OpenReply) -> Result<Code, Stop> {
-        let OpenReply { head, begun, mut call, mut verifier } = reply;
+        let OpenReply { head, begun, mut call, mut assembler } = reply;
         self.source.stream = stream_of(&head);
         let mut splitter = EventSplitter::default();
         splitter.push(&begun);
@@ -133,11 +142,16 @@
             self.pass_events(&mut splitter).await?;
             match self.next(&mut call).await? {
                 Reply::Piece { sequence, data } => {
-                    verifier.piece(sequence, &data).map_err(lost)?;
-                    splitter.push(&data);
+                    if assembler.piece(call.tag(), sequence, &data).map_err(lost)? {
+                        splitter.push(&data);
+                    }
                     call.consume(data.len());
                 }
-                Reply::End(end) => return self.end(&verifier, &end),
+                Reply::End(end) => {
+                    if assembler.end(call.tag(), &end).map_err(lost)? {
+                        return self.end(&end);
+                    }
+                }
                 Reply::Failure(failure) => {
                     return Err(Stop::Broken(cause(failure.code), failure.code));
                 }
@@ -180,8 +194,7 @@
     }
 
     /// A reply may be whole while the answer is not: then its engine broke off.
-    fn end(&self, verifier: &Verifier, end: &ReplyEnd) -> Result<Code, Stop> {
-        verifier.end(end).map_err(lost)?;
+    fn end(&self, end: &ReplyEnd) -> Result<Code, Stop> {
         if self.progress.is_whole() { Ok(end.code) } else { Err(lost(streams::END_MISSING)) }
     }
 
--- a/papayaproxy/src/streams/assembler.rs
+++ b/papayaproxy/src/streams/assembler.rs
@@ -5,17 +5,6 @@
 use crate::wire::{CallTag, ReplyEnd};
 use xxhash_rust::xxh3::Xxh3;
 
-/// What is to be done with a piece.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Taken {
-    /// It is the next one: pass it on.
-    Next,
-    /// It came late, twice, or for another call: drop it.
-    Dropped,
-    /// Pieces before it are missing: the reply has broken off.
-    Gap,
-}
-
 /// Counts of dropped pieces.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Drops {
@@ -50,27 +39,31 @@
         }
     }
 
-    /// Takes the piece numbered `sequence`.
-    pub fn piece(&mut self, tag: CallTag, sequence: u64, data: &[u8]) -> Taken {
+    /// Takes the piece numbered `sequence`. `Ok(false)` for a piece that is to be dropped: it came
+    /// late, twice, or for another call.
+    ///
+    /// # Errors
+    /// `PIECE_MISSING` where pieces before it did not come.
+    pub fn piece(&mut self, tag: CallTag, sequence: u64, data: &[u8]) -> Result<bool, Code> {
         if tag != self.tag {
             self.drops.crossed += 1;
-            return Taken::Dropped;
+            return Ok(false);
         }
         if self.ended {
             self.drops.late += 1;
-            return Taken::Dropped;
+            return Ok(false);
         }
         if sequence < self.next {
             self.drops.repeated += 1;
-            return Taken::Dropped;
+            return Ok(false);
         }
         if sequence > self.next {
-            return Taken::Gap;
+            return Err(codes::PIECE_MISSING);
         }
         self.next += 1;
         self.length += data.len() as u64;
         self.checksum.update(data);
-        Taken::Next
+        Ok(true)
     }
 
     /// Checks the end marker. `Ok(false)` for a marker that is to be dropped.
--- a/papayaproxy/src/streams/mod.rs
+++ b/papayaproxy/src/streams/mod.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use assembler::{Assembler, Drops, Taken};
+pub use assembler::{Assembler, Drops};
 pub use progress::{EventTaken, Progress};
 pub use resume::{Break, ModelRef, Plan, Replica, Resumes};
 pub use splitter::{EngineEvent, EventSplitter, TextPiece, read_event};
--- a/papayaproxy/src/streams/progress.rs
+++ b/papayaproxy/src/streams/progress.rs
@@ -27,6 +27,13 @@
 }
 
 impl Progress {
+    /// Goes on after `pieces` pieces that the caller brought itself, with their text.
+    pub fn after(prior: &str, pieces: u64) -> Self {
+        let mut progress = Self { next: pieces, ..Self::default() };
+        progress.keep(prior);
+        progress
+    }
+
     /// Takes an event of the engine that works on the answer now.
     ///
     /// # Errors
--- a/papayaproxy/src/streams/tests/assembler.rs
+++ b/papayaproxy/src/streams/tests/assembler.rs
@@ -1,6 +1,6 @@
 //! Tests of assembled replies, some of them randomised.
 
-use super::super::assembler::{Assembler, Taken};
+use super::super::assembler::Assembler;
 use super::super::codes;
 use crate::base::code::Code;
 use crate::base::name::Incarnation;
@@ -22,7 +22,7 @@
 #[case::workspace(CallTag { workspace: 8, ..TAG })]
 fn piece_crossed(#[case] other: CallTag) {
     let mut assembler = Assembler::new(TAG);
-    assert_eq!(assembler.piece(other, 0, b"x"), Taken::Dropped);
+    assert_eq!(assembler.piece(other, 0, b"x"), Ok(false));
     assert_eq!(assembler.end(other, &end_of(b"")), Ok(false));
     assert_eq!(assembler.drops().crossed, 2);
     assert!(!assembler.is_whole());
@@ -31,11 +31,14 @@
 #[test]
 fn end_wrong_length_and_checksum() {
     let mut assembler = Assembler::new(TAG);
-    assembler.piece(TAG, 0, b"pear");
+    assert_eq!(assembler.piece(TAG, 0, b"pear"), Ok(true));
+    assert_eq!(assembler.piece(TAG, 2, b"s"), Err(codes::PIECE_MISSING));
+    assert_eq!(assembler.piece(TAG, 0, b"pear"), Ok(false));
+    assert_eq!(assembler.drops().repeated, 1);
     assert_eq!(assembler.end(TAG, &end_of(b"pears")), Err(codes::LENGTH_MISMATCH));
     assert_eq!(assembler.end(TAG, &end_of(b"peas")), Err(codes::CHECKSUM_MISMATCH));
     assert_eq!(assembler.end(TAG, &end_of(b"pear")), Ok(true));
-    assert_eq!(assembler.piece(TAG, 1, b"s"), Taken::Dropped);
+    assert_eq!(assembler.piece(TAG, 1, b"s"), Ok(false));
     assert_eq!(assembler.drops().late, 1);
 }
 
@@ -57,7 +60,7 @@
                 }
                 continue;
             };
-            if assembler.piece(tag, i as u64, piece) == Taken::Next {
+            if assembler.piece(tag, i as u64, piece) == Ok(true) {
                 got.extend_from_slice(piece);
             }
             prop_assert!(sent.starts_with(&got));
--- a/papayaproxy/src/streams/tests/splitter.rs
+++ b/papayaproxy/src/streams/tests/splitter.rs
@@ -57,6 +57,13 @@
     assert!(progress.is_whole());
 }
 
+#[test]
+fn progress_after_own_prior() {
+    let mut progress = Progress::after("ab", 2);
+    assert_eq!(progress.take(&piece(2, "c")), Ok(EventTaken::Forward));
+    assert_eq!((progress.prior(), progress.pieces()), (Ok("abc"), 3));
+}
+
 #[test]
 fn progress_oversized_text() {
     let mut progress = Progress::default();
--- a/papayaproxy/src/wire/link.rs
+++ b/papayaproxy/src/wire/link.rs
@@ -149,6 +149,11 @@
         Ok(reply)
     }
 
+    /// What every part of its reply echoes.
+    pub fn tag(&self) -> CallTag {
+        self.tag
+    }
+
     /// Withdraws the call before it is written. `false` if bytes of it may have reached the agent.
     pub fn withdraw(&self) -> bool {
         self.sending.withdraw()
