--- a/papaya-lab/src/kills/stops.rs
+++ b/papaya-lab/src/kills/stops.rs
@@ -30,8 +30,8 @@
 /// Time for which an upstream that is back takes work before the next leaves.
 const BACK: Duration = Duration::from_secs(1);
 
-/// Time in which an entry is replaced.
-const ENTRY_RENEWED: Duration = Duration::from_millis(4000);
+/// Time in which an entry is replaced, its streams in progress included.
+const ENTRY_RENEWED: Duration = Duration::from_secs(9);
 
 /// Streams in progress at an entry that is asked to stop.
 const ENTRY_STREAMS: usize = 5;
