--- a/papaya-lab/src/kills/mod.rs
+++ b/papaya-lab/src/kills/mod.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod report;
 mod rig;
+mod rules;
 mod stops;
 mod trial;
 
--- a/papaya-lab/src/kills/rig.rs
+++ b/papaya-lab/src/kills/rig.rs
@@ -34,6 +34,10 @@
 const WORKSPACE: &str = "north";
 const TOKEN: &str = "north-secret";
 
+/// A second workspace and its credential.
+const OTHER_WORKSPACE: &str = "south";
+const OTHER_TOKEN: &str = "south-secret";
+
 /// Which process of the rig.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Process {
@@ -135,6 +139,13 @@
         self.wait_ready(process).await
     }
 
+    /// A caller of another workspace that speaks to entry `i`.
+    pub(crate) fn other_caller(&self, i: usize) -> Caller {
+        let credential =
+            Credential { workspace: OTHER_WORKSPACE.to_owned(), token: OTHER_TOKEN.to_owned() };
+        Caller::open(self.entries[i].address, credential, self.layout.patience)
+    }
+
     /// Asks two agents to stop, waits until they have, and starts others in their place.
     pub(crate) async fn renew_agents(&mut self, first: usize, second: usize) -> io::Result<()> {
         let [one, other] =
@@ -249,13 +260,13 @@
 }
 
 fn document(generation: u64, ledgers: usize, slots: &[SocketAddr], leaving: &[usize]) -> String {
-    let digest = credential_digest(TOKEN);
+    let (digest, other) = (credential_digest(TOKEN), credential_digest(OTHER_TOKEN));
     let mut text = format!(
         "[fleet]\nname = kills\ngeneration = {generation}\n[zone.z1]\nregion = local\n\
          [model.pear]\nversion = 1\n\
          [service.ledger]\nidempotent = no\ndeadline = 2s\n\
          [service.assistant]\nmodel = pear\nidempotent = yes\ndeadline = 10s\n\
-         [workspaces]\n{WORKSPACE} = 100 {digest}\n"
+         [workspaces]\n{WORKSPACE} = 100 {digest}\n{OTHER_WORKSPACE} = 100 {other}\n"
     );
     for (i, slot) in slots.iter().enumerate() {
         let service = if i < ledgers { "ledger" } else { "assistant" };
--- a/papaya-lab/src/kills/trial.rs
+++ b/papaya-lab/src/kills/trial.rs
@@ -4,6 +4,7 @@
 use super::daemon::Signal;
 use super::report::{Report, Step};
 use super::rig::{LOOK, Layout, Process, Rig, stream_call};
+use super::rules::check_rules;
 use crate::load::Verdict;
 use crate::plain::Runs;
 use bytes::Bytes;
@@ -53,6 +54,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut report = Report::default();
     let mut records = Vec::new();
+    check_rules(&rig, &mut report).await?;
     for number in 0..kills {
         let step = Step::ALL[number as usize % Step::ALL.len()];
         if step == Step::Stream {
