Measure memory of slopes in fresh processes

Cause: resident memory that an earlier part had freed was used again, so that later parts seemed to need none (keys: 0 KiB at 4,000 to 16,000). Change: each memory figure comes from a process of its own.

--- a/papaya-lab/src/slopes/command.rs
+++ b/papaya-lab/src/slopes/command.rs
@@ -2,7 +2,7 @@
 
 use super::line::Line;
 use super::{choices, documents, keys, members, plans};
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use std::process::ExitCode;
 
 /// Parts that can be measured alone.
@@ -12,6 +12,8 @@
 pub fn command() -> Command {
     Command::new("slopes")
         .about("Measures how cost grows with size, as a Markdown table for docs/CAPACITY.md")
+        .arg(Arg::new("held").long("held").hide(true).value_parser(PARTS))
+        .arg(Arg::new("size").long("size").hide(true).value_parser(value_parser!(usize)))
         .arg(
             Arg::new("part")
                 .value_parser(PARTS)
@@ -22,6 +24,11 @@
 
 /// Runs the subcommand.
 pub fn run(matches: &ArgMatches) -> ExitCode {
+    if let Some(held) = matches.get_one::<String>("held") {
+        let size = matches.get_one("size").copied().unwrap_or(0);
+        println!("{}", held_kib(held, size));
+        return ExitCode::SUCCESS;
+    }
     let named: Vec<&String> = matches.get_many("part").into_iter().flatten().collect();
     println!("| what | by | measured | slope | extended |\n|---|---|---|---|---|");
     for part in PARTS {
@@ -32,6 +39,17 @@
     ExitCode::SUCCESS
 }
 
+/// Memory of one part at one size; right only in a process that does nothing else.
+fn held_kib(part: &str, size: usize) -> f64 {
+    match part {
+        "document" => documents::held(size),
+        "keys" => keys::held(size),
+        "membership" => members::held(size),
+        "experts" => plans::held(size),
+        _ => f64::NAN,
+    }
+}
+
 fn lines(part: &str) -> Vec<Line> {
     match part {
         "document" => documents::measure(),
--- a/papaya-lab/src/slopes/documents.rs
+++ b/papaya-lab/src/slopes/documents.rs
@@ -1,7 +1,7 @@
 //! The fleet document: its text, its reading and its memory.
 
 use super::line::Line;
-use super::process::{held_kib, median};
+use super::process::{child_kib, held_kib, median};
 use papayaproxy::fleet::{credential_digest, parse, render};
 use std::fmt::Write;
 
@@ -37,6 +37,14 @@
     text
 }
 
+/// Memory of a read document with so many workspaces, in KiB.
+pub(crate) fn held(workspaces: usize) -> f64 {
+    let text = text(workspaces, UPSTREAMS);
+    // Reading takes memory of its own, which the copies then use again.
+    drop(parse(&text));
+    held_kib(|| (0..COPIES).map(|_| parse(&text)).collect::<Vec<_>>()) / COPIES as f64
+}
+
 /// Lines of the document.
 pub(crate) fn measure() -> Vec<Line> {
     let sizes = [1000, 4000, 8000, 13_000];
@@ -50,9 +58,7 @@
             median(RUNS, || drop(parse(&text))).as_secs_f64() * 1e3
         }),
         Line::measure("document, KiB of memory", "workspaces", &sizes, WORKSPACES, |n| {
-            let text = canonical(n);
-            let copies = || (0..COPIES).map(|_| parse(&text)).collect::<Vec<_>>();
-            held_kib(copies) / COPIES as f64
+            child_kib("document", n)
         }),
     ]
 }
--- a/papaya-lab/src/slopes/keys.rs
+++ b/papaya-lab/src/slopes/keys.rs
@@ -1,7 +1,7 @@
 //! Keys at an agent: memory and time of each.
 
 use super::line::Line;
-use super::process::{held_kib, median};
+use super::process::{child_kib, held_kib, median};
 use papayaproxy::delivery::{Claim, Finish, KeyCore, KeySettings, StoredReply};
 use papayaproxy::{Digest, Incarnation, Name};
 use std::sync::Arc;
@@ -23,13 +23,18 @@
 pub(crate) fn measure() -> Vec<Line> {
     let sizes = [2000, 4000, 8000, 16_000];
     vec![
-        Line::measure("keys, KiB of memory", "keys", &sizes, KEYS, |n| held_kib(|| filled(n))),
+        Line::measure("keys, KiB of memory", "keys", &sizes, KEYS, |n| child_kib("keys", n)),
         Line::measure("keys, ms for issue, start and end of all", "keys", &sizes, KEYS, |n| {
             median(RUNS, || drop(filled(n))).as_secs_f64() * 1e3
         }),
     ]
 }
 
+/// Memory of a key state with so many finished keys, in KiB.
+pub(crate) fn held(count: usize) -> f64 {
+    held_kib(|| filled(count))
+}
+
 /// A key state with `count` finished keys.
 fn filled(count: usize) -> KeyCore {
     let settings = KeySettings {
--- a/papaya-lab/src/slopes/members.rs
+++ b/papaya-lab/src/slopes/members.rs
@@ -2,7 +2,7 @@
 //! six zones. The cores run in virtual time; each beat is sealed, unsealed and counted as a datagram.
 
 use super::line::Line;
-use super::process::resident_kib;
+use super::process::{child_kib, held_kib};
 use indexmap::IndexMap;
 use papayaproxy::membership::{
     Beat, Candidate, LoadReport, Member, Members, Outgoing, Process, Standing,
@@ -80,8 +80,17 @@
     sent: IndexMap<SocketAddr, usize>,
 }
 
+/// Memory of one member's state in a fleet of so many processes, in KiB.
+pub(crate) fn held(processes: usize) -> f64 {
+    let run = || {
+        let mut fleet = Fleet::new(processes);
+        fleet.run(SETTLE);
+        fleet
+    };
+    held_kib(run) / processes as f64
+}
+
 fn cost(processes: usize) -> Cost {
-    let before = resident_kib();
     let mut fleet = Fleet::new(processes);
     fleet.run(SETTLE);
     fleet.sent.clear();
@@ -95,7 +104,7 @@
         mean_bytes: total as f64 / seconds / processes as f64,
         most_bytes: most as f64 / seconds,
         core_percent: 100.0 * spent.as_secs_f64() / seconds / processes as f64,
-        kib: (resident_kib() - before).max(0.0) / processes as f64,
+        kib: child_kib("membership", processes),
         known: fleet.known(),
     }
 }
