--- a/papayaproxy/src/routing/cache.rs
+++ b/papayaproxy/src/routing/cache.rs
@@ -125,6 +125,10 @@
 
     /// Takes a new numbering of the upstreams; `moved` maps old indices to new ones.
     pub(crate) fn renumber(&mut self, moved: &[Option<u32>], count: usize) {
+        let stays = |(old, new): (usize, &Option<u32>)| *new == Some(old as u32);
+        if moved.len() == count && moved.iter().enumerate().all(stays) {
+            return;
+        }
         let mut void = vec![0; count];
         for (old, new) in moved.iter().enumerate() {
             if let Some(new) = *new {
