Run every daemon through one runner; prepare candidates only on change

Change: one Main and run() for entry, agent and console; LogSettings and Reader::check in settings; candidates are prepared when the document, or who is live in which incarnation, has changed. Ruled out: leaving preparation to the view's changed signal, which also comes with every load report.

--- a/papayaproxy/src/agent/settings.rs
+++ b/papayaproxy/src/agent/settings.rs
@@ -3,8 +3,8 @@
 use crate::delivery::{self, KeySettings};
 use crate::drain::{self, DrainSettings};
 use crate::membership;
-use crate::settings::process;
 use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError};
+use crate::settings::{log, process};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -26,7 +26,7 @@
 
 /// Every table of settings that an agent reads.
 pub const TABLES: &[&[SettingRow]] =
-    &[process::ROWS, ROWS, delivery::SETTINGS, drain::SETTINGS, membership::SETTINGS];
+    &[process::ROWS, log::ROWS, ROWS, delivery::SETTINGS, drain::SETTINGS, membership::SETTINGS];
 
 /// The checked settings of an agent.
 #[derive(Clone, Debug)]
@@ -51,9 +51,7 @@
     /// # Errors
     /// Returns every mistake found.
     pub fn open(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
-        let mut reader = Reader::open(file, overrides, TABLES);
-        let settings = Self::read(&mut reader);
-        reader.finish(settings)
+        Reader::open(file, overrides, TABLES).check(Self::read)
     }
 
     /// Reads the settings; `None` if one is wrong, which the reader then reports.
--- a/papayaproxy/src/bin/papaya-console.rs
+++ b/papayaproxy/src/bin/papaya-console.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    papayaproxy::console::run(std::env::args_os())
+    papayaproxy::daemon::run_console(std::env::args_os())
 }
--- a/papayaproxy/src/console/mod.rs
+++ b/papayaproxy/src/console/mod.rs
@@ -1,7 +1,6 @@
 //! Operators' forms: edit, validate and hand back the next fleet document.
 
 pub(crate) mod codes;
-pub(crate) mod command;
 pub(crate) mod constants;
 pub(crate) mod draft;
 pub(crate) mod edit;
@@ -21,6 +20,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use command::run;
 pub use server::Console;
 pub use settings::{ConsoleSettings, TABLES};
--- a/papayaproxy/src/console/settings.rs
+++ b/papayaproxy/src/console/settings.rs
@@ -3,8 +3,7 @@
 use crate::base::digest::Digest;
 use crate::base::name::Name;
 use crate::settings::process::read_address;
-use crate::settings::{Reader, SettingRow, SettingsError, parse_name};
-use crate::telemetry::log::{LogFormat, parse_filter};
+use crate::settings::{LogSettings, Reader, SettingRow, SettingsError, log, parse_name};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -36,17 +35,10 @@
         default: None,
         meaning: "address and port of the platform's service",
     },
-    SettingRow { section: "log", key: "format", default: Some("text"), meaning: "text or json" },
-    SettingRow {
-        section: "log",
-        key: "filter",
-        default: Some("info"),
-        meaning: "log filter such as info or papayaproxy=debug",
-    },
 ];
 
 /// Every table of settings that the console reads.
-pub const TABLES: &[&[SettingRow]] = &[ROWS];
+pub const TABLES: &[&[SettingRow]] = &[ROWS, log::ROWS];
 
 /// The checked settings of the console.
 #[derive(Clone, Debug)]
@@ -59,10 +51,8 @@
     pub processes: Vec<SocketAddr>,
     /// Digest of each operator's credential.
     pub operators: IndexMap<Name, Digest>,
-    /// Form of log lines.
-    pub format: LogFormat,
-    /// Log filter.
-    pub filter: String,
+    /// The log.
+    pub log: LogSettings,
 }
 
 impl ConsoleSettings {
@@ -71,9 +61,7 @@
     /// # Errors
     /// Returns every mistake found.
     pub fn open(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
-        let mut reader = Reader::open(file, overrides, TABLES);
-        let settings = Self::read(&mut reader);
-        reader.finish(settings)
+        Reader::open(file, overrides, TABLES).check(Self::read)
     }
 
     /// Reads the settings; `None` if one is wrong, which the reader then reports.
@@ -82,15 +70,13 @@
         let platform = read_address(reader, "platform");
         let processes = reader.value("console", "processes", parse_addresses);
         let operators = reader.value("console", "operators", parse_operators);
-        let format = reader.value("log", "format", LogFormat::parse);
-        let filter = reader.value("log", "filter", parse_filter);
+        let log = LogSettings::read(reader);
         Some(Self {
             address: address?,
             platform: platform?,
             processes: processes.unwrap_or_default(),
             operators: operators?,
-            format: format?,
-            filter: filter?,
+            log: log?,
         })
     }
 }
--- a/papayaproxy/src/console/tests/pages.rs
+++ b/papayaproxy/src/console/tests/pages.rs
@@ -4,6 +4,7 @@
 use crate::base::http::{Body, full, serve};
 use crate::console::{Console, ConsoleSettings};
 use crate::fleet::{Document, parse, render};
+use crate::settings::LogSettings;
 use crate::telemetry::{LogFormat, Status};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -54,8 +55,7 @@
             platform: address,
             processes: vec![address],
             operators: [("anna", "a"), ("bert", "b")].map(|(n, c)| (n.into(), digest(c))).into(),
-            format: LogFormat::Text,
-            filter: "info".into(),
+            log: LogSettings { format: LogFormat::Text, filter: "info".into() },
         };
         let console = Console::bind(settings).await.unwrap();
         Self { console, document, status, _stop: stop.drop_guard() }
--- a/papayaproxy/src/daemon/mod.rs
+++ b/papayaproxy/src/daemon/mod.rs
@@ -5,4 +5,4 @@
 pub(crate) mod run;
 
 pub use open::{RunningAgent, RunningEntry, open_agent, open_entry};
-pub use run::{run_agent, run_entry};
+pub use run::{run_agent, run_console, run_entry};
--- a/papayaproxy/src/daemon/run.rs
+++ b/papayaproxy/src/daemon/run.rs
@@ -5,9 +5,9 @@
 use crate::agent::AgentSettings;
 use crate::base::control::Control;
 use crate::base::error::ProcessError;
+use crate::console::{Console, ConsoleSettings};
 use crate::entry::EntrySettings;
-use crate::settings::{ProcessSettings, SettingsError};
-use crate::telemetry::open_log;
+use crate::settings::{LogSettings, SettingsError};
 use std::ffi::OsString;
 use std::process::ExitCode;
 use tokio::runtime::Builder;
@@ -21,13 +21,12 @@
     let about = "Takes callers' requests and routes them to upstreams";
     let options = Options::read(&command("papaya-entry", about).get_matches_from(args));
     let settings = EntrySettings::open(options.settings.as_deref(), &options.overrides);
-    let settings = match accept(settings, &options, |s| &s.process) {
-        Ok(settings) => settings,
-        Err(exit) => return exit,
+    let main = Main {
+        log: |s: &EntrySettings| &s.process.log,
+        threads: |s: &EntrySettings| s.process.threads,
     };
-    let threads = settings.process.threads;
-    drive(threads, async move {
-        let control = Control::spawn().map_err(|source| ProcessError::Control { source })?;
+    run(settings, &options, main, |settings| async move {
+        let control = spawn_control()?;
         let entry = open_entry(settings, &control).await?;
         stopped().await;
         entry.stop().await;
@@ -40,13 +39,12 @@
     let about = "Guards one upstream: the only gate to it";
     let options = Options::read(&command("papaya-agent", about).get_matches_from(args));
     let settings = AgentSettings::open(options.settings.as_deref(), &options.overrides);
-    let settings = match accept(settings, &options, |s| &s.process) {
-        Ok(settings) => settings,
-        Err(exit) => return exit,
+    let main = Main {
+        log: |s: &AgentSettings| &s.process.log,
+        threads: |s: &AgentSettings| s.process.threads,
     };
-    let threads = settings.process.threads;
-    drive(threads, async move {
-        let control = Control::spawn().map_err(|source| ProcessError::Control { source })?;
+    run(settings, &options, main, |settings| async move {
+        let control = spawn_control()?;
         let agent = open_agent(settings, &control).await?;
         stopped().await;
         agent.stop().await;
@@ -54,11 +52,52 @@
     })
 }
 
+/// Runs `papaya-console` with `args`.
+pub fn run_console(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let about = "Operators' forms for the fleet document";
+    let options = Options::read(&command("papaya-console", about).get_matches_from(args));
+    let settings = ConsoleSettings::open(options.settings.as_deref(), &options.overrides);
+    let main = Main { log: |s: &ConsoleSettings| &s.log, threads: |_: &ConsoleSettings| 1 };
+    run(settings, &options, main, |settings| async move {
+        let address = settings.address;
+        let console = Console::bind(settings).await;
+        let _console = console.map_err(|source| ProcessError::Listen { address, source })?;
+        stopped().await;
+        Ok(())
+    })
+}
+
+/// Where a daemon's settings hold what its start needs.
+struct Main<T> {
+    log: fn(&T) -> &LogSettings,
+    threads: fn(&T) -> usize,
+}
+
+fn spawn_control() -> Result<Control, ProcessError> {
+    Control::spawn().map_err(|source| ProcessError::Control { source })
+}
+
+/// Runs `body` with checked settings, or reports what is wrong with them.
+fn run<T, F>(
+    settings: Result<T, SettingsError>,
+    options: &Options,
+    main: Main<T>,
+    body: impl FnOnce(T) -> F,
+) -> ExitCode
+where
+    F: Future<Output = Result<(), ProcessError>>,
+{
+    match accept(settings, options, main.log) {
+        Ok(settings) => drive((main.threads)(&settings), body(settings)),
+        Err(exit) => exit,
+    }
+}
+
 /// Opens the log, or gives the exit code where settings are wrong or were only to be checked.
 fn accept<T>(
     settings: Result<T, SettingsError>,
     options: &Options,
-    process: impl Fn(&T) -> &ProcessSettings,
+    log: fn(&T) -> &LogSettings,
 ) -> Result<T, ExitCode> {
     let settings = settings.map_err(|error| {
         eprintln!("{error}");
@@ -68,8 +107,7 @@
         println!("settings are valid");
         return Err(ExitCode::SUCCESS);
     }
-    let process = process(&settings);
-    open_log(process.format, &process.filter);
+    log(&settings).open();
     Ok(settings)
 }
 
--- a/papayaproxy/src/entry/route.rs
+++ b/papayaproxy/src/entry/route.rs
@@ -2,8 +2,9 @@
 
 use super::request::Ask;
 use crate::base::clock::Clock;
+use crate::base::digest::Digest;
 use crate::base::name::Name;
-use crate::fleet::Role;
+use crate::fleet::{Document, Role};
 use crate::membership::{Feed, View};
 use crate::routing::{
     Candidates, Decision, End, Moment, Presence, Refusal, Request, Router, Ticket,
@@ -14,6 +15,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::Xxh3;
 
 /// The router with its source of randomness.
 struct Core {
@@ -23,6 +25,16 @@
     taken: Vec<Duration>,
     /// Attempts that wait for their first byte, by number.
     waiting: HashMap<u64, CancellationToken>,
+    /// What the present candidates were prepared from.
+    basis: Option<Basis>,
+}
+
+/// What candidates are prepared from: the document, and who is live in which incarnation.
+#[derive(PartialEq, Eq)]
+struct Basis {
+    generation: u64,
+    digest: Digest,
+    presence: u64,
 }
 
 /// Chooses upstreams for the requests of one entry.
@@ -44,7 +56,7 @@
 impl Routes {
     pub(crate) fn new(router: Router, feed: Feed, zone: Name, clock: Clock) -> Self {
         let rng = SmallRng::from_rng(&mut rand::rng());
-        let core = Core { router, rng, taken: Vec::new(), waiting: HashMap::new() };
+        let core = Core { router, rng, taken: Vec::new(), waiting: HashMap::new(), basis: None };
         Self { core: Mutex::new(core), feed, zone, clock }
     }
 
@@ -106,11 +118,9 @@
     pub(crate) fn refresh(&self) {
         let document = self.feed.document.load();
         let view = self.feed.view.load();
-        let presence = |name: &Name| presence(&view, name);
-        let next = Candidates::prepare(&document, &self.zone, presence);
         let now = self.clock.now();
+        self.prepare(&document, &view, now);
         let mut core = self.lock();
-        core.router.install(Arc::new(next), now);
         core.router.observe_entries(view.entries);
         core.take_reports(&view, now);
         core.sweep(now);
@@ -118,6 +128,22 @@
         self.log_changes();
     }
 
+    /// Prepares candidates anew where the document or the presence of an upstream has changed.
+    fn prepare(&self, document: &Document, view: &View, now: Duration) {
+        let basis = Basis {
+            generation: document.generation,
+            digest: document.digest,
+            presence: presence_hash(view),
+        };
+        if self.lock().basis.as_ref() == Some(&basis) {
+            return;
+        }
+        let next = Candidates::prepare(document, &self.zone, |name| presence(view, name));
+        let mut core = self.lock();
+        core.router.install(Arc::new(next), now);
+        core.basis = Some(basis);
+    }
+
     fn log_changes(&self) {
         let changes = self.lock().router.take_changes();
         changes.iter().for_each(|c| c.log());
@@ -152,6 +178,15 @@
     }
 }
 
+fn presence_hash(view: &View) -> u64 {
+    let mut hash = Xxh3::new();
+    for upstream in view.upstreams.values() {
+        let incarnation = upstream.incarnation.map_or(0, |i| i.0);
+        hash.update(&(incarnation << 1 | u64::from(upstream.live)).to_le_bytes());
+    }
+    hash.digest()
+}
+
 fn presence(view: &View, name: &Name) -> Presence {
     let known = view.upstreams.get(name);
     Presence { live: known.is_some_and(|u| u.live), incarnation: known.and_then(|u| u.incarnation) }
--- a/papayaproxy/src/entry/settings.rs
+++ b/papayaproxy/src/entry/settings.rs
@@ -4,7 +4,7 @@
 use crate::limits;
 use crate::membership;
 use crate::routing;
-use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, process};
+use crate::settings::{ProcessSettings, Reader, SettingRow, SettingsError, log, process};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -30,6 +30,7 @@
 /// Every table of settings that an entry reads.
 pub const TABLES: &[&[SettingRow]] = &[
     process::ROWS,
+    log::ROWS,
     ROWS,
     routing::SETTINGS,
     limits::SETTINGS,
@@ -60,9 +61,7 @@
     /// # Errors
     /// Returns every mistake found.
     pub fn open(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
-        let mut reader = Reader::open(file, overrides, TABLES);
-        let settings = Self::read(&mut reader);
-        reader.finish(settings)
+        Reader::open(file, overrides, TABLES).check(Self::read)
     }
 
     /// Reads the settings; `None` if one is wrong, which the reader then reports.
--- a/papayaproxy/src/settings/mod.rs
+++ b/papayaproxy/src/settings/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod codes;
 pub(crate) mod error;
 pub(crate) mod events;
+pub(crate) mod log;
 pub(crate) mod process;
 pub(crate) mod reader;
 pub(crate) mod value;
@@ -11,6 +12,7 @@
 mod tests;
 
 pub use error::{Problem, SettingsError};
+pub use log::LogSettings;
 pub use process::ProcessSettings;
 pub use reader::{Reader, SettingRow};
 pub use value::{parse_duration, parse_name, parse_size};
--- a/papayaproxy/src/settings/process.rs
+++ b/papayaproxy/src/settings/process.rs
@@ -1,9 +1,9 @@
-//! Settings that every daemon has: identity, link keys, operators' endpoint, platform, log, threads.
+//! Settings of entries and agents: identity, link keys, operators' endpoint, platform, threads.
 
+use super::log::LogSettings;
 use super::reader::{Reader, SettingRow};
 use super::value::parse_name;
 use crate::base::name::{Incarnation, Name};
-use crate::telemetry::log::{LogFormat, parse_filter};
 use crate::wire::{Identity, Secret, Secrets};
 use std::net::SocketAddr;
 
@@ -52,12 +52,6 @@
         meaning: "address and port of the platform's service",
     },
     SettingRow { section: "log", key: "format", default: Some("text"), meaning: "text or json" },
-    SettingRow {
-        section: "log",
-        key: "filter",
-        default: Some("info"),
-        meaning: "log filter such as info or papayaproxy=debug",
-    },
 ];
 
 /// Most threads for traffic.
@@ -78,10 +72,8 @@
     pub ops: SocketAddr,
     /// Address of the platform's service.
     pub platform: SocketAddr,
-    /// Form of log lines.
-    pub format: LogFormat,
-    /// Log filter.
-    pub filter: String,
+    /// The log.
+    pub log: LogSettings,
 }
 
 impl ProcessSettings {
@@ -93,8 +85,7 @@
         let secrets = read_secrets(reader);
         let ops = read_address(reader, "ops");
         let platform = read_address(reader, "platform");
-        let format = reader.value("log", "format", LogFormat::parse);
-        let filter = reader.value("log", "filter", parse_filter);
+        let log = LogSettings::read(reader);
         Some(Self {
             name: name?,
             zone: zone?,
@@ -102,8 +93,7 @@
             secrets: secrets?,
             ops: ops?,
             platform: platform?,
-            format: format?,
-            filter: filter?,
+            log: log?,
         })
     }
 
--- a/papayaproxy/src/settings/reader.rs
+++ b/papayaproxy/src/settings/reader.rs
@@ -114,6 +114,18 @@
         });
     }
 
+    /// Reads settings with `read`.
+    ///
+    /// # Errors
+    /// Returns every mistake found.
+    pub fn check<T>(
+        mut self,
+        read: impl FnOnce(&mut Self) -> Option<T>,
+    ) -> Result<T, SettingsError> {
+        let built = read(&mut self);
+        self.finish(built)
+    }
+
     /// Gives `built` if nothing was wrong.
     ///
     /// # Errors
