--- a/papaya-lab/src/kills/rig.rs
+++ b/papaya-lab/src/kills/rig.rs
@@ -2,11 +2,13 @@
 
 use super::caller::Caller;
 use super::daemon::{Daemon, free_address};
-use crate::engine::{self, Engine, EngineSettings, LoadedModel};
+use crate::engine::{self, Ask, Engine, EngineSettings, LoadedModel};
 use crate::http::Client;
-use crate::load::Credential;
+use crate::load::call::Call;
+use crate::load::{CallKind, Credential};
 use crate::plain::{self, Plain, PlainSettings};
 use crate::platform::{self, Platform, PlatformSettings};
+use bytes::Bytes;
 use http_body_util::Full;
 use humantime::format_rfc3339_seconds;
 use hyper::Request;
@@ -32,6 +34,10 @@
 const WORKSPACE: &str = "north";
 const TOKEN: &str = "north-secret";
 
+/// A second workspace and its credential.
+const OTHER_WORKSPACE: &str = "south";
+const OTHER_TOKEN: &str = "south-secret";
+
 /// Which process of the rig.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Process {
@@ -56,6 +62,8 @@
     pub(crate) engines: usize,
     /// How long streams of a leaving upstream are left before they move.
     pub(crate) move_after: Duration,
+    /// How long callers wait beyond their deadline before an answer counts as missing.
+    pub(crate) patience: Duration,
 }
 
 /// The running rig.
@@ -117,7 +125,7 @@
 
     /// A caller that speaks to entry `i`.
     pub(crate) fn caller(&self, i: usize) -> Caller {
-        Caller::open(self.entries[i].address, credential())
+        Caller::open(self.entries[i].address, credential(), self.layout.patience)
     }
 
     /// Kills a process.
@@ -131,6 +139,13 @@
         self.wait_ready(process).await
     }
 
+    /// A caller of another workspace that speaks to entry `i`.
+    pub(crate) fn other_caller(&self, i: usize) -> Caller {
+        let credential =
+            Credential { workspace: OTHER_WORKSPACE.to_owned(), token: OTHER_TOKEN.to_owned() };
+        Caller::open(self.entries[i].address, credential, self.layout.patience)
+    }
+
     /// Asks two agents to stop, waits until they have, and starts others in their place.
     pub(crate) async fn renew_agents(&mut self, first: usize, second: usize) -> io::Result<()> {
         let [one, other] =
@@ -140,6 +155,12 @@
         self.wait_ready(Process::Agent(second)).await
     }
 
+    /// Asks an entry to stop, waits until it has, and starts another in its place.
+    pub(crate) async fn renew_entry(&mut self, i: usize) -> io::Result<()> {
+        self.entries[i].daemon.renew().await?;
+        self.wait_ready(Process::Entry(i)).await
+    }
+
     /// The daemon of a process.
     pub(crate) fn daemon(&self, process: Process) -> &Daemon {
         &self.member(process).daemon
@@ -172,6 +193,21 @@
     }
 }
 
+/// A streamed answer of `pieces` pieces.
+pub(crate) fn stream_call(prompt: String, pieces: u32, deadline: Duration) -> Call {
+    let (model, version) = ("pear".to_owned(), 1);
+    Call {
+        kind: CallKind::Model,
+        service: "assistant".to_owned(),
+        credential: credential(),
+        deadline,
+        keyed: false,
+        reference: String::new(),
+        ask: Ask { model, version, prompt, max_tokens: pieces, ..Ask::default() },
+        body: Bytes::new(),
+    }
+}
+
 /// The workspace's credential.
 pub(crate) fn credential() -> Credential {
     Credential { workspace: WORKSPACE.to_owned(), token: TOKEN.to_owned() }
@@ -225,13 +261,13 @@
 }
 
 fn document(generation: u64, ledgers: usize, slots: &[SocketAddr], leaving: &[usize]) -> String {
-    let digest = credential_digest(TOKEN);
+    let (digest, other) = (credential_digest(TOKEN), credential_digest(OTHER_TOKEN));
     let mut text = format!(
         "[fleet]\nname = kills\ngeneration = {generation}\n[zone.z1]\nregion = local\n\
          [model.pear]\nversion = 1\n\
          [service.ledger]\nidempotent = no\ndeadline = 2s\n\
          [service.assistant]\nmodel = pear\nidempotent = yes\ndeadline = 10s\n\
-         [workspaces]\n{WORKSPACE} = 100 {digest}\n"
+         [workspaces]\n{WORKSPACE} = 100 {digest}\n{OTHER_WORKSPACE} = 100 {other}\n"
     );
     for (i, slot) in slots.iter().enumerate() {
         let service = if i < ledgers { "ledger" } else { "assistant" };
