--- a/papayaproxy/src/experts/tests/mod.rs
+++ b/papayaproxy/src/experts/tests/mod.rs
@@ -3,3 +3,4 @@
 mod agreement;
 mod agreement_runs;
 mod placement;
+mod stall;
