--- a/papaya-lab/src/spread/cluster.rs
+++ b/papaya-lab/src/spread/cluster.rs
@@ -18,11 +18,14 @@
 /// Pause before an address is bound again.
 const BIND_PAUSE: Duration = Duration::from_millis(5);
 
+/// Missing reports that are shown.
+const SHOWN: usize = 6;
+
 /// Attempts to bind an address again.
 const BIND_TRIES: u32 = 400;
 
 /// Longest wait for processes to agree.
-pub(crate) const AGREE_LIMIT: Duration = Duration::from_secs(60);
+const AGREE_LIMIT: Duration = Duration::from_secs(60);
 
 /// One process.
 struct Slot {
@@ -195,6 +198,27 @@
         })
     }
 
+    /// The first few reports that entries lack, for a round that is given up.
+    pub(crate) fn missing_reports(&self, sequence: u64) -> Vec<String> {
+        let entries = self.slots.iter().filter(|s| s.place < self.plan.entries);
+        let missing = entries.flat_map(|slot| {
+            let view = slot.node.as_ref().map(|n| n.feed().view.load_full());
+            let name = process_name(&self.plan, slot.zone, slot.place);
+            let rows = view.into_iter().flat_map(move |v| {
+                let late = v.upstreams.clone().into_iter().filter_map(|(upstream, u)| {
+                    let found = u.report.as_ref().map_or(0, |r| r.sequence);
+                    (found < sequence).then(|| (upstream, found, u.live))
+                });
+                late.map(|(upstream, found, live)| (upstream, found, live, v.entries, v.peers))
+                    .collect::<Vec<_>>()
+            });
+            rows.map(move |row| format!("{name} {row:?}"))
+        });
+        let all: Vec<String> = missing.collect();
+        let count = format!("{} in all", all.len());
+        all.into_iter().take(SHOWN).chain(std::iter::once(count)).collect()
+    }
+
     /// Has every agent report a load with changing figures.
     pub(crate) fn report(&self, sequence: u64) {
         let agents = self.slots.iter().filter(|s| s.place >= self.plan.entries);
--- a/papaya-lab/src/spread/parts.rs
+++ b/papaya-lab/src/spread/parts.rs
@@ -1,6 +1,6 @@
 //! The parts of the experiment.
 
-use super::cluster::{AGREE_LIMIT, Cluster, LOOK_PAUSE};
+use super::cluster::{Cluster, LOOK_PAUSE};
 use super::cost::{Cost, print_times};
 use crate::platform::PlatformSwitches;
 use std::io;
@@ -12,6 +12,9 @@
 /// Time between two load reports of an agent.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Longest wait for one round of load reports.
+const REPORT_LIMIT: Duration = Duration::from_secs(5);
+
 /// Rounds of load reports that are measured.
 const REPORT_ROUNDS: u32 = 30;
 
@@ -49,16 +52,20 @@
         let current = sequence.fetch_add(1, Ordering::Relaxed);
         let started = Instant::now();
         cluster.report(current);
-        let late = |started: Instant| started.elapsed() > AGREE_LIMIT;
+        let late = |started: Instant| started.elapsed() > REPORT_LIMIT;
         while !cluster.has_reports(current, true) && !late(started) {
             sleep(LOOK_PAUSE).await;
         }
+        if late(started) {
+            println!("reports: missing {:?}", cluster.missing_reports(current));
+        }
         near.push(started.elapsed());
         while !cluster.has_reports(current, false) && !late(started) {
             sleep(LOOK_PAUSE).await;
         }
         far.push(started.elapsed());
     }
+    println!("reports: a round is given up after {REPORT_LIMIT:?}");
     print_times("reports: time until every entry has those of its zone", near);
     print_times("reports: time until every entry has those of all zones", far);
 }
--- a/papayaproxy/src/membership/beats.rs
+++ b/papayaproxy/src/membership/beats.rs
@@ -2,8 +2,8 @@
 
 use super::codes;
 use super::constants::{
-    FULL_EVERY, GATEWAYS, HINTS, HOMES, INQUIRIES, PROBE_EVERY, PROBES_AT_START, REMOTE_EVERY,
-    RETRY_BEATS, ROWS_BYTES_MAX, START_BEATS, UNANSWERED_BEATS, WELCOME_DATAGRAMS,
+    FULL_EVERY, GATEWAYS, HINTS, HOMES, INQUIRIES, KNOWN_ENTRIES, PROBE_EVERY, PROBES_AT_START,
+    REMOTE_EVERY, RETRY_BEATS, ROWS_BYTES_MAX, START_BEATS, UNANSWERED_BEATS, WELCOME_DATAGRAMS,
 };
 use super::grid::{Relation, choose};
 use super::members::{Change, Members, Outgoing, Standing, is_live, is_live_entry};
@@ -90,6 +90,7 @@
         let rows = match (self.me.member, sender.member) {
             (Member::Entry, Member::Agent) => self.hints(&sender.name),
             (Member::Entry, Member::Entry) if joined => self.portraits(),
+            (Member::Agent, Member::Entry) if full => self.known_entries(&sender.name),
             _ if full => Vec::new(),
             _ => return Vec::new(),
         };
@@ -243,9 +244,18 @@
         names.into_iter().map(|n| self.peers[n].row(true)).collect()
     }
 
+    /// Some live entries, by which an entry that knows none finds the others.
+    fn known_entries(&self, asking: &Name) -> Vec<Row> {
+        let live = self.live_entries(&self.me.zone).filter(|n| *n != asking);
+        let chosen = choose(live, asking, KNOWN_ENTRIES);
+        chosen.into_iter().map(|n| self.peers[n].row(true)).collect()
+    }
+
+    /// Every live process, entries first, since the grid needs them.
     fn portraits(&self) -> Vec<Row> {
-        let live = self.peers.values().filter(|p| is_live(p));
-        live.map(|p| p.row(true)).collect()
+        let mut live: Vec<&Peer> = self.peers.values().filter(|p| is_live(p)).collect();
+        live.sort_by_key(|p| !is_live_entry(p));
+        live.into_iter().map(|p| p.row(true)).collect()
     }
 
     fn beat_to(
--- a/papayaproxy/src/membership/constants.rs
+++ b/papayaproxy/src/membership/constants.rs
@@ -29,6 +29,9 @@
 /// Entries up to which a zone's entries all exchange rows directly.
 pub(crate) const GRID_SINGLE: usize = 9;
 
+/// Time for which a silent entry keeps its place in the grid.
+pub(crate) const GRID_KEEP: Duration = Duration::from_secs(12);
+
 /// Missed beats after which a process is suspected.
 pub(crate) const SUSPECT_BEATS: u32 = 5;
 
@@ -48,7 +51,7 @@
 pub(crate) const ROWS_BYTES_MAX: usize = 1100;
 
 /// Datagrams with which a new process is told of its zone.
-pub(crate) const WELCOME_DATAGRAMS: usize = 4;
+pub(crate) const WELCOME_DATAGRAMS: usize = 8;
 
 /// Entries that an agent is told of with each answer.
 pub(crate) const HINTS: usize = 3;
@@ -112,3 +115,12 @@
 
 /// Peers that are asked after a link has shown a newer generation.
 pub(crate) const INQUIRIES: usize = 3;
+
+/// Entries that an agent tells an asking entry of.
+pub(crate) const KNOWN_ENTRIES: usize = 8;
+
+/// Reads of the list of hosts that a new process makes, since the list lags.
+pub(crate) const HOSTS_READS: u32 = 3;
+
+/// Time between these reads.
+pub(crate) const HOSTS_READ_PAUSE: Duration = Duration::from_secs(3);
--- a/papayaproxy/src/membership/members.rs
+++ b/papayaproxy/src/membership/members.rs
@@ -1,7 +1,9 @@
 //! The membership core: who runs, as told by beats. Without I/O, clock or randomness of its own.
 
 use super::codes;
-use super::constants::{BEAT_INTERVAL, CANDIDATES_MAX, FORGET_AFTER, REMOTE_EVERY, ZONE_SMALL};
+use super::constants::{
+    BEAT_INTERVAL, CANDIDATES_MAX, FORGET_AFTER, GRID_KEEP, REMOTE_EVERY, ZONE_SMALL,
+};
 use super::grid::{Grid, Relation, choose};
 use super::peer::{Liveness, Path, Peer};
 use super::report::{LoadReport, LoadedModel};
@@ -92,6 +94,8 @@
     ids: HashMap<u64, Name>,
     pub(super) candidates: Vec<Candidate>,
     entry_heard: Duration,
+    /// Time of the present beat.
+    now: Duration,
     #[cfg(test)]
     pub(crate) unguarded: bool,
 }
@@ -110,6 +114,7 @@
             ids: HashMap::new(),
             candidates: Vec::new(),
             entry_heard: now,
+            now,
             #[cfg(test)]
             unguarded: false,
         }
@@ -145,6 +150,7 @@
         beat: Beat,
         standing: Standing,
     ) -> Taken {
+        self.now = now;
         let mut taken = Taken::default();
         let full = matches!(beat.sender, Row::Full(_));
         let mut sender = beat.sender;
@@ -171,6 +177,7 @@
 
     /// Judges every process anew and forgets those long dead.
     pub(super) fn judge(&mut self, now: Duration) -> Vec<Change> {
+        self.now = now;
         let near = self.interval();
         let far = near * REMOTE_EVERY as u32;
         let me = &self.me;
@@ -287,9 +294,13 @@
         }
     }
 
-    /// The grid of the zone's live entries, this one included.
+    /// The grid of the zone's entries that were heard of lately, this one included.
     pub(super) fn grid(&self) -> Grid {
-        let mut names: Vec<Name> = self.live_entries(&self.me.zone).cloned().collect();
+        // The silent stay in the grid for a while: who leaves it moves the place of all others.
+        let heard = |p: &Peer| self.now.saturating_sub(p.heard) < GRID_KEEP;
+        let entry = |p: &&Peer| p.process.member == Member::Entry && heard(p);
+        let near = self.peers.values().filter(|p| entry(p) && self.is_near(p));
+        let mut names: Vec<Name> = near.map(|p| p.process.name.clone()).collect();
         if self.me.member == Member::Entry {
             names.push(self.me.name.clone());
         }
--- a/papayaproxy/src/membership/platform.rs
+++ b/papayaproxy/src/membership/platform.rs
@@ -3,7 +3,8 @@
 use super::actor::{HostList, NodeActor, PlatformAnswer, PlatformFailed};
 use super::budget::{Budget, back_off};
 use super::constants::{
-    HOSTS_BYTES_MAX, HOSTS_INTERVAL, HOSTS_PAUSE, READ_LIMIT, WATCH_SLACK, WATCH_WAIT,
+    HOSTS_BYTES_MAX, HOSTS_INTERVAL, HOSTS_PAUSE, HOSTS_READ_PAUSE, HOSTS_READS, READ_LIMIT,
+    WATCH_SLACK, WATCH_WAIT,
 };
 use super::error::PlatformError;
 use super::events;
@@ -119,17 +120,23 @@
     let _ = watching.wait_for(|w| *w).await;
 }
 
-/// Reads the list of hosts once, then at intervals while this process is a watcher.
+/// Reads the list of hosts a few times, then at intervals while this process is a watcher.
 pub(crate) async fn follow_hosts(reader: Reader, mut watching: watch::Receiver<bool>) {
     let mut failures = 0;
+    let mut reads = 0;
     loop {
+        reads += 1;
         match reader.read_hosts().await {
             Ok(hosts) => {
                 failures = 0;
                 if reader.actor.tell(HostList { hosts }).await.is_err() {
                     return;
                 }
-                sleep(HOSTS_INTERVAL).await;
+                let early = reads < HOSTS_READS;
+                sleep(if early { HOSTS_READ_PAUSE } else { HOSTS_INTERVAL }).await;
+                if early {
+                    continue;
+                }
             }
             Err(error) => {
                 failures += 1;
