--- a/papayaproxy/src/experts/search.rs
+++ b/papayaproxy/src/experts/search.rs
@@ -1,6 +1,8 @@
 //! Incremental changes of one layer, best gain per load first.
 
-use super::constants::{COOL_RANKS, POTENTIAL_SQUARINGS, SEARCH_GAIN_MIN};
+use super::constants::{
+    COOL_RANKS_MIN, COOL_SLOTS, POTENTIAL_SQUARINGS, SEARCH_GAIN_MIN, SEARCH_PATIENCE, WARM_RANKS,
+};
 use super::map::{LayerMap, Move, Shape};
 
 /// What a layer's placement is judged by.
@@ -40,6 +42,14 @@
     }
 }
 
+/// Change of one rank's loads.
+#[derive(Clone, Copy, Debug)]
+struct Shift {
+    rank: u16,
+    fast: f32,
+    slow: f32,
+}
+
 /// The state of a search in one layer.
 pub struct Search<'a> {
     demand: Demand<'a>,
@@ -51,7 +61,8 @@
     fast: Vec<f32>,
     slow: Vec<f32>,
     scale: Vec<f32>,
-    shift: Vec<(u16, f32, f32)>,
+    shift: Vec<Shift>,
+    at: Vec<u16>,
 }
 
 impl<'a> Search<'a> {
@@ -75,6 +86,7 @@
             slow: vec![0.0; ranks],
             scale: demand.pace.iter().map(|p| p * even).collect(),
             shift: Vec::new(),
+            at: vec![0; ranks],
         };
         search.sum_loads();
         search
@@ -93,13 +105,24 @@
         LayerMap { slots: self.placed }
     }
 
-    /// Improves the placement by up to `steps` changes.
-    pub fn run(&mut self, steps: usize) -> Vec<Change> {
-        let mut changes = Vec::new();
+    /// Improves the placement by up to `steps` changes. Ends early once the last
+    /// [`SEARCH_PATIENCE`] changes gained less than `worth` for each load.
+    pub fn run(&mut self, steps: usize, worth: f64) -> Vec<Change> {
+        let mut changes: Vec<Change> = Vec::new();
+        let mut before = vec![self.skew()];
         for _ in 0..steps {
             let Some(best) = self.best() else { break };
             let moves = self.apply(best);
             changes.push(Change { moves, skew: self.skew() });
+            before.push(self.skew());
+            if changes.len() >= SEARCH_PATIENCE {
+                let recent = &changes[changes.len() - SEARCH_PATIENCE..];
+                let loads: usize = recent.iter().map(|c| c.moves.len()).sum();
+                let gain = before[changes.len() - SEARCH_PATIENCE] - self.skew();
+                if f64::from(gain) < worth * loads as f64 {
+                    break;
+                }
+            }
         }
         changes
     }
@@ -118,12 +141,13 @@
 
     fn best(&mut self) -> Option<Candidate> {
         let order = self.ranks_by_load();
-        let cool = &order[..order.len().min(COOL_RANKS)];
+        let cool = &order[..order.len().min((COOL_SLOTS / self.slots).max(COOL_RANKS_MIN))];
+        let warm: Vec<usize> = order.iter().rev().take(WARM_RANKS).copied().collect();
         let hot = self.hottest();
         let mut best = None;
         let mut score = SEARCH_GAIN_MIN;
         for &rank in hot.iter().take(if hot[0] == hot[1] { 1 } else { 2 }) {
-            for candidate in self.candidates(rank, cool) {
+            for candidate in self.candidates(rank, cool, &warm) {
                 let found = -self.change(candidate) / candidate.loads();
                 if found > score {
                     score = found;
@@ -156,16 +180,24 @@
         order
     }
 
-    fn candidates(&self, hot: usize, cool: &[usize]) -> Vec<Candidate> {
+    fn candidates(&self, hot: usize, cool: &[usize], warm: &[usize]) -> Vec<Candidate> {
         let mut found = Vec::new();
+        let mut others: Vec<usize> = warm
+            .iter()
+            .flat_map(|&r| (0..self.slots).map(move |slot| (r, slot)))
+            .map(|(r, slot)| self.expert(r, slot))
+            .filter(|&e| !self.has(hot, e))
+            .collect();
+        others.sort_unstable();
+        others.dedup();
         for slot in 0..self.slots {
             let expert = self.expert(hot, slot);
             for &rank in cool.iter().filter(|&&r| r != hot && !self.has(r, expert)) {
                 self.moves_to(hot, slot, rank, &mut found);
             }
             if self.hosts[expert].len() > 1 {
-                let others = (0..self.hosts.len()).filter(|&e| !self.has(hot, e));
-                found.extend(others.map(|expert| Candidate::Replace { rank: hot, slot, expert }));
+                let give = |&expert: &usize| Candidate::Replace { rank: hot, slot, expert };
+                found.extend(others.iter().map(give));
             }
         }
         found
@@ -190,7 +222,7 @@
         self.shifts(candidate);
         let lasting = f64::from(self.demand.lasting);
         let mut sum = 0.0;
-        for &(rank, fast, slow) in &self.shift {
+        for &Shift { rank, fast, slow } in &self.shift {
             let rank = usize::from(rank);
             let scale = self.scale[rank];
             let diff = |load: f32, by: f32| power((load + by) * scale) - power(load * scale);
@@ -239,13 +271,17 @@
     }
 
     fn add_shift(&mut self, rank: usize, fast: f32, slow: f32) {
+        let at = usize::from(self.at[rank]);
         let rank = rank as u16;
-        match self.shift.iter_mut().find(|s| s.0 == rank) {
+        match self.shift.get_mut(at).filter(|s| s.rank == rank) {
             Some(found) => {
-                found.1 += fast;
-                found.2 += slow;
+                found.fast += fast;
+                found.slow += slow;
+            }
+            None => {
+                self.at[usize::from(rank)] = self.shift.len() as u16;
+                self.shift.push(Shift { rank, fast, slow });
             }
-            None => self.shift.push((rank, fast, slow)),
         }
     }
 
@@ -256,7 +292,7 @@
 
     fn apply(&mut self, candidate: Candidate) -> Vec<Move> {
         self.shifts(candidate);
-        for &(rank, fast, slow) in &self.shift {
+        for &Shift { rank, fast, slow } in &self.shift {
             self.fast[usize::from(rank)] += fast;
             self.slow[usize::from(rank)] += slow;
         }
