--- a/papaya-lab/src/spread/cluster.rs
+++ b/papaya-lab/src/spread/cluster.rs
@@ -207,7 +207,7 @@
             let rows = view.into_iter().flat_map(move |v| {
                 let late = v.upstreams.clone().into_iter().filter_map(|(upstream, u)| {
                     let found = u.report.as_ref().map_or(0, |r| r.sequence);
-                    (found < sequence).then(|| (upstream, found, u.live))
+                    (found < sequence).then_some((upstream, found, u.live))
                 });
                 late.map(|(upstream, found, live)| (upstream, found, live, v.entries, v.peers))
                     .collect::<Vec<_>>()
