End the bench's processes when it is told to stop

Cause: a bench ended by SIGTERM left its five processes running. Change: it waits for the signal beside its rounds and drops them.

--- a/papaya-lab/src/bench/command.rs
+++ b/papaya-lab/src/bench/command.rs
@@ -57,7 +57,11 @@
     daemon::run(DRIVER_THREADS, async move {
         let rig = open(&rig).await?;
         let before = load_average();
-        let rows = run_rounds(&rig, settings, |line| println!("{line}")).await?;
+        // Told to stop, it still ends the processes that it started.
+        let rows = tokio::select! {
+            rows = run_rounds(&rig, settings, |line| println!("{line}")) => rows?,
+            _ = daemon::wait_stop() => return Ok(ExitCode::FAILURE),
+        };
         let summary = Summary { rows, machine: [before, load_average()] };
         print!("{summary}");
         if let Some(path) = json {
--- a/papaya-lab/src/daemon.rs
+++ b/papaya-lab/src/daemon.rs
@@ -87,7 +87,7 @@
 }
 
 /// Waits for SIGTERM or SIGINT.
-async fn wait_stop() -> io::Result<()> {
+pub(crate) async fn wait_stop() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
