Split the router and the experiment's loop into smaller files

Change: attempt.rs and choice.rs beside router.rs; state.rs, serving.rs and failing.rs beside world.rs.

--- a/papaya-lab/src/routing/mod.rs
+++ b/papaya-lab/src/routing/mod.rs
@@ -6,11 +6,14 @@
 pub(crate) mod command;
 pub(crate) mod constants;
 pub(crate) mod engine;
+pub(crate) mod failing;
 pub(crate) mod faults;
 pub(crate) mod figures;
 pub(crate) mod fleet;
 pub(crate) mod parts;
 pub(crate) mod policy;
+pub(crate) mod serving;
+pub(crate) mod state;
 pub(crate) mod workload;
 pub(crate) mod world;
 
--- a/papaya-lab/src/routing/world.rs
+++ b/papaya-lab/src/routing/world.rs
@@ -1,28 +1,23 @@
 //! The virtual-time loop: entries, engines and plain services with the cores that production runs.
 
 use super::constants::{
-    ATTEMPTS_MAX, ENGINES, ENTRIES, FAR, HEADROOM, MISSED_AFTER, NEAR, OUTPUT_TOKENS, PLAIN,
-    PLAIN_SLOTS, REPORT_EVERY, SLOTS, SWEEP_EVERY, ZONES,
+    ATTEMPTS_MAX, DEADLINE, ENGINES, ENTRIES, FAR, NEAR, OUTPUT_TOKENS, PLAIN, PLAIN_SLOTS,
+    REPORT_EVERY, SWEEP_EVERY, ZONES,
 };
 use super::engine::Engine;
-use super::faults::{Fault, FaultKind};
+use super::faults::Fault;
 use super::figures::{Ending, Figures};
-use super::fleet::{ASSISTANT, LEDGER, MODEL, RANKS, document, zone_of};
-use super::policy::{Pick, Picture, Policy, Seen};
-use super::workload::{Arrival, HOG, PARTS, workspaces};
-use indexmap::IndexMap;
+use super::fleet::{ASSISTANT, LEDGER, MODEL, document};
+use super::policy::{Pick, Policy};
+use super::state::{Entry, Job, cost, offer};
+use super::workload::{Arrival, HOG, workspaces};
 use papayaproxy::Name;
 use papayaproxy::fleet::{Document, Role};
-use papayaproxy::limits::{Admission, EntryShare, Offer, RetryBudget, Step, Verdict};
-use papayaproxy::membership::{LoadReport, LoadedModel};
-use papayaproxy::routing::{
-    Candidates, End, ModelKey, Moment, Presence, Request, Router, Settings, Ticket,
-};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
+use papayaproxy::limits::{Admission, Step, Verdict};
+use papayaproxy::membership::LoadReport;
+use papayaproxy::routing::{End, ModelKey, Moment, Request};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 /// What one run is made of.
@@ -41,7 +36,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(super) enum Event {
     Arrive(usize),
     Reach(usize, u32),
     StepEnd(usize),
@@ -57,47 +52,28 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Back {
+pub(super) enum Back {
     Done(u32),
     Failed,
     Refused,
 }
 
-struct Job {
-    attempt: u32,
-    upstream: usize,
-    ticket: Option<Ticket>,
-    tried: Vec<Name>,
-    admitted: Duration,
-    started: Duration,
-    first: bool,
-    ended: bool,
-}
-
-struct Entry {
-    picture: Picture,
-    gate: Admission,
-    retries: RetryBudget,
-    share: EntryShare,
-    serials: IndexMap<u64, usize>,
-}
-
 /// The state of a run.
 pub(crate) struct World<'a> {
-    plan: &'a Plan<'a>,
-    document: Document,
-    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
-    number: u64,
-    now: Duration,
-    entries: Vec<Entry>,
-    engines: Vec<Engine>,
-    plain: Vec<Admission>,
-    jobs: Vec<Job>,
-    reports: Vec<LoadReport>,
-    names: Vec<Name>,
-    services: [Name; 2],
-    cut: bool,
-    frozen: bool,
+    pub(super) plan: &'a Plan<'a>,
+    pub(super) document: Document,
+    pub(super) events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    pub(super) number: u64,
+    pub(super) now: Duration,
+    pub(super) entries: Vec<Entry>,
+    pub(super) engines: Vec<Engine>,
+    pub(super) plain: Vec<Admission>,
+    pub(super) jobs: Vec<Job>,
+    pub(super) reports: Vec<LoadReport>,
+    pub(super) names: Vec<Name>,
+    pub(super) services: [Name; 2],
+    pub(super) cut: bool,
+    pub(super) frozen: bool,
     pub figures: Figures,
     /// Sends by upstream and half second.
     pub sends: Vec<Vec<u32>>,
@@ -107,7 +83,7 @@
 pub(crate) fn run<'a>(plan: &'a Plan<'a>) -> World<'a> {
     let mut world = World::new(plan);
     while let Some(Reverse((at, _, event))) = world.events.pop() {
-        if at > plan.span + super::constants::DEADLINE * 2 {
+        if at > plan.span + DEADLINE * 2 {
             break;
         }
         world.now = at;
@@ -160,7 +136,7 @@
         }
     }
 
-    fn push(&mut self, at: Duration, event: Event) {
+    pub(super) fn push(&mut self, at: Duration, event: Event) {
         self.number += 1;
         self.events.push(Reverse((at, self.number, event)));
     }
@@ -182,11 +158,11 @@
         }
     }
 
-    fn arrival(&self, job: usize) -> &'a Arrival {
+    pub(super) fn arrival(&self, job: usize) -> &'a Arrival {
         &self.plan.arrivals[job]
     }
 
-    fn measured(&self, job: usize) -> bool {
+    pub(super) fn measured(&self, job: usize) -> bool {
         self.arrival(job).at >= self.plan.warm
     }
 
@@ -281,136 +257,19 @@
         sends[slot] += 1;
     }
 
-    fn net(&self, entry: usize, upstream: usize) -> Duration {
+    pub(super) fn net(&self, entry: usize, upstream: usize) -> Duration {
         if entry % ZONES == upstream % ZONES { NEAR } else { FAR }
     }
 
-    fn reaches(&self, entry: usize, upstream: usize) -> bool {
+    pub(super) fn reaches(&self, entry: usize, upstream: usize) -> bool {
         !self.cut || entry.is_multiple_of(ZONES) == upstream.is_multiple_of(ZONES)
     }
 
-    fn current(&self, job: usize, attempt: u32) -> bool {
+    pub(super) fn current(&self, job: usize, attempt: u32) -> bool {
         !self.jobs[job].ended && self.jobs[job].attempt == attempt
     }
 
-    fn reach(&mut self, job: usize, attempt: u32) {
-        let arrival = self.arrival(job);
-        let upstream = self.jobs[job].upstream;
-        if !self.current(job, attempt) || !self.reaches(arrival.entry, upstream) {
-            return;
-        }
-        let offer = offer(id_of(job, attempt), arrival, &self.names[arrival.workspace]);
-        if arrival.plain {
-            return match self.plain[upstream - ENGINES].offer(offer, self.now) {
-                Verdict::Admit => self.push(self.now + arrival.call, Event::Served(job, attempt)),
-                Verdict::Queue { .. } => {}
-                Verdict::Refuse(_) => self.reply(job, attempt, Back::Refused),
-            };
-        }
-        if self.engines[upstream].failing {
-            return self.reply(job, attempt, Back::Failed);
-        }
-        match self.engines[upstream].gate.offer(offer, self.now) {
-            Verdict::Admit => self.begin(upstream, job, attempt),
-            Verdict::Refuse(_) => self.reply(job, attempt, Back::Refused),
-            Verdict::Queue { displaced } => {
-                self.engines[upstream].queued_tokens += u64::from(arrival.prompt);
-                if let Some(id) = displaced {
-                    self.unqueue(upstream, id);
-                }
-            }
-        }
-    }
-
-    /// Answers a request that lost its place at an agent.
-    fn unqueue(&mut self, engine: usize, id: u64) {
-        let (job, attempt) = job_of(id);
-        self.engines[engine].queued_tokens -= u64::from(self.arrival(job).prompt);
-        self.reply(job, attempt, Back::Refused);
-    }
-
-    fn begin(&mut self, engine: usize, job: usize, attempt: u32) {
-        let arrival = self.arrival(job);
-        self.jobs[job].started = self.now;
-        let output = arrival.output;
-        self.engines[engine].add(job, attempt, &arrival.prefix, arrival.prompt, output);
-        self.kick(engine);
-    }
-
-    fn kick(&mut self, engine: usize) {
-        let found = &mut self.engines[engine];
-        if found.stepping || found.stalled || found.running.is_empty() {
-            return;
-        }
-        let (took, decoding) = found.begin();
-        if self.now >= self.plan.warm {
-            self.figures.note_gap(took, decoding);
-        }
-        self.push(self.now + took, Event::StepEnd(engine));
-    }
-
-    fn step_end(&mut self, engine: usize) {
-        for progress in self.engines[engine].end() {
-            let (job, attempt) = (progress.job, progress.attempt);
-            let arrival = self.arrival(job);
-            let net = self.net(arrival.entry, engine);
-            if progress.first {
-                if self.measured(job) {
-                    self.figures.prompt_tokens += u64::from(arrival.prompt);
-                    self.figures.cached_tokens += u64::from(progress.cached);
-                }
-                self.push(self.now + net, Event::First(job, attempt));
-            }
-            if progress.last {
-                self.leave(engine, job);
-                self.reply(job, attempt, Back::Done(progress.cached));
-            }
-        }
-        self.drain_engine(engine);
-        self.kick(engine);
-    }
-
-    /// Frees the place that a request had at an engine's agent.
-    fn leave(&mut self, engine: usize, job: usize) {
-        let arrival = self.arrival(job);
-        let took = self.now - self.jobs[job].started;
-        let workspace = &self.names[arrival.workspace];
-        self.engines[engine].gate.release(workspace, cost(arrival), took);
-    }
-
-    fn drain_engine(&mut self, engine: usize) {
-        while let Some(step) = self.engines[engine].gate.next(self.now) {
-            match step {
-                Step::Expire(id) => self.unqueue(engine, id),
-                Step::Run(id) => {
-                    let (job, attempt) = job_of(id);
-                    self.engines[engine].queued_tokens -= u64::from(self.arrival(job).prompt);
-                    self.begin(engine, job, attempt);
-                }
-            }
-        }
-    }
-
-    fn served(&mut self, job: usize, attempt: u32) {
-        let arrival = self.arrival(job);
-        let upstream = self.jobs[job].upstream;
-        let workspace = self.names[arrival.workspace].clone();
-        let gate = &mut self.plain[upstream - ENGINES];
-        gate.release(&workspace, cost(arrival), arrival.call);
-        self.reply(job, attempt, Back::Done(0));
-        while let Some(step) = self.plain[upstream - ENGINES].next(self.now) {
-            let (Step::Run(id) | Step::Expire(id)) = step;
-            let (next, attempt) = job_of(id);
-            match step {
-                Step::Run(_) => {
-                    self.push(self.now + self.arrival(next).call, Event::Served(next, attempt));
-                }
-                Step::Expire(_) => self.reply(next, attempt, Back::Refused),
-            }
-        }
-    }
-
-    fn reply(&mut self, job: usize, attempt: u32, back: Back) {
+    pub(super) fn reply(&mut self, job: usize, attempt: u32, back: Back) {
         let net = self.net(self.arrival(job).entry, self.jobs[job].upstream);
         self.push(self.now + net, Event::Back(job, attempt, back));
     }
@@ -448,7 +307,7 @@
         }
     }
 
-    fn settle(&mut self, job: usize, end: End) {
+    pub(super) fn settle(&mut self, job: usize, end: End) {
         let Some(ticket) = self.jobs[job].ticket.take() else { return };
         let index = self.arrival(job).entry;
         let entry = &mut self.entries[index];
@@ -457,7 +316,7 @@
     }
 
     /// Tries a request again, or ends it as `otherwise`.
-    fn retry(&mut self, job: usize, otherwise: Ending) {
+    pub(super) fn retry(&mut self, job: usize, otherwise: Ending) {
         let arrival = self.arrival(job);
         let entry = &mut self.entries[arrival.entry];
         let workspace = &self.names[arrival.workspace];
@@ -502,53 +361,8 @@
         }
     }
 
-    fn report(&mut self, upstream: usize) {
-        if self.now < self.plan.span {
-            self.push(self.now + REPORT_EVERY, Event::Report(upstream));
-        }
-        if self.frozen {
-            return;
-        }
-        let report = self.measure(upstream);
-        self.reports.push(report);
-        self.push(self.now + self.plan.lag, Event::Heard(upstream, self.reports.len() - 1));
-    }
-
-    fn measure(&self, upstream: usize) -> LoadReport {
-        let sequence = self.reports.len() as u64;
-        let base = LoadReport { sequence, age: self.plan.lag, ..LoadReport::default() };
-        if upstream >= ENGINES {
-            let gate = &self.plain[upstream - ENGINES];
-            let (queued, running) = (gate.waiting() as u32, gate.running());
-            return LoadReport { queued, running, slots: PLAIN_SLOTS, ..base };
-        }
-        let engine = &self.engines[upstream];
-        let loaded = LoadedModel { model: MODEL.into(), version: 1, adapters: Vec::new() };
-        LoadReport {
-            queued: engine.gate.waiting() as u32,
-            running: engine.gate.running(),
-            slots: SLOTS,
-            waiting_tokens: engine.waiting_tokens(),
-            step: Duration::from_secs_f64(engine.step),
-            loaded: vec![loaded],
-            ..base
-        }
-    }
-
-    fn heard(&mut self, upstream: usize, report: usize) {
-        for index in 0..ENTRIES {
-            if !self.reaches(index, upstream) {
-                continue;
-            }
-            let picture = &mut self.entries[index].picture;
-            let report = &self.reports[report];
-            picture.seen[upstream].requests = report.queued + report.running;
-            picture.router.reported(upstream as u32, report, self.now);
-        }
-    }
-
     fn sweep(&mut self, entry: usize) {
-        if self.now < self.plan.span + super::constants::DEADLINE {
+        if self.now < self.plan.span + DEADLINE {
             self.push(self.now + SWEEP_EVERY, Event::Sweep(entry));
         }
         for overdue in self.entries[entry].picture.router.sweep(self.now) {
@@ -578,137 +392,15 @@
         self.dispatch(job);
     }
 
-    fn cancel(&mut self, engine: usize, job: usize) {
-        let attempt = self.jobs[job].attempt;
-        if self.engines[engine].gate.withdraw(id_of(job, attempt)) {
-            self.engines[engine].queued_tokens -= u64::from(self.arrival(job).prompt);
-        } else if self.engines[engine].cancel(job, attempt) {
-            self.leave(engine, job);
-            self.drain_engine(engine);
-        }
-    }
-
-    fn fault(&mut self, index: usize, on: bool) {
-        match self.plan.faults[index].kind {
-            FaultKind::Stall(engine) => {
-                self.engines[engine].stalled = on;
-                self.kick(engine);
-            }
-            FaultKind::Errors(engine) => self.engines[engine].failing = on,
-            FaultKind::Straggler => {
-                let ranks = &mut self.engines[ENGINES - RANKS..];
-                ranks.iter_mut().for_each(|e| e.drag = if on { 2.5 } else { 1.0 });
-            }
-            FaultKind::Freeze => self.frozen = on,
-            FaultKind::Cut => {
-                self.cut = on;
-                let wait = if on { MISSED_AFTER } else { REPORT_EVERY };
-                self.push(self.now + wait, Event::Missed);
-            }
-        }
-    }
-
-    /// Entries notice which upstreams and entries they reach.
-    fn missed(&mut self) {
+    pub(super) fn heard(&mut self, upstream: usize, report: usize) {
         for index in 0..ENTRIES {
-            let reach: Vec<bool> = (0..ENGINES + PLAIN).map(|u| self.reaches(index, u)).collect();
-            let peers = (0..ENTRIES).filter(|&e| self.reaches(index, e)).count();
-            let names: Vec<Name> = self.document.upstreams.keys().cloned().collect();
-            let live = |name: &Name| {
-                let found = names.iter().position(|n| n == name);
-                Presence { live: found.is_some_and(|i| reach[i]), incarnation: None }
-            };
-            let next = Candidates::prepare(&self.document, &zone_of(index), live);
-            let slots = reach[..ENGINES].iter().filter(|r| **r).count() as u32 * SLOTS;
-            let entry = &mut self.entries[index];
-            entry.picture.router.install(Arc::new(next), self.now);
-            entry.picture.seen.iter_mut().zip(&reach).for_each(|(s, r)| s.live = *r);
-            entry.picture.router.observe_entries(peers as u32);
-            entry.share.observe(peers as u32, self.now);
-            entry.resize(slots);
-        }
-        self.fail_unreachable();
-    }
-
-    fn fail_unreachable(&mut self) {
-        for job in 0..self.jobs.len() {
-            let state = &self.jobs[job];
-            let sent = state.attempt > 0 && !state.ended;
-            if sent && !self.reaches(self.arrival(job).entry, state.upstream) {
-                self.settle(job, End::Failed);
-                self.retry(job, Ending::Lost);
+            if !self.reaches(index, upstream) {
+                continue;
             }
+            let picture = &mut self.entries[index].picture;
+            let report = &self.reports[report];
+            picture.seen[upstream].requests = report.queued + report.running;
+            picture.router.reported(upstream as u32, report, self.now);
         }
     }
 }
-
-impl Entry {
-    fn open(index: usize, document: &Document, seed: u64) -> Self {
-        let mut router = Router::new(Settings::default());
-        let live = |_: &Name| Presence { live: true, incarnation: None };
-        let candidates = Candidates::prepare(document, &zone_of(index), live);
-        router.install(Arc::new(candidates), Duration::ZERO);
-        router.observe_entries(ENTRIES as u32);
-        let mut share = EntryShare::default();
-        share.observe(ENTRIES as u32, Duration::ZERO);
-        let picture = Picture {
-            router,
-            seen: vec![Seen { live: true, requests: 0 }; ENGINES + PLAIN],
-            cursor: index * 7,
-            rng: StdRng::seed_from_u64(seed ^ (index as u64 + 1)),
-        };
-        let mut entry = Self {
-            picture,
-            gate: Admission::new(1),
-            retries: RetryBudget::default(),
-            share,
-            serials: IndexMap::new(),
-        };
-        entry.resize(ENGINES as u32 * SLOTS);
-        entry
-    }
-
-    fn resize(&mut self, slots: u32) {
-        let part = self.share.of(f64::from(slots) * HEADROOM);
-        self.gate.resize(part.ceil() as u32);
-    }
-}
-
-impl Job {
-    fn new() -> Self {
-        Self {
-            attempt: 0,
-            upstream: 0,
-            ticket: None,
-            tried: Vec::new(),
-            admitted: Duration::ZERO,
-            started: Duration::ZERO,
-            first: false,
-            ended: false,
-        }
-    }
-}
-
-fn offer(id: u64, arrival: &Arrival, workspace: &Name) -> Offer {
-    Offer {
-        id,
-        workspace: workspace.clone(),
-        share: (PARTS[arrival.workspace] * 100.0) as u32,
-        priority: arrival.priority,
-        deadline: arrival.deadline,
-        expected: Duration::from_secs(if arrival.plain { 0 } else { 1 }),
-        cost: cost(arrival),
-    }
-}
-
-fn cost(arrival: &Arrival) -> u32 {
-    arrival.prompt + arrival.output
-}
-
-fn id_of(job: usize, attempt: u32) -> u64 {
-    job as u64 * 16 + u64::from(attempt)
-}
-
-fn job_of(id: u64) -> (usize, u32) {
-    ((id / 16) as usize, (id % 16) as u32)
-}
--- a/papayaproxy/src/routing/mod.rs
+++ b/papayaproxy/src/routing/mod.rs
@@ -1,7 +1,9 @@
 //! The choice of an upstream for each request.
 
+pub(crate) mod attempt;
 pub(crate) mod cache;
 pub(crate) mod candidates;
+pub(crate) mod choice;
 pub(crate) mod codes;
 pub(crate) mod constants;
 pub(crate) mod decision;
@@ -17,10 +19,11 @@
 #[cfg(test)]
 mod tests;
 
+pub use attempt::{CacheEvent, Change, End, Overdue, Ticket};
 pub use candidates::{Candidate, Candidates, Distance, Presence};
 pub use constants::{BLOCK_BYTES, BLOCK_TOKENS, BLOCKS_MAX, SCORED_MAX};
 pub use decision::{Decision, Reason, Refusal, Scored, ScoredList};
 pub use prefix::prompt_blocks;
 pub use request::{ModelKey, Moment, Request};
-pub use router::{CacheEvent, Change, End, Overdue, Router, Ticket};
+pub use router::Router;
 pub use settings::{SETTINGS, Settings};
--- a/papayaproxy/src/routing/router.rs
+++ b/papayaproxy/src/routing/router.rs
@@ -3,125 +3,32 @@
 //! It has no I/O, clock or randomness of its own. One entry shares one router behind a mutex; a
 //! choice takes microseconds.
 
-use super::cache::{Match, Matches, PrefixIndex};
-use super::candidates::{Candidate, Candidates, Pool};
+use super::attempt::{CacheEvent, Change, End, Overdue, Ticket};
+use super::cache::PrefixIndex;
+use super::candidates::Candidates;
+use super::choice::Choice;
 use super::codes;
-use super::constants::{
-    DRAWS, HOME_TRUST, HOMES, HOT_PART, INDEX_BLOCKS, PEER_PART, SAMPLES, SMALL_POOL, STALL_FACTOR,
-    STALL_FLOOR, STRAY_TRUST,
-};
-use super::decision::{Decision, Reason, Refusal, Scored, ScoredList};
-use super::home::{home_key, homes};
+use super::constants::{HOMES, INDEX_BLOCKS, PEER_PART, STALL_FACTOR, STALL_FLOOR};
+use super::decision::{Decision, Refusal, ScoredList};
 use super::load::{Attempt, Load};
 use super::request::{Moment, Request, workspace_tag};
-use super::score::{Forecast, Input, forecast};
 use super::settings::Settings;
-use crate::base::name::Name;
 use crate::limits::CircuitState;
 use crate::membership::LoadReport;
-use rand::{Rng, RngExt};
+use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The whole answer came.
-    Completed {
-        /// Prompt tokens that the engine took from its cache, if it says so.
-        cached: Option<u32>,
-    },
-    /// The upstream failed: connection lost, error status or broken stream.
-    Failed,
-    /// The agent refused it as `not-run` for want of room or because it is leaving.
-    Refused,
-    /// The caller or the entry gave it up; it says nothing of the upstream.
-    Cancelled,
-}
-
-/// Proof that an attempt was sent. It is settled once, by [`Router::finished`].
-#[derive(Debug)]
-#[must_use]
-pub struct Ticket {
-    serial: u64,
-    name: Name,
-    workspace: u32,
-    prefix: Vec<u64>,
-    /// Prompt tokens that the cache was expected to hold.
-    cached: u32,
-}
-
-impl Ticket {
-    /// Number of the attempt, unique within its router.
-    pub fn serial(&self) -> u64 {
-        self.serial
-    }
-
-    /// The upstream that it was sent to.
-    pub fn upstream(&self) -> &Name {
-        &self.name
-    }
-}
-
-/// An attempt without a first token past its time. The entry may cancel and retry it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Overdue {
-    /// Number of the attempt.
-    pub serial: u64,
-    /// The upstream that it was sent to.
-    pub upstream: Name,
-}
-
-/// A change of an upstream's circuit, to be logged and counted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// The upstream.
-    pub upstream: Name,
-    /// The new state of its circuit.
-    pub state: CircuitState,
-}
-
-impl Change {
-    /// Writes the log line of the change.
-    pub fn log(&self) {
-        tracing::info!(
-            event = super::events::CIRCUIT_CHANGED,
-            upstream = %self.upstream,
-            state = self.state.as_str(),
-            "circuit changed"
-        );
-    }
-}
-
-/// A cache event of an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CacheEvent {
-    /// The engine now holds the blocks.
-    Stored {
-        /// The workspace that they belong to.
-        workspace: Name,
-        /// Their hashes.
-        prefix: Vec<u64>,
-    },
-    /// The engine dropped the blocks.
-    Evicted {
-        /// Their hashes.
-        prefix: Vec<u64>,
-    },
-    /// The engine dropped everything.
-    Cleared,
-}
-
 /// Chooses upstreams.
 pub struct Router {
-    settings: Settings,
-    candidates: Arc<Candidates>,
-    loads: Vec<Load>,
+    pub(super) settings: Settings,
+    pub(super) candidates: Arc<Candidates>,
+    pub(super) loads: Vec<Load>,
     /// Step time of each lock-step group: that of its slowest rank, in seconds.
-    groups: Vec<f64>,
-    index: PrefixIndex,
+    pub(super) groups: Vec<f64>,
+    pub(super) index: PrefixIndex,
     /// Entries whose sends since a report the own ones stand for.
-    peers: f64,
+    pub(super) peers: f64,
     serial: u64,
     changes: Vec<Change>,
     /// Leaves out the check of leave times, to show that the assertion catches it.
@@ -383,142 +290,3 @@
         self.groups[group] = steps.fold(0.0, f64::max);
     }
 }
-
-/// One choice under way.
-struct Choice<'a> {
-    router: &'a Router,
-    request: &'a Request<'a>,
-    at: Moment,
-    matches: Matches,
-    homes: [Option<u32>; HOMES],
-}
-
-impl Choice<'_> {
-    fn find_homes(&mut self, pool: &Pool) {
-        let hot = HOT_PART * HOMES as f64 / pool.members.len().max(1) as f64;
-        let is_hot = |key: u64| self.router.index.heat(key, self.at.now) > hot;
-        let Some(key) = home_key(self.request.prefix, is_hot) else { return };
-        self.homes = homes(&self.router.candidates, &pool.members, key, |i| self.fits(i));
-        if pool.members.len() < SMALL_POOL {
-            self.homes[HOMES - 1] = None;
-        }
-    }
-
-    fn score_all(&self, pool: &Pool, scored: &mut ScoredList, rng: &mut impl Rng) {
-        let (near, far) = pool.members.split_at(pool.near);
-        self.homes.iter().flatten().for_each(|&i| self.score(i, Reason::Home, scored));
-        if scored.best().is_some() {
-            return;
-        }
-        self.draw(near, Reason::Drawn, scored, rng);
-        self.draw(far, Reason::Spilled, scored, rng);
-        if scored.iter().next().is_none() {
-            self.scan(&pool.members, Reason::Scanned, scored);
-        }
-        if scored.iter().next().is_none() {
-            // Liveness is a belief: a call tells more than a refusal would.
-            self.scan(&pool.silent, Reason::Silent, scored);
-        }
-    }
-
-    fn draw(&self, members: &[u32], reason: Reason, scored: &mut ScoredList, rng: &mut impl Rng) {
-        let mut left = SAMPLES.min(members.len());
-        for _ in 0..SAMPLES * DRAWS {
-            if left == 0 {
-                return;
-            }
-            let index = members[rng.random_range(0..members.len())];
-            if self.fits(index) {
-                self.score(index, reason, scored);
-                left -= 1;
-            }
-        }
-    }
-
-    fn scan(&self, members: &[u32], reason: Reason, scored: &mut ScoredList) {
-        let fitting = members.iter().filter(|&&i| self.fits(i));
-        let best =
-            fitting.min_by(|&&a, &&b| self.forecast(a).score.total_cmp(&self.forecast(b).score));
-        if let Some(&index) = best {
-            self.score(index, reason, scored);
-        }
-    }
-
-    fn score(&self, index: u32, reason: Reason, scored: &mut ScoredList) {
-        if scored.has(index) || !self.fits(index) {
-            return;
-        }
-        let cached = self.cached(index);
-        let found = self.forecast(index);
-        scored.push(Scored {
-            upstream: index,
-            reason,
-            score: found.score as f32,
-            first: found.first as f32,
-            cached: cached as u32,
-        });
-    }
-
-    /// Tokens of the prompt that an upstream's cache is expected to hold. A home is expected to hold
-    /// whatever this entry has seen before of the prefix, since the other entries send it there too.
-    fn cached(&self, index: u32) -> f64 {
-        let credit = |m: &Match| self.router.index.credit(m, self.at.now);
-        let own = self.matches.find(index).map_or(0.0, credit);
-        let shared = self.matches.iter().map(credit).fold(0.0, f64::max);
-        let rank = self.homes.iter().position(|h| *h == Some(index));
-        let home = rank.map_or(0.0, |r| HOME_TRUST.get(r).copied().unwrap_or(0.0) * shared);
-        let own = if rank.is_some() { own } else { own * STRAY_TRUST };
-        own.max(home).min(f64::from(self.request.prompt))
-    }
-
-    fn forecast(&self, index: u32) -> Forecast {
-        let candidate = &self.router.candidates.upstreams[index as usize];
-        let input = Input {
-            load: &self.router.loads[index as usize],
-            distance: candidate.distance,
-            step: candidate.group.map(|g| self.router.groups[usize::from(g)]),
-            cached: self.cached(index),
-            peers: self.router.peers,
-        };
-        forecast(self.request, &input, &self.router.settings, self.at.now)
-    }
-
-    /// Tells whether an upstream may be given the request at all.
-    fn fits(&self, index: u32) -> bool {
-        let load = &self.router.loads[index as usize];
-        load.circuit.allows(self.at.now) && self.could_serve(index)
-    }
-
-    fn could_serve(&self, index: u32) -> bool {
-        let candidate = &self.router.candidates.upstreams[index as usize];
-        let load = &self.router.loads[index as usize];
-        let loaded =
-            self.request.model.is_none_or(|key| !load.known() || load.models.contains(&key));
-        let role =
-            candidate.role == crate::fleet::Role::Mixed || candidate.role == self.request.role;
-        loaded
-            && role
-            && self.takes_work(candidate)
-            && !self.request.excluded.contains(&candidate.name)
-    }
-
-    fn takes_work(&self, candidate: &Candidate) -> bool {
-        #[cfg(test)]
-        if self.router.blind {
-            return true;
-        }
-        candidate.takes_work(self.at.wall)
-    }
-
-    fn any_in_time(&self, pool: &Pool) -> bool {
-        let left = self.request.left.as_secs_f64();
-        pool.members.iter().any(|&i| self.fits(i) && self.forecast(i).last <= left)
-    }
-
-    fn refuse(&self, pool: &Pool) -> Refusal {
-        let serving = pool.members.iter().filter(|&&i| self.could_serve(i));
-        let wait = serving.map(|&i| self.router.loads[i as usize].circuit.retry(self.at.now)).min();
-        let retry = wait.unwrap_or(crate::base::constants::LEAVE_LIMIT);
-        Refusal { code: codes::NO_CANDIDATE, retry }
-    }
-}
--- a/papayaproxy/src/routing/tests/cache.rs
+++ b/papayaproxy/src/routing/tests/cache.rs
@@ -1,10 +1,10 @@
 //! Tests of what is believed of prefix caches.
 
+use super::super::attempt::CacheEvent;
 use super::super::cache::PrefixIndex;
 use super::super::constants::BLOCK_TOKENS;
 use super::super::prefix::prompt_blocks;
 use super::super::request::ModelKey;
-use super::super::router::CacheEvent;
 use super::{Bench, document, secs};
 use rstest::rstest;
 
--- a/papayaproxy/src/routing/tests/choice.rs
+++ b/papayaproxy/src/routing/tests/choice.rs
@@ -1,9 +1,9 @@
 //! Tests of the choice.
 
+use super::super::attempt::{End, Overdue};
 use super::super::candidates::{Candidates, Distance, Presence};
 use super::super::decision::Reason;
 use super::super::request::{ModelKey, Request};
-use super::super::router::{End, Overdue};
 use super::super::{SCORED_MAX, codes};
 use super::{Bench, ENGINES, document, grouped, leaving, moment, name_of, prepared, report, secs};
 use crate::base::code::Code;
@@ -14,7 +14,7 @@
 use rstest::rstest;
 use std::time::Duration;
 
-fn sent(bench: &mut Bench, at: f64) -> super::super::router::Ticket {
+fn sent(bench: &mut Bench, at: f64) -> super::super::attempt::Ticket {
     let decision = bench.choose(moment(at), |_| {}).unwrap();
     let workspace = bench.workspace.clone();
     let service = bench.service.clone();
--- a/papayaproxy/src/routing/tests/random.rs
+++ b/papayaproxy/src/routing/tests/random.rs
@@ -1,7 +1,7 @@
 //! Randomised runs of the router: its assertions, and answers that stay within the candidates.
 
+use super::super::attempt::{End, Ticket};
 use super::super::request::Request;
-use super::super::router::{End, Ticket};
 use super::{Bench, ENGINES, document, leaving, moment, prepared, report, secs};
 use crate::base::name::Name;
 use crate::membership::LoadReport;
