--- a/papaya-lab/src/routing/serving.rs
+++ b/papaya-lab/src/routing/serving.rs
@@ -1,6 +1,6 @@
 //! The agents' and engines' side of a run.
 
-use super::constants::{ENGINES, PLAIN_SLOTS, REPORT_EVERY, SLOTS};
+use super::constants::{ENGINES, ENTRIES, PLAIN_SLOTS, REPORT_EVERY, SLOTS};
 use super::fleet::MODEL;
 use super::state::{cost, id_of, job_of, offer};
 use super::world::{Back, Event, World};
@@ -168,4 +168,16 @@
             ..base
         }
     }
+
+    pub(super) fn heard(&mut self, upstream: usize, report: usize) {
+        for index in 0..ENTRIES {
+            if !self.reaches(index, upstream) {
+                continue;
+            }
+            let picture = &mut self.entries[index].picture;
+            let report = &self.reports[report];
+            picture.seen[upstream].requests = report.queued + report.running;
+            picture.router.reported(upstream as u32, report, self.now);
+        }
+    }
 }
--- a/papaya-lab/src/routing/world.rs
+++ b/papaya-lab/src/routing/world.rs
@@ -391,16 +391,4 @@
         self.jobs[job].tried.extend(name);
         self.dispatch(job);
     }
-
-    pub(super) fn heard(&mut self, upstream: usize, report: usize) {
-        for index in 0..ENTRIES {
-            if !self.reaches(index, upstream) {
-                continue;
-            }
-            let picture = &mut self.entries[index].picture;
-            let report = &self.reports[report];
-            picture.seen[upstream].requests = report.queued + report.running;
-            picture.router.reported(upstream as u32, report, self.now);
-        }
-    }
 }
