--- a/papayaproxy/src/orders/fence.rs
+++ b/papayaproxy/src/orders/fence.rs
@@ -32,7 +32,7 @@
     ///
     /// # Panics
     /// With `P1800` where the numbers are used up.
-    pub fn next(&mut self) -> u64 {
+    pub fn draw(&mut self) -> u64 {
         let next = self.last.wrapping_add(1);
         assert!(next > self.last, "{}: no number after {}", codes::FENCE_REVERSED, self.last);
         self.last = next;
--- a/papayaproxy/src/orders/gate.rs
+++ b/papayaproxy/src/orders/gate.rs
@@ -106,7 +106,7 @@
             tracing::info!(event = events::ORDER_WITHHELD, ?target, issue, %code, "not sent");
             return Err(code);
         }
-        let numbered = Numbered { fence: self.fence.next(), order };
+        let numbered = Numbered { fence: self.fence.draw(), order };
         let Numbered { fence, order } = &numbered;
         let (target, issue) = (&order.target, order.issue);
         tracing::info!(event = events::ORDER_SENT, ?target, issue, fence, "sent");
