Spend no retry budget on refusals of leaving upstreams

Change: an attempt that a leaving upstream refused counts like one of which nothing was sent: no budget, at most 8 of them. The new test failed before. Ruled out: a larger budget, since these retries put no work on any upstream.

--- a/papayaproxy/src/delivery/attempt.rs
+++ b/papayaproxy/src/delivery/attempt.rs
@@ -4,6 +4,7 @@
 use super::constants::{ATTEMPT_TIME_MIN, ATTEMPTS_MAX, UNSENT_MAX};
 use super::record::outcome;
 use crate::base::code::{Code, Outcome};
+use crate::drain::is_leaving;
 use std::time::Duration;
 
 /// What may be done with a call besides its first attempt.
@@ -52,7 +53,7 @@
     kind: CallKind,
     deadline: Duration,
     made: u32,
-    /// Attempts of which no byte was written.
+    /// Attempts of which no byte was written, or that a leaving upstream refused.
     unsent: u32,
     /// Bytes of the attempt in progress have been written.
     writing: bool,
@@ -105,8 +106,13 @@
         if self.deadline.saturating_sub(now) < ATTEMPT_TIME_MIN {
             return Next::Answer(self.deadline_code());
         }
-        if matches!(failure, Failure::Unsent(_)) {
-            // Nothing was sent, so that a retry adds no load and needs no budget.
+        let free = match failure {
+            Failure::Unsent(_) => true,
+            Failure::Refused(code) => is_leaving(code),
+            Failure::Lost(_) => false,
+        };
+        if free {
+            // No upstream did any work, so that a retry adds no load and needs no budget.
             self.made -= 1;
             self.unsent += 1;
         } else if self.made < ATTEMPTS_MAX && !budget() {
--- a/papayaproxy/src/delivery/constants.rs
+++ b/papayaproxy/src/delivery/constants.rs
@@ -26,7 +26,7 @@
 /// Attempts of one request that may have reached an agent, the first included.
 pub(crate) const ATTEMPTS_MAX: u32 = 3;
 
-/// Attempts of one request of which no byte was written.
+/// Attempts of one request of which no byte was written, or that a leaving upstream refused.
 pub(crate) const UNSENT_MAX: u32 = 8;
 
 /// Time left below which no further attempt is made.
--- a/papayaproxy/src/delivery/tests/attempt.rs
+++ b/papayaproxy/src/delivery/tests/attempt.rs
@@ -58,6 +58,17 @@
     }
 }
 
+/// Not a retry of work: the upstream has only said that it leaves.
+#[rstest]
+#[case::idempotent(Idempotent)]
+#[case::single(Single)]
+fn failed_leaving_without_budget(#[case] kind: CallKind) {
+    let mut attempts = Attempts::new(kind, secs(10));
+    attempts.open(secs(1)).unwrap();
+    let refused = Refused(crate::drain::codes::PROCESS_STOPPING);
+    assert_eq!(attempts.failed(refused, secs(2), || false), ELSEWHERE);
+}
+
 #[test]
 fn failed_attempts_spent() {
     let mut attempts = Attempts::new(Idempotent, secs(10));
--- a/papayaproxy/src/drain/intent.rs
+++ b/papayaproxy/src/drain/intent.rs
@@ -30,6 +30,12 @@
     }
 }
 
+/// Whether `code` refuses work because an upstream or process leaves.
+pub fn is_leaving(code: Code) -> bool {
+    let reasons = [Reason::Stopping, Reason::Planned, Reason::Host, Reason::Closed];
+    reasons.iter().any(|r| r.code() == code)
+}
+
 /// What an agent knows of its upstream's planned stops.
 #[derive(Clone, Copy, Debug)]
 pub struct Wishes<'a> {
