Hold requests to their deadline from arrival; tests of links, pages and gauges

Cause: the deadline was counted from the end of the request's body, so a slow body added to it; links had no tests of their own; pages could name what does not exist. Ruled out: a test that drops a call at once and expects a cancel: a call that is still queued is withdrawn instead.

--- a/papayaproxy/src/entry/gate.rs
+++ b/papayaproxy/src/entry/gate.rs
@@ -55,11 +55,14 @@
     ///
     /// # Errors
     /// The refusal, after which the request has not run.
-    pub(crate) async fn enter(self: &Arc<Self>, ask: &Ask) -> Result<Pass, Refused> {
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        ask: &Ask,
+        deadline: Duration,
+    ) -> Result<Pass, Refused> {
         let cost = ask.prompt.as_ref().map_or(1, |p| p.tokens + p.output).max(1);
-        let offer = self.offer(ask, cost);
+        let offer = offer(ask, cost, deadline);
         let id = offer.id;
-        let deadline = offer.deadline;
         let Some(turn) = self.start(offer)? else {
             return Ok(self.pass(ask, cost));
         };
@@ -87,18 +90,6 @@
         self.lock().advance(self.clock.now());
     }
 
-    fn offer(&self, ask: &Ask, cost: u32) -> Offer {
-        Offer {
-            id: ask.id,
-            workspace: ask.caller.workspace.clone(),
-            share: ask.caller.share,
-            priority: ask.priority,
-            deadline: self.clock.now() + ask.limit,
-            expected: Duration::ZERO,
-            cost,
-        }
-    }
-
     /// Offers the request; gives the channel of its turn if it has to wait.
     fn start(&self, offer: Offer) -> Result<Option<oneshot::Receiver<Answer>>, Refused> {
         let now = self.clock.now();
@@ -129,6 +120,18 @@
     }
 }
 
+fn offer(ask: &Ask, cost: u32, deadline: Duration) -> Offer {
+    Offer {
+        id: ask.id,
+        workspace: ask.caller.workspace.clone(),
+        share: ask.caller.share,
+        priority: ask.priority,
+        deadline,
+        expected: Duration::ZERO,
+        cost,
+    }
+}
+
 impl Core {
     fn advance(&mut self, now: Duration) {
         while let Some(step) = self.admission.next(now) {
--- a/papayaproxy/src/entry/keys_api.rs
+++ b/papayaproxy/src/entry/keys_api.rs
@@ -50,7 +50,7 @@
     let key = rest.filter(|k| !k.is_empty()).map(str::to_owned);
     match (&parts.method, key) {
         (&Method::POST, None) => {
-            let issue = serde_json::from_slice::<Issue>(&read_body(body).await?);
+            let issue = serde_json::from_slice::<Issue>(&read_body(body, limit).await?);
             let issue = issue.map_err(|_| codes::KEYS_MALFORMED)?;
             let service = document.services.get_key_value(issue.service.as_str());
             let service = service.ok_or(codes::SERVICE_UNKNOWN)?.0.clone();
--- a/papayaproxy/src/entry/request.rs
+++ b/papayaproxy/src/entry/request.rs
@@ -7,6 +7,7 @@
 use crate::base::constants::{BODY_BYTES_MAX, DEADLINE_MAX};
 use crate::base::name::{Name, is_name};
 use crate::delivery::CallKind;
+use crate::delivery::codes::DEADLINE_BEFORE_SEND;
 use crate::fleet::{Document, Kind, credential_digest};
 use crate::routing::{ModelKey, prompt_blocks};
 use crate::wire::{Action, Header};
@@ -17,6 +18,7 @@
 use hyper::http::request::Parts;
 use serde::Deserialize;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Path under which services stand.
 pub(crate) const SERVICES_PATH: &str = "/v1/services/";
@@ -129,7 +131,7 @@
     };
     let mut headers = end_to_end(&parts.headers);
     headers.retain(|h| !OWN_HEADERS.contains(&h.name.as_str()));
-    let mut body = read_body(body).await?;
+    let mut body = read_body(body, limit).await?;
     let prompt = match &entry.kind {
         Kind::Model(model) => Some(read_prompt(&caller.workspace, model, document, &mut body)?),
         Kind::Plain => None,
@@ -184,8 +186,13 @@
     number.filter(|p| *p <= PRIORITY_MAX).ok_or(codes::PRIORITY_INVALID)
 }
 
-pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Code> {
-    let collected = Limited::new(body, BODY_BYTES_MAX).collect().await;
+/// Reads the whole body of a request within `limit`.
+///
+/// # Errors
+/// A body that is too large, ends early or does not come in time.
+pub(crate) async fn read_body(body: Incoming, limit: Duration) -> Result<Bytes, Code> {
+    let collected = timeout(limit, Limited::new(body, BODY_BYTES_MAX).collect()).await;
+    let collected = collected.map_err(|_| DEADLINE_BEFORE_SEND)?;
     let collected = collected.map_err(|error| {
         let oversized = error.downcast_ref::<LengthLimitError>().is_some();
         if oversized { codes::BODY_OVERSIZED } else { codes::BODY_BROKEN }
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -71,6 +71,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Rejection> {
     let started = Instant::now();
+    let arrived = shared.clock.now();
     let (parts, body) = request.into_parts();
     let document = shared.feed.document.load_full();
     if !shared.is_ready() {
@@ -79,8 +80,8 @@
     let shows_key = parts.headers.contains_key(KEY_HEADER);
     let ask = prepare(id, parts, body, &document).await;
     let ask = ask.map_err(|code| Rejection { code, retry: None, doubtful: shows_key })?;
-    let deadline = shared.clock.now() + ask.limit.saturating_sub(ANSWER_MARGIN);
-    let pass = shared.gate.enter(&ask).await;
+    let deadline = arrived + ask.limit.saturating_sub(ANSWER_MARGIN);
+    let pass = shared.gate.enter(&ask, deadline).await;
     let doubtful = ask.kind == CallKind::Keyed;
     let pass = pass.map_err(|r| Rejection { code: r.code, retry: Some(r.retry), doubtful })?;
     shared.retries.lock().earn(&ask.caller.workspace);
--- a/papayaproxy/src/telemetry/mod.rs
+++ b/papayaproxy/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod codes;
 pub(crate) mod events;
+pub(crate) mod gauges;
 pub(crate) mod log;
 pub(crate) mod metrics;
 pub(crate) mod ops;
--- a/papayaproxy/src/telemetry/ops.rs
+++ b/papayaproxy/src/telemetry/ops.rs
@@ -1,5 +1,6 @@
 //! The operators' HTTP endpoint: `/live`, `/ready`, `/status` and `/metrics`.
 
+use super::gauges;
 use super::metrics::Metrics;
 use super::status::Status;
 use crate::base::http::{Body, full, serve, text};
@@ -32,6 +33,7 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
+        gauges::follow(&metrics, &status);
         let stop = CancellationToken::new();
         let handler = move |request| {
             let response = answer(&request, &metrics, &status);
--- a/papayaproxy/src/wire/tests.rs
+++ b/papayaproxy/src/wire/tests/seal.rs
@@ -1,13 +1,9 @@
 //! Tests of secrets and seals.
 
-use super::error::WireError;
-use super::seal::{seal, unseal};
-use super::secret::{Secret, Secrets};
-
-fn secrets(current: u8, other: Option<u8>) -> Secrets {
-    let make = |id: u8| Secret::new(id, &[id; 32]);
-    Secrets { current: make(current), other: other.map(make) }
-}
+use super::super::error::WireError;
+use super::super::seal::{seal, unseal};
+use super::super::secret::Secret;
+use super::secrets;
 
 #[test]
 fn seal_round_trip() {
