--- a/papayaproxy/src/wire/constants.rs
+++ b/papayaproxy/src/wire/constants.rs
@@ -23,8 +23,14 @@
 /// Time for making a link, handshake included.
 pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
-/// Interval between pings on a link.
+/// Interval between looks at a link, and between pings while calls are in progress on it.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A link on which nothing was heard for so long is closed.
+/// Interval between pings on a link without calls.
+pub(crate) const IDLE_PING_INTERVAL: Duration = Duration::from_secs(20);
+
+/// An entry closes a link on which a ping is unanswered for so long.
 pub(crate) const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// An agent closes a link on which nothing was heard for so long.
+pub(crate) const IDLE_LIMIT: Duration = Duration::from_secs(45);
--- a/papayaproxy/src/wire/link.rs
+++ b/papayaproxy/src/wire/link.rs
@@ -1,7 +1,9 @@
 //! A link as the entry holds it: many calls at a time over one connection to an agent.
 
 use super::codec::FrameDecoder;
-use super::constants::{CONNECT_LIMIT, PING_INTERVAL, REPLY_WINDOW_BYTES, SILENCE_LIMIT};
+use super::constants::{
+    CONNECT_LIMIT, IDLE_PING_INTERVAL, PING_INTERVAL, REPLY_WINDOW_BYTES, SILENCE_LIMIT,
+};
 use super::context::LinkContext;
 use super::error::WireError;
 use super::frame::{CallHead, CallTag, Envelope, Frame, Reply};
@@ -206,6 +208,11 @@
         true
     }
 
+    fn has_calls(&self) -> bool {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.as_ref().is_some_and(|c| !c.is_empty())
+    }
+
     fn remove(&self, call: u64) {
         let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(calls) = calls.as_mut() {
@@ -266,29 +273,49 @@
     drop(calls);
 }
 
-/// Reads frames, and pings the agent; ends when the agent has been silent for too long.
+/// Reads frames, and pings the agent; ends when a ping is unanswered for too long.
 async fn read_frames(
     shared: &Shared,
     read: OwnedReadHalf,
     decoder: FrameDecoder,
 ) -> Result<(), WireError> {
     let mut frames = FramedRead::new(read, decoder);
-    let mut pings = tokio::time::interval(PING_INTERVAL);
-    let mut heard = Instant::now();
-    let mut number = 0;
+    let mut looks = tokio::time::interval(PING_INTERVAL);
+    let mut pinger = Pinger { heard: Instant::now(), asked: None, number: 0 };
     loop {
         tokio::select! {
             frame = frames.next() => {
-                heard = Instant::now();
+                pinger.hear();
                 shared.receive(frame.ok_or(WireError::Closed)??);
             }
-            _ = pings.tick() => {
-                if heard.elapsed() > SILENCE_LIMIT {
-                    return Err(WireError::Closed);
-                }
-                number += 1;
-                shared.outbox.try_send(Frame::Ping(number));
-            }
+            _ = looks.tick() => pinger.look(shared)?,
+        }
+    }
+}
+
+/// Decides when a link is pinged: often while calls are in progress, seldom otherwise.
+struct Pinger {
+    heard: Instant,
+    /// When the first ping was sent that nothing was heard since.
+    asked: Option<Instant>,
+    number: u64,
+}
+
+impl Pinger {
+    fn hear(&mut self) {
+        self.heard = Instant::now();
+        self.asked = None;
+    }
+
+    fn look(&mut self, shared: &Shared) -> Result<(), WireError> {
+        if self.asked.is_some_and(|at| at.elapsed() > SILENCE_LIMIT) {
+            return Err(WireError::Closed);
+        }
+        if shared.has_calls() || self.heard.elapsed() > IDLE_PING_INTERVAL {
+            self.number += 1;
+            self.asked.get_or_insert_with(Instant::now);
+            shared.outbox.try_send(Frame::Ping(self.number));
         }
+        Ok(())
     }
 }
--- a/papayaproxy/src/wire/server.rs
+++ b/papayaproxy/src/wire/server.rs
@@ -1,7 +1,7 @@
 //! A link as the agent holds it: calls come in, replies go out under the entry's credit.
 
 use super::codec::FrameDecoder;
-use super::constants::{CONNECT_LIMIT, REPLY_WINDOW_BYTES, SILENCE_LIMIT};
+use super::constants::{CONNECT_LIMIT, IDLE_LIMIT, REPLY_WINDOW_BYTES};
 use super::context::LinkContext;
 use super::error::WireError;
 use super::frame::{CallFailure, CallHead, CallTag, Envelope, Frame, Reply, ReplyEnd, ReplyHead};
@@ -178,7 +178,7 @@
     let mut frames = FramedRead::new(read, decoder);
     loop {
         // An entry pings, so that a longer silence means that it is gone.
-        let frame = timeout(SILENCE_LIMIT, frames.next()).await;
+        let frame = timeout(IDLE_LIMIT, frames.next()).await;
         let frame = frame.map_err(|_| WireError::Closed)?;
         served.receive(frame.ok_or(WireError::Closed)??, &handle);
     }
--- a/papayaproxy/src/wire/tests/link.rs
+++ b/papayaproxy/src/wire/tests/link.rs
@@ -227,6 +227,17 @@
     assert!(again.is_err_and(|l| !l.written), "a closed link writes nothing");
 }
 
+#[tokio::test]
+async fn call_silent_agent_lost() {
+    let address = raw_agent(|_stream, _| std::future::pending()).await;
+    let (link, _) = open(address).await;
+    let mut call = link.call(head(), Bytes::new()).await.unwrap();
+    // Only now is time paused: the handshake needs the sockets.
+    tokio::time::pause();
+    assert!(call.next().await.unwrap_err().written);
+    assert!(link.is_closed());
+}
+
 #[rstest]
 #[case::same(1, None, true)]
 #[case::rolled_server(1, Some(2), true)]
