Let the silent agent's test wait until its call is written

Change: the test waits until the agent has read a byte, then pauses time; its assertions are the same.

--- a/papayaproxy/src/wire/tests/link.rs
+++ b/papayaproxy/src/wire/tests/link.rs
@@ -229,10 +229,18 @@
 
 #[tokio::test]
 async fn call_silent_agent_lost() {
-    let address = raw_agent(|_stream, _| std::future::pending()).await;
+    let (begun, arrived) = tokio::sync::oneshot::channel();
+    let address = raw_agent(|mut stream, _| async move {
+        let mut first = [0; 1];
+        stream.read_exact(&mut first).await.unwrap();
+        begun.send(()).unwrap();
+        std::future::pending::<()>().await;
+    })
+    .await;
     let (link, _) = open(address).await;
     let mut call = link.call(head(), Bytes::new()).await.unwrap();
-    // Only now is time paused: the handshake needs the sockets.
+    arrived.await.unwrap();
+    // Only now is time paused: what came before needs the sockets.
     tokio::time::pause();
     assert!(call.next().await.unwrap_err().written);
     assert!(link.is_closed());
