Log refusals of admission and denied retries; forget budgets of gone workspaces

Cause: a request refused by admission or for want of a retry left no decision in the log, and retry budgets outlived their workspaces. Change: the entry writes events 1600 and the denied retry's, and retains only the budgets of workspaces in the document.

--- a/papayaproxy/src/entry/process.rs
+++ b/papayaproxy/src/entry/process.rs
@@ -123,6 +123,7 @@
         shared.gate.advance();
         let document = shared.feed.document.load();
         shared.links.retain(|a| document.upstreams.values().any(|u| u.agent == *a));
+        shared.retries.lock().retain(|workspace| document.workspaces.contains_key(workspace));
     }
 }
 
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -18,6 +18,7 @@
 use crate::base::name::Name;
 use crate::delivery::{Attempts, CallKind, Failure, Next};
 use crate::fleet::Document;
+use crate::limits::log_retry_denied;
 use crate::routing::{End, Ticket};
 use http_body_util::BodyExt;
 use http_body_util::channel::Channel;
@@ -83,7 +84,10 @@
     let deadline = arrived + ask.limit.saturating_sub(ANSWER_MARGIN);
     let pass = shared.gate.enter(&ask, deadline).await;
     let doubtful = ask.kind == CallKind::Keyed;
-    let pass = pass.map_err(|r| Rejection { code: r.code, retry: Some(r.retry), doubtful })?;
+    let pass = pass.map_err(|refused| {
+        refused.log(&format!("{id:016x}"), &ask.caller.workspace);
+        Rejection { code: refused.code, retry: Some(refused.retry), doubtful }
+    })?;
     shared.retries.lock().earn(&ask.caller.workspace);
     let attempts = Attempts::new(ask.kind, deadline);
     let upstream = Name::new();
@@ -204,7 +208,13 @@
         let workspace = &self.ask.caller.workspace;
         // An attempt that was given up as overdue has taken its retry already.
         let paid = failure == Failure::Lost(codes::UPSTREAM_OVERDUE);
-        let budget = || paid || self.shared.retries.lock().try_take(workspace);
+        let budget = || {
+            let granted = paid || self.shared.retries.lock().try_take(workspace);
+            if !granted {
+                log_retry_denied(&format!("{:016x}", self.ask.id), workspace);
+            }
+            granted
+        };
         let next = self.attempts.failed(failure, now, budget);
         let (code, written) = match failure {
             Failure::Unsent(code) => (code, false),
