Read a code's outcome in one place; drop two codes that nothing gives

Cause: the read-through found the same look-up of a code's outcome in delivery, entry and agent, a fourth by hand in the stream, and the result codes P2201 and P2312 in the table though no path answers with them.

--- a/papayaproxy/src/agent/call.rs
+++ b/papayaproxy/src/agent/call.rs
@@ -5,7 +5,7 @@
 use super::constants::ANSWER_MARGIN;
 use super::events;
 use super::leaving::Piece;
-use crate::base::code::{Code, Outcome, row};
+use crate::base::code::{Code, outcome};
 use crate::streams::codes::STREAM_MOVED;
 use crate::wire::CallFailure;
 use crate::wire::server::{IncomingCall, Replier};
@@ -64,7 +64,7 @@
 
 /// The failure that `code` states.
 pub(crate) fn failure(code: Code) -> CallFailure {
-    let outcome = row(code).map_or(Outcome::Unknown, |r| r.outcome);
+    let outcome = outcome(code);
     CallFailure { code, outcome, retry: None }
 }
 
--- a/papayaproxy/src/base/code.rs
+++ b/papayaproxy/src/base/code.rs
@@ -79,3 +79,8 @@
 pub fn row(code: Code) -> Option<&'static CodeRow> {
     crate::CODE_TABLES.iter().flat_map(|t| t.iter()).find(|r| r.code == code)
 }
+
+/// The outcome that `code` states; `Unknown` for a code that is not in the table.
+pub(crate) fn outcome(code: Code) -> Outcome {
+    row(code).map_or(Outcome::Unknown, |r| r.outcome)
+}
--- a/papayaproxy/src/delivery/attempt.rs
+++ b/papayaproxy/src/delivery/attempt.rs
@@ -2,8 +2,7 @@
 
 use super::codes;
 use super::constants::{ATTEMPT_TIME_MIN, ATTEMPTS_MAX, UNSENT_MAX};
-use super::record::outcome;
-use crate::base::code::{Code, Outcome};
+use crate::base::code::{Code, Outcome, outcome};
 use crate::drain::is_leaving;
 use std::time::Duration;
 
--- a/papayaproxy/src/delivery/keys.rs
+++ b/papayaproxy/src/delivery/keys.rs
@@ -3,11 +3,11 @@
 use super::codes;
 use super::constants::ISSUE_COUNT_MAX;
 use super::events;
-use super::record::{Begin, Finish, Lookup, Record, State, outcome};
+use super::record::{Begin, Finish, Lookup, Record, State};
 use super::settings::KeySettings;
 use super::token::Token;
 use super::window::IssueWindow;
-use crate::base::code::{Code, Outcome};
+use crate::base::code::{Code, Outcome, outcome};
 use crate::base::digest::Digest;
 use crate::base::name::{Incarnation, Name};
 use indexmap::IndexMap;
--- a/papayaproxy/src/delivery/record.rs
+++ b/papayaproxy/src/delivery/record.rs
@@ -1,7 +1,7 @@
 //! What an agent remembers of one key, and the answers made from it.
 
 use super::codes;
-use crate::base::code::{Code, Outcome, row};
+use crate::base::code::Code;
 use crate::base::digest::Digest;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -123,8 +123,3 @@
         }
     }
 }
-
-/// The outcome that `code` states; a code without a row states nothing.
-pub(crate) fn outcome(code: Code) -> Outcome {
-    row(code).map_or(Outcome::Unknown, |r| r.outcome)
-}
--- a/papayaproxy/src/delivery/tests/machine.rs
+++ b/papayaproxy/src/delivery/tests/machine.rs
@@ -6,10 +6,11 @@
 
 use super::super::codes;
 use super::super::keys::{Claim, Guard, KeyCore};
-use super::super::record::{Begin, Finish, Lookup, StoredReply, outcome};
+use super::super::record::{Begin, Finish, Lookup, StoredReply};
 use super::super::settings::KeySettings;
 use super::super::token::Token;
 use super::{claim, reply, secs};
+use crate::base::code::outcome;
 use crate::base::code::{Code, Outcome};
 use crate::base::name::Incarnation;
 use proptest::prelude::*;
--- a/papayaproxy/src/entry/codes.rs
+++ b/papayaproxy/src/entry/codes.rs
@@ -14,7 +14,6 @@
     ENTRY_NOT_READY = 2309, NotRun, 503, "The entry has no fleet document yet, or does not know yet whether it is the newest.";
     REPLY_CORRUPT = 2310, Unknown, 502, "The reply's pieces, length or checksum do not fit together.";
     REPLY_LATE = 2311, Unknown, 504, "The reply was not whole before the deadline.";
-    REPLY_OVERSIZED = 2312, Unknown, 502, "A reply that must be whole before it is passed on is too large.";
     COMPLETION_MALFORMED = 2314, NotRun, 400, "The body of a model request is no JSON object of the documented form.";
     MODEL_FOREIGN = 2315, NotRun, 400, "The service does not serve the model that the request names.";
     KEYS_MALFORMED = 2316, NotRun, 400, "A request for keys is POST /v1/keys with {\"service\", \"count\"}, or GET or DELETE /v1/keys/{key}.";
--- a/papayaproxy/src/entry/pump.rs
+++ b/papayaproxy/src/entry/pump.rs
@@ -3,7 +3,7 @@
 use super::attempt::{OpenReply, is_event_stream};
 use super::codes;
 use super::reply::{error_event, trailers};
-use crate::base::code::Code;
+use crate::base::code::{Code, Outcome, outcome};
 use crate::wire::Reply;
 use bytes::Bytes;
 use http_body_util::channel::Sender;
@@ -43,7 +43,7 @@
 }
 
 fn passed_whole(code: Code) -> bool {
-    super::reply::outcome(code) == crate::base::code::Outcome::Completed
+    outcome(code) == Outcome::Completed
 }
 
 async fn pass(reply: OpenReply, body: &mut BodySender) -> Result<Code, Code> {
@@ -74,8 +74,8 @@
 
 /// The code of a failure after the reply has begun, when `not-run` can no longer be true.
 fn mid_stream(code: Code) -> Code {
-    match super::reply::outcome(code) {
-        crate::base::code::Outcome::Unknown => code,
+    match outcome(code) {
+        Outcome::Unknown => code,
         _ => crate::delivery::codes::OUTCOME_LOST,
     }
 }
--- a/papayaproxy/src/entry/reply.rs
+++ b/papayaproxy/src/entry/reply.rs
@@ -1,6 +1,6 @@
 //! Answers to callers.
 
-use crate::base::code::{Code, Outcome, row};
+use crate::base::code::{Code, Outcome, outcome, row};
 use crate::base::http::{Body, full};
 use crate::wire::ReplyHead;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
@@ -20,11 +20,6 @@
     message: &'a str,
 }
 
-/// The outcome that a code states.
-pub(crate) fn outcome(code: Code) -> Outcome {
-    row(code).map_or(Outcome::Unknown, |r| r.outcome)
-}
-
 /// An answer that says why there is no reply.
 ///
 /// A doubtful one is never told as `not-run`, whatever its code says.
--- a/papayaproxy/src/entry/serve.rs
+++ b/papayaproxy/src/entry/serve.rs
@@ -13,7 +13,7 @@
 use super::request::{Ask, KEY_HEADER, authenticate, check};
 use super::route::Routed;
 use super::stream::Streaming;
-use crate::base::code::{Code, Outcome};
+use crate::base::code::{Code, Outcome, outcome};
 use crate::base::http::Body;
 use crate::base::name::Name;
 use crate::delivery::{Attempts, CallKind, Failure, Next};
@@ -260,7 +260,7 @@
         }
         work.spawn(async move {
             let code = pump(self.ask.id, open, sender, deadline).await;
-            let end = match (reply::outcome(code), code) {
+            let end = match (outcome(code), code) {
                 (Outcome::Completed, _) => end_of_status(status),
                 (_, codes::CALLER_GONE) => End::Cancelled,
                 _ => End::Failed,
@@ -288,7 +288,7 @@
             workspace = %self.ask.caller.workspace,
             service = %self.ask.service,
             upstream = %self.upstream,
-            outcome = reply::outcome(code).as_str(),
+            outcome = outcome(code).as_str(),
             %code,
             attempts = self.made,
             ms = took.as_millis() as u64,
@@ -331,7 +331,7 @@
 /// What a failed attempt says of its upstream.
 fn end_of(failure: Failure) -> End {
     match failure {
-        Failure::Refused(code) if reply::outcome(code) == Outcome::NotRun => End::Refused,
+        Failure::Refused(code) if outcome(code) == Outcome::NotRun => End::Refused,
         Failure::Refused(_) | Failure::Lost(_) | Failure::Unsent(_) => End::Failed,
     }
 }
--- a/papayaproxy/src/entry/stream.rs
+++ b/papayaproxy/src/entry/stream.rs
@@ -8,7 +8,7 @@
 use super::request::Ask;
 use super::serve::TicketGuard;
 use crate::agent::codes as agent;
-use crate::base::code::{Code, Outcome, row};
+use crate::base::code::{Code, Outcome, outcome};
 use crate::base::name::Name;
 use crate::delivery::Failure;
 use crate::fleet::Kind;
@@ -96,8 +96,8 @@
     pub(crate) async fn run(mut self, first: OpenReply) -> Code {
         let followed = tokio::time::timeout_at(self.deadline, self.follow(first)).await;
         let code = followed.unwrap_or(codes::REPLY_LATE);
-        let end = match (row(code).map(|r| r.outcome), code) {
-            (Some(Outcome::Completed), _) => End::Completed { cached: None },
+        let end = match (outcome(code), code) {
+            (Outcome::Completed, _) => End::Completed { cached: None },
             (_, codes::CALLER_GONE) => End::Cancelled,
             _ => End::Failed,
         };
--- a/papayaproxy/src/telemetry/codes.rs
+++ b/papayaproxy/src/telemetry/codes.rs
@@ -4,7 +4,6 @@
 
 codes! {
     LISTEN_FAILED = 2200, NotRun, 500, "An address cannot be bound; another process may hold it.";
-    LOG_INVALID = 2201, NotRun, 500, "The log filter or format is not understood.";
     CONTROL_FAILED = 2203, NotRun, 500, "The control thread cannot be started.";
     METRICS_FAILED = 2202, NotRun, 500, "The metrics exporter cannot be set up.";
 }
