--- a/papaya-lab/src/demo/command.rs
+++ b/papaya-lab/src/demo/command.rs
@@ -32,7 +32,7 @@
 
 /// Runs the subcommand. Fails unless every request was completed and no stop cut one.
 pub fn run(matches: &ArgMatches) -> ExitCode {
-    open_log(LogFormat::Text, &daemon::value::<String>(matches, "log"));
+    let _log = open_log(LogFormat::Text, &daemon::value::<String>(matches, "log"));
     let settings = DemoSettings {
         rate: daemon::value::<u64>(matches, "rate").max(1) as f64,
         duration: daemon::duration(matches, "duration"),
--- /dev/null
+++ b/papayaproxy/src/balance/constants.rs
@@ -0,0 +1,45 @@
+//! Limits and times of the balance.
+
+use std::time::Duration;
+
+/// Part of a service's requests on a plain upstream beyond its slots; its queue holds a few more.
+pub(crate) const PLAIN_QUEUE: f64 = 2.0;
+/// Time in which an upstream that said it is full gets nothing new; a pass or two.
+pub(crate) const FULL_TIME: Duration = Duration::from_millis(150);
+/// Time in which an upstream that is not the expected one gets nothing; its entry changes meanwhile.
+pub(crate) const FOREIGN_TIME: Duration = Duration::from_millis(1500);
+/// Time in which an upstream that cannot be reached gets nothing.
+pub(crate) const UNREACHED_TIME: Duration = Duration::from_millis(600);
+/// Load, in parts of the limit, by which another availability zone has to be better for an engine.
+pub(crate) const ZONE_BIAS: f64 = 0.06;
+/// The same for a plain service, whose work is short against the way between zones.
+pub(crate) const ZONE_BIAS_PLAIN: f64 = 0.3;
+/// Range of the random part of a score, so that entries with the same picture spread.
+pub(crate) const SCORE_NOISE: f64 = 0.05;
+
+/// Part of the gap target that a pass may take; the rest is for the way and the timers.
+pub(crate) const GAP_PART: f64 = 0.92;
+/// Weight of one observed gap in the learned factor: some tens of events.
+pub(crate) const GAP_WEIGHT: f64 = 0.03;
+/// Longest gap that is taken for a pass, in multiples of the model; longer ones are stalls.
+pub(crate) const GAP_STALL: f64 = 12.0;
+/// Lowest limit of requests on a replica, as a part of its slots, however slow it is.
+pub(crate) const SEATS_LEAST: f64 = 0.5;
+
+/// Part of the latency target for which a request may wait for a seat.
+pub(crate) const WAIT_PART: f64 = 0.5;
+/// Part of the time left for which a request that came back may wait: it is late anyway.
+pub(crate) const WAIT_BACK: f64 = 0.3;
+/// Weight of one interval in the rate of freed seats.
+pub(crate) const RATE_WEIGHT: f64 = 0.1;
+/// Patience, as a part of the usual one, below which a request has been refused before.
+pub(crate) const BACK_PATIENCE: f64 = 0.97;
+/// Earliest time to come back; sooner the same batch still runs.
+pub(crate) const RETURN_LEAST: Duration = Duration::from_millis(700);
+/// Latest time to come back; clients heed at most a third of their time.
+pub(crate) const RETURN_MOST: Duration = Duration::from_millis(2500);
+
+/// Part of the allowed repeats that is used, since entries may know each other late.
+pub(crate) const BUDGET_PART: f64 = 0.8;
+/// Entries that share a budget at least, until more are known.
+pub(crate) const BUDGET_ENTRIES: usize = 6;
--- /dev/null
+++ b/papayaproxy/src/balance/desk.rs
@@ -0,0 +1,340 @@
+//! The core: gives each request a seat at an upstream, lets it wait, or refuses it.
+
+use super::budget::{Budget, BudgetRule};
+use super::constants::{
+    RATE_WEIGHT, RETURN_LEAST, RETURN_MOST, SCORE_NOISE, WAIT_BACK, WAIT_PART, ZONE_BIAS,
+    ZONE_BIAS_PLAIN,
+};
+use super::events;
+use super::upstream::{End, Upstream};
+use crate::base::name::Name;
+use crate::catalog::{Config, Directory, EngineFigures};
+use crate::limits::CircuitSettings;
+use crate::peers::{Running, message::digest};
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A request for a seat.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    /// Tells requests of this process apart.
+    pub(crate) ticket: u64,
+    /// The request's id, for the log.
+    pub(crate) request: Name,
+    /// The service.
+    pub(crate) service: Name,
+    /// Upstreams that it has been at.
+    pub(crate) avoid: Vec<Name>,
+    /// When it came.
+    pub(crate) arrived: Duration,
+    /// When its caller or its route gives up.
+    pub(crate) deadline: Duration,
+    /// Time in which an answer is on time.
+    pub(crate) target: Duration,
+    /// Longest pause between events that is on time.
+    pub(crate) gap: Option<Duration>,
+    /// Whether it was refused before, so that it can no longer be on time.
+    pub(crate) back: bool,
+    /// Whether part of the answer is with the caller already.
+    pub(crate) begun: bool,
+    /// A uniform draw.
+    pub(crate) draw: u32,
+}
+
+/// A seat at an upstream. Handed back with [`Desk::release`].
+#[derive(Clone, Debug)]
+pub(crate) struct Seat {
+    /// The upstream's id.
+    pub(crate) upstream: Name,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// Whether the request probes an open circuit.
+    pub(crate) probe: bool,
+}
+
+/// Why a request is refused, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Refusal {
+    /// What binds.
+    pub(crate) reason: &'static str,
+    /// When it may find room.
+    pub(crate) retry: Duration,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// It is sent.
+    Go(Seat),
+    /// It waits; [`Desk::advance`] tells when that is over.
+    Wait,
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+#[derive(Clone, Debug)]
+struct Service {
+    engine: Option<EngineFigures>,
+    budget: Budget,
+    waiting: Vec<Ask>,
+    /// Seats freed a second, by requests of this entry.
+    rate: f64,
+    freed: Duration,
+}
+
+/// All upstreams, and the requests that wait for them.
+pub(crate) struct Desk {
+    zone: Name,
+    rule: BudgetRule,
+    circuit: CircuitSettings,
+    upstreams: IndexMap<Name, Upstream>,
+    services: IndexMap<Name, Service>,
+    entries: usize,
+    /// When the peers' load was last taken.
+    picture: Duration,
+}
+
+impl Desk {
+    /// A desk without upstreams, in the availability zone `zone`.
+    pub(crate) fn new(zone: Name, rule: BudgetRule, circuit: CircuitSettings) -> Self {
+        Self {
+            zone,
+            rule,
+            circuit,
+            upstreams: IndexMap::new(),
+            services: IndexMap::new(),
+            entries: 1,
+            picture: Duration::ZERO,
+        }
+    }
+
+    /// Takes the configuration and the upstreams in force.
+    pub(crate) fn install(&mut self, config: &Config, directory: &Directory) {
+        let rule = self.rule;
+        for (name, service) in &config.services {
+            let known = self.services.entry(name.clone()).or_insert_with(|| Service {
+                engine: None,
+                budget: Budget::new(rule),
+                waiting: Vec::new(),
+                rate: 0.0,
+                freed: Duration::ZERO,
+            });
+            known.engine = service.engine.clone();
+        }
+        let mut next = IndexMap::with_capacity(directory.len());
+        for (id, entry) in directory.ready() {
+            let same = |u: &Upstream| {
+                u.born == entry.born && u.address == entry.address && u.service == entry.service
+            };
+            let known = self.upstreams.shift_remove(id).filter(same);
+            let new = || Upstream::new(id.clone(), digest(id), entry, self.circuit);
+            next.insert(id.clone(), known.unwrap_or_else(new));
+        }
+        self.upstreams = next;
+    }
+
+    /// Takes what the peers run, and how many entries there are.
+    pub(crate) fn observe(&mut self, running: &Running, entries: usize, now: Duration) {
+        self.entries = entries;
+        self.picture = now;
+        for upstream in self.upstreams.values_mut() {
+            upstream.others = running.get(&upstream.digest).copied().unwrap_or_default();
+        }
+    }
+
+    /// What this entry runs, for its peers.
+    pub(crate) fn loads(&self) -> Vec<(u32, u16)> {
+        let busy = self.upstreams.values().filter(|u| u.own > 0);
+        busy.map(|u| (u.digest, u.own.min(u32::from(u16::MAX)) as u16)).collect()
+    }
+
+    /// Requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.services.values().map(|s| s.waiting.len()).sum()
+    }
+
+    /// Upstreams in use.
+    pub(crate) fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Counts a client's request, of which repeats are a part.
+    pub(crate) fn earn(&mut self, service: &str, now: Duration) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.budget.earn(now);
+        }
+    }
+
+    /// Whether one more send of a request that was sent before is within the budget.
+    pub(crate) fn may_repeat(&mut self, service: &str, now: Duration) -> bool {
+        let entries = self.entries;
+        let service = self.services.get_mut(service);
+        service.is_some_and(|s| s.budget.try_take(entries, now))
+    }
+
+    /// Decides on a request that has just come, or needs another upstream.
+    pub(crate) fn offer(&mut self, ask: Ask, now: Duration) -> Step {
+        if !self.services.contains_key(&ask.service) {
+            return self.refuse(&ask, "service unknown", RETURN_LEAST);
+        }
+        if !self.upstreams.values().any(|u| u.service == ask.service) {
+            return self.refuse(&ask, "no upstream", RETURN_LEAST);
+        }
+        if let Some(seat) = self.seat(&ask, 1.0, now) {
+            return Step::Go(seat);
+        }
+        self.queue(ask, now)
+    }
+
+    /// Hands a seat back.
+    pub(crate) fn release(&mut self, seat: &Seat, end: End, now: Duration) {
+        let Some(upstream) = self.upstreams.get_mut(&seat.upstream) else { return };
+        upstream.end(end, seat.probe, now);
+        if let Some(service) = self.services.get_mut(&upstream.service) {
+            let since = now.saturating_sub(service.freed).as_secs_f64().max(0.001);
+            service.rate += RATE_WEIGHT * (1.0 / since - service.rate);
+            service.freed = now;
+        }
+    }
+
+    /// Takes the gap between two events of a stream.
+    pub(crate) fn observe_gap(&mut self, upstream: &str, gap: Duration) {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
+        let service = self.services.get(&upstream.service);
+        if let Some(figures) = service.and_then(|s| s.engine.as_ref()) {
+            let running = upstream.running();
+            upstream.pace.observe(figures, running, gap);
+        }
+    }
+
+    /// Forgets a waiting request.
+    pub(crate) fn withdraw(&mut self, ticket: u64) {
+        for service in self.services.values_mut() {
+            service.waiting.retain(|a| a.ticket != ticket);
+        }
+    }
+
+    /// Decides on waiting requests, after seats were freed or time has passed.
+    pub(crate) fn advance(&mut self, now: Duration) -> Vec<(u64, Step)> {
+        let mut steps = Vec::new();
+        let names: Vec<Name> = self.services.keys().cloned().collect();
+        for name in names {
+            let mut waiting = match self.services.get_mut(&name) {
+                Some(service) if !service.waiting.is_empty() => std::mem::take(&mut service.waiting),
+                _ => continue,
+            };
+            // Requests that can still be on time go first, the oldest of them before the others.
+            waiting.sort_by_key(|a| (!a.begun, a.back, a.arrived));
+            let mut kept = Vec::new();
+            for ask in waiting {
+                match self.decide(&ask, now) {
+                    Step::Wait => kept.push(ask),
+                    step => steps.push((ask.ticket, step)),
+                }
+            }
+            if let Some(service) = self.services.get_mut(&name) {
+                service.waiting = kept;
+            }
+        }
+        steps
+    }
+
+    fn decide(&mut self, ask: &Ask, now: Duration) -> Step {
+        if let Some(seat) = self.seat(ask, 1.0, now) {
+            return Step::Go(seat);
+        }
+        if now < patience(ask) {
+            return Step::Wait;
+        }
+        // Its wait is over. One more in a batch costs the others less than a refusal costs it.
+        match self.seat(ask, f64::INFINITY, now) {
+            Some(seat) => Step::Go(seat),
+            None => self.refuse(ask, "no upstream takes it", RETURN_LEAST),
+        }
+    }
+
+    fn queue(&mut self, ask: Ask, now: Duration) -> Step {
+        let Some(service) = self.services.get_mut(&ask.service) else {
+            return self.refuse(&ask, "service unknown", RETURN_LEAST);
+        };
+        let ahead = service.waiting.iter().filter(|a| a.back <= ask.back).count();
+        let expected = (ahead + 1) as f64 / service.rate.max(0.2);
+        let wait = patience(&ask).saturating_sub(now).as_secs_f64();
+        if ask.begun || expected <= wait {
+            service.waiting.push(ask);
+            return Step::Wait;
+        }
+        let spread = f64::from(ask.draw) / f64::from(u32::MAX);
+        let range = RETURN_MOST.saturating_sub(RETURN_LEAST);
+        self.refuse(&ask, "no seat in time", RETURN_LEAST + range.mul_f64(spread))
+    }
+
+    /// Takes a seat at the least loaded upstream whose load is below `part` of its limit.
+    fn seat(&mut self, ask: &Ask, part: f64, now: Duration) -> Option<Seat> {
+        let engine = self.services.get(&ask.service)?.engine.as_ref();
+        let noise = |u: &Upstream| {
+            let mixed = (ask.draw ^ u.digest).wrapping_mul(0x9E37_79B9);
+            f64::from(mixed) / f64::from(u32::MAX) * SCORE_NOISE
+        };
+        let bias = if engine.is_some() { ZONE_BIAS } else { ZONE_BIAS_PLAIN };
+        let mut best: Option<(f64, usize)> = None;
+        let mut candidates = 0;
+        for (index, u) in self.upstreams.values().enumerate() {
+            if u.service != ask.service || ask.avoid.contains(&u.id) || !u.allows(now) {
+                continue;
+            }
+            candidates += 1;
+            let limit = u.limit(engine, ask.gap);
+            let full = if part.is_finite() { u.running() + 1.0 > limit * part } else { false };
+            if full {
+                continue;
+            }
+            let away = if u.zone == self.zone { 0.0 } else { bias };
+            let score = u.running() / limit.max(1.0) + away + noise(u);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, index));
+            }
+        }
+        let (_, index) = best?;
+        let limit = self.upstreams[index].limit(engine, ask.gap);
+        let picture = now.saturating_sub(self.picture);
+        let upstream = &mut self.upstreams[index];
+        tracing::info!(
+            event = events::SEAT_TAKEN,
+            request = %ask.request,
+            upstream = %upstream.id,
+            running = upstream.own,
+            others = upstream.others,
+            limit,
+            picture_ms = picture.as_millis() as u64,
+            waited_ms = now.saturating_sub(ask.arrived).as_millis() as u64,
+            candidates,
+            "send"
+        );
+        let probe = upstream.begin(now);
+        Some(Seat { upstream: upstream.id.clone(), address: upstream.address, probe })
+    }
+
+    fn refuse(&self, ask: &Ask, reason: &'static str, retry: Duration) -> Step {
+        tracing::info!(
+            event = events::SEAT_REFUSED,
+            request = %ask.request,
+            service = %ask.service,
+            reason,
+            waiting = self.waiting(),
+            retry_ms = retry.as_millis() as u64,
+            "refuse"
+        );
+        Step::Refuse(Refusal { reason, retry })
+    }
+}
+
+/// Until when a request waits for a seat.
+fn patience(ask: &Ask) -> Duration {
+    if ask.back || ask.begun {
+        let left = ask.deadline.saturating_sub(ask.arrived);
+        return ask.arrived + left.mul_f64(WAIT_BACK);
+    }
+    ask.arrived + ask.target.mul_f64(WAIT_PART)
+}
--- /dev/null
+++ b/papayaproxy/src/balance/engine.rs
@@ -0,0 +1,53 @@
+//! Pass times of a model engine, by its published figures and what is observed.
+
+use super::constants::{GAP_PART, GAP_STALL, GAP_WEIGHT, SEATS_LEAST};
+use crate::catalog::EngineFigures;
+use std::time::Duration;
+
+/// Milliseconds of a pass with `running` requests of the usual size, with balanced experts.
+pub(crate) fn pass_ms(figures: &EngineFigures, running: f64) -> f64 {
+    let context = figures.usual_prompt + figures.usual_answer / 2.0;
+    let each = figures.sequence_ms + figures.context_ms * context / 1000.0;
+    f64::from(figures.stride) * (figures.step_ms + each * running)
+}
+
+/// How much slower a replica's passes are than the model's, learned from the gaps of its streams.
+///
+/// Unbalanced experts, other requests' prompts and slow replicas all show here.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    factor: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { factor: 1.0 }
+    }
+}
+
+impl Pace {
+    /// Takes the gap between two events of a stream, seen while `running` requests ran.
+    pub(crate) fn observe(&mut self, figures: &EngineFigures, running: f64, gap: Duration) {
+        let model = pass_ms(figures, running.clamp(1.0, f64::from(figures.slots.max(1))));
+        let ratio = gap.as_secs_f64() * 1000.0 / model.max(1.0);
+        if ratio <= GAP_STALL {
+            self.factor += GAP_WEIGHT * (ratio - self.factor);
+        }
+    }
+
+    /// The learned factor; 1 where passes are as fast as the figures say.
+    pub(crate) fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    /// Most requests on a replica for which a pass stays within `gap`.
+    pub(crate) fn seats(&self, figures: &EngineFigures, gap: Option<Duration>) -> f64 {
+        let slots = f64::from(figures.slots.max(1));
+        let Some(gap) = gap else { return slots };
+        let allowed = gap.as_secs_f64() * 1000.0 * GAP_PART / self.factor.max(0.1);
+        let base = pass_ms(figures, 0.0);
+        let each = pass_ms(figures, 1.0) - base;
+        let most = if each > 0.0 { ((allowed - base) / each).floor() } else { slots };
+        most.clamp((slots * SEATS_LEAST).floor().max(1.0), slots)
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/balance/upstream.rs
@@ -0,0 +1,139 @@
+//! What is known of one upstream.
+
+use super::constants::{FOREIGN_TIME, FULL_TIME, PLAIN_QUEUE, UNREACHED_TIME};
+use super::engine::Pace;
+use super::events;
+use crate::base::name::Name;
+use crate::catalog::{EngineFigures, Entry};
+use crate::limits::{Circuit, CircuitSettings};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Load as a replica tells it with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Load {
+    /// Requests that run.
+    pub(crate) running: u32,
+    /// Requests that wait.
+    pub(crate) waiting: u32,
+    /// Requests that can run.
+    pub(crate) slots: u32,
+}
+
+/// How a send has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// A whole answer.
+    Good,
+    /// The replica's own failure.
+    Failed,
+    /// The connection broke, or bytes were no answer.
+    Lost,
+    /// No answer, or no next event, in the time expected of it.
+    Silent,
+    /// The replica had no room.
+    Full,
+    /// Another replica has the address.
+    Foreign,
+    /// No connection.
+    Unreached,
+    /// The caller left, or the deadline came.
+    Abandoned,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    /// Its id.
+    pub(crate) id: Name,
+    /// The digest of its id, as peers name it.
+    pub(crate) digest: u32,
+    /// The service that it serves.
+    pub(crate) service: Name,
+    /// Its availability zone.
+    pub(crate) zone: Name,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// Requests that run at a time.
+    pub(crate) slots: u32,
+    /// Unix milliseconds of its start.
+    pub(crate) born: u64,
+    /// Requests of this entry.
+    pub(crate) own: u32,
+    /// Requests of the other entries.
+    pub(crate) others: u32,
+    /// How fast its passes are.
+    pub(crate) pace: Pace,
+    circuit: Circuit,
+    barred: Duration,
+}
+
+impl Upstream {
+    /// An upstream of which only its entry is known.
+    pub(crate) fn new(id: Name, digest: u32, entry: &Entry, circuit: CircuitSettings) -> Self {
+        Self {
+            id,
+            digest,
+            service: entry.service.clone(),
+            zone: entry.zone.clone(),
+            address: entry.address,
+            slots: entry.slots,
+            born: entry.born,
+            own: 0,
+            others: 0,
+            pace: Pace::default(),
+            circuit: Circuit::new(circuit),
+            barred: Duration::ZERO,
+        }
+    }
+
+    /// Requests of all entries.
+    pub(crate) fn running(&self) -> f64 {
+        f64::from(self.own + self.others)
+    }
+
+    /// Most requests that it is given.
+    pub(crate) fn limit(&self, engine: Option<&EngineFigures>, gap: Option<Duration>) -> f64 {
+        match engine {
+            Some(figures) => self.pace.seats(figures, gap),
+            None => f64::from(self.slots) * PLAIN_QUEUE,
+        }
+    }
+
+    /// Whether it may be given a request.
+    pub(crate) fn allows(&self, now: Duration) -> bool {
+        now >= self.barred && self.circuit.allows(now)
+    }
+
+    /// Takes note of a request that is sent there; gives whether it probes an open circuit.
+    pub(crate) fn begin(&mut self, now: Duration) -> bool {
+        self.own += 1;
+        self.circuit.take(now)
+    }
+
+    /// Takes note of how a request has ended.
+    pub(crate) fn end(&mut self, end: End, probe: bool, now: Duration) {
+        self.own = self.own.saturating_sub(1);
+        let before = self.circuit.state();
+        match end {
+            End::Good => drop(self.circuit.answered(true, probe, now)),
+            End::Failed | End::Lost | End::Silent => {
+                drop(self.circuit.answered(false, probe, now));
+            }
+            End::Abandoned => self.circuit.given_up(probe),
+            End::Full => self.bar(FULL_TIME, probe, now),
+            End::Foreign => self.bar(FOREIGN_TIME, probe, now),
+            End::Unreached => self.bar(UNREACHED_TIME, probe, now),
+        }
+        let state = self.circuit.state();
+        if state != before {
+            let (event, upstream) = (events::CIRCUIT_CHANGED, &self.id);
+            tracing::info!(event, %upstream, state = state.as_str(), ?end, "circuit changed");
+        }
+    }
+
+    fn bar(&mut self, time: Duration, probe: bool, now: Duration) {
+        self.circuit.given_up(probe);
+        self.barred = self.barred.max(now + time);
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/catalog/mod.rs
@@ -0,0 +1,17 @@
+//! What is in force: the configuration, the upstreams, and how old that knowledge is.
+
+pub(crate) mod config;
+pub(crate) mod constants;
+pub(crate) mod directory;
+pub(crate) mod events;
+pub(crate) mod follow;
+pub(crate) mod freshness;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use config::{
+    ClientLimits, Config, ConfigParts, EngineFigures, Route, RouteKind, Service, Workspace,
+};
+pub(crate) use directory::{Directory, Entry, EntryState};
+pub(crate) use follow::Catalog;
--- a/papayaproxy/src/daemon/command.rs
+++ b/papayaproxy/src/daemon/command.rs
@@ -3,6 +3,23 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use std::path::PathBuf;
 
+/// Variable that names the settings file where the command line does not.
+const SETTINGS_VARIABLE: &str = "PAPAYAPROXY_SETTINGS";
+
+const DIRECT: &str = "direct";
+
+fn settings_variable() -> Option<PathBuf> {
+    std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)
+}
+
+/// The option with which an entry forwards straight to upstreams.
+pub(crate) fn direct_arg() -> Arg {
+    Arg::new(DIRECT)
+        .long(DIRECT)
+        .action(ArgAction::SetTrue)
+        .help("Forwards straight to upstreams over HTTP, without agents")
+}
+
 /// Options of a daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct Options {
@@ -12,6 +29,8 @@
     pub(crate) overrides: Vec<String>,
     /// Whether only to check the settings.
     pub(crate) check: bool,
+    /// Whether to forward straight to upstreams, without agents.
+    pub(crate) direct: bool,
 }
 
 impl Options {
@@ -22,9 +41,10 @@
             overrides.push(format!("log.format={format}"));
         }
         Self {
-            settings: matches.get_one::<PathBuf>("settings").cloned(),
+            settings: matches.get_one::<PathBuf>("settings").cloned().or_else(settings_variable),
             overrides,
             check: matches.get_flag("check"),
+            direct: matches.try_get_one::<bool>(DIRECT).ok().flatten().copied().unwrap_or(false),
         }
     }
 }
@@ -66,5 +86,5 @@
         .value_name("FORMAT")
         .value_parser(["text", "json"])
         .help_heading("Logs")
-        .help("Form of the log lines, on standard error")]
+        .help("Form of the log lines, on standard output")]
 }
--- a/papayaproxy/src/daemon/mod.rs
+++ b/papayaproxy/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! What the daemons share: command line, runtime, signals.
 
 pub(crate) mod command;
+pub(crate) mod gateway;
 pub(crate) mod open;
 pub(crate) mod run;
 
--- a/papayaproxy/src/daemon/run.rs
+++ b/papayaproxy/src/daemon/run.rs
@@ -1,6 +1,7 @@
 //! Runs a daemon from its command line to its graceful stop.
 
-use super::command::{Options, command};
+use super::command::{Options, command, direct_arg};
+use super::gateway::run_gateway;
 use super::open::{open_agent, open_entry};
 use crate::agent::AgentSettings;
 use crate::base::control::Control;
@@ -8,6 +9,7 @@
 use crate::console::{Console, ConsoleSettings};
 use crate::entry::EntrySettings;
 use crate::settings::{LogSettings, SettingsError};
+use crate::telemetry::LogGuard;
 use std::ffi::OsString;
 use std::process::ExitCode;
 use tokio::runtime::Builder;
@@ -19,7 +21,11 @@
 /// Runs `papaya-entry` with `args`.
 pub fn run_entry(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let about = "Takes callers' requests and routes them to upstreams";
-    let options = Options::read(&command("papaya-entry", about).get_matches_from(args));
+    let command = command("papaya-entry", about).arg(direct_arg());
+    let options = Options::read(&command.get_matches_from(args));
+    if options.direct {
+        return run_gateway(&options);
+    }
     let settings = EntrySettings::open(options.settings.as_deref(), &options.overrides);
     let main = Main {
         log: |s: &EntrySettings| &s.process.log,
@@ -88,17 +94,17 @@
     F: Future<Output = Result<(), ProcessError>>,
 {
     match accept(settings, options, main.log) {
-        Ok(settings) => drive((main.threads)(&settings), body(settings)),
+        Ok((settings, _log)) => drive((main.threads)(&settings), body(settings)),
         Err(exit) => exit,
     }
 }
 
 /// Opens the log, or gives the exit code where settings are wrong or were only to be checked.
-fn accept<T>(
+pub(super) fn accept<T>(
     settings: Result<T, SettingsError>,
     options: &Options,
     log: fn(&T) -> &LogSettings,
-) -> Result<T, ExitCode> {
+) -> Result<(T, LogGuard), ExitCode> {
     let settings = settings.map_err(|error| {
         eprintln!("{error}");
         ExitCode::from(EXIT_SETTINGS)
@@ -107,8 +113,8 @@
         println!("settings are valid");
         return Err(ExitCode::SUCCESS);
     }
-    log(&settings).open();
-    Ok(settings)
+    let guard = log(&settings).open();
+    Ok((settings, guard))
 }
 
 /// Runs `body` on the traffic threads.
@@ -141,6 +147,6 @@
     }
 }
 
-fn on(kind: SignalKind) -> std::io::Result<Signal> {
+pub(super) fn on(kind: SignalKind) -> std::io::Result<Signal> {
     signal(kind)
 }
--- /dev/null
+++ b/papayaproxy/src/gateway/mod.rs
@@ -0,0 +1,27 @@
+//! Takes clients' requests over HTTP/1.1 and forwards them straight to upstreams.
+//!
+//! One thread runs all of it: the hosts have a quarter of a core.
+
+pub(crate) mod body;
+pub(crate) mod codes;
+pub(crate) mod constants;
+pub(crate) mod edge;
+pub(crate) mod envelope;
+pub(crate) mod events;
+pub(crate) mod exchange;
+pub(crate) mod hops;
+pub(crate) mod meters;
+pub(crate) mod pool;
+pub(crate) mod process;
+pub(crate) mod ready;
+pub(crate) mod refuse;
+pub(crate) mod relay;
+pub(crate) mod seats;
+pub(crate) mod settings;
+
+#[cfg(test)]
+mod tests;
+
+pub(crate) use envelope::{Envelope, KeyHeader, Verdict};
+pub use process::Gateway;
+pub use settings::{GatewaySettings, TABLES};
--- /dev/null
+++ b/papayaproxy/src/gateway/ready.rs
@@ -0,0 +1,48 @@
+//! Answers the balancer's question whether new connections are wanted.
+
+use super::body::ReplyBody;
+use super::constants::ACCEPT_PAUSE;
+use super::process::{Shared, ready_path};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+/// Answers until the runtime ends.
+pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept the balancer");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        let service = service_fn(move |request| {
+            let response = answer(&shared, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "the balancer's connection broke");
+            }
+        });
+    }
+}
+
+fn answer<B>(shared: &Shared, request: &Request<B>) -> Response<ReplyBody> {
+    let status = match request.uri().path() == ready_path() {
+        true if shared.is_ready() => StatusCode::OK,
+        true => StatusCode::SERVICE_UNAVAILABLE,
+        false => StatusCode::NOT_FOUND,
+    };
+    let mut response = Response::new(ReplyBody::whole(""));
+    *response.status_mut() = status;
+    response
+}
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -4,6 +4,11 @@
 
 pub(crate) mod base;
 
+pub(crate) mod balance;
+pub(crate) mod catalog;
+pub(crate) mod peers;
+pub(crate) mod platform;
+
 pub mod agent;
 pub mod console;
 pub mod ctl;
@@ -13,6 +18,7 @@
 pub mod entry;
 pub mod experts;
 pub mod fleet;
+pub mod gateway;
 pub mod limits;
 pub mod membership;
 pub mod orders;
@@ -41,6 +47,7 @@
     entry::codes::ROWS,
     experts::codes::ROWS,
     fleet::codes::ROWS,
+    gateway::codes::ROWS,
     limits::codes::ROWS,
     membership::codes::ROWS,
     orders::codes::ROWS,
@@ -54,6 +61,8 @@
 /// The log events of every slice.
 pub const EVENT_TABLES: &[&[Event]] = &[
     agent::events::ROWS,
+    balance::events::ROWS,
+    catalog::events::ROWS,
     console::events::ROWS,
     ctl::events::ROWS,
     delivery::events::ROWS,
@@ -61,9 +70,11 @@
     entry::events::ROWS,
     experts::events::ROWS,
     fleet::events::ROWS,
+    gateway::events::ROWS,
     limits::events::ROWS,
     membership::events::ROWS,
     orders::events::ROWS,
+    peers::events::ROWS,
     routing::events::ROWS,
     settings::events::ROWS,
     streams::events::ROWS,
@@ -74,6 +85,7 @@
 /// The settings of every daemon.
 pub const SETTING_TABLES: &[(&str, &[&[settings::SettingRow]])] = &[
     ("papaya-entry", entry::TABLES),
+    ("papaya-entry --direct", gateway::TABLES),
     ("papaya-agent", agent::TABLES),
     ("papaya-console", console::TABLES),
 ];
--- /dev/null
+++ b/papayaproxy/src/peers/message.rs
@@ -0,0 +1,85 @@
+//! What entries tell each other: datagrams, and frames of a transfer. Encoded by postcard.
+
+use crate::base::name::{Incarnation, Name};
+use crate::catalog::directory::Listed;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// Sent to every peer all the time.
+    Beat(Beat),
+    /// Asks how fresh the peer's knowledge is.
+    Ask {
+        /// Echoed in the answer.
+        nonce: u64,
+    },
+    /// Answers an [`Message::Ask`].
+    Tell(Tell),
+}
+
+/// What an entry does at the moment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Beat {
+    /// Its availability zone.
+    pub(crate) zone: Name,
+    /// This run of the process.
+    pub(crate) incarnation: Incarnation,
+    /// Counts the beats of this run.
+    pub(crate) sequence: u64,
+    /// Version of its configuration.
+    pub(crate) version: u64,
+    /// Other entries that it knows.
+    pub(crate) names: Vec<SocketAddr>,
+    /// Requests that it runs, by the digest of the upstream's id.
+    pub(crate) loads: Vec<(u32, u16)>,
+}
+
+/// How fresh an entry's knowledge is, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Tell {
+    /// The question's nonce.
+    pub(crate) nonce: u64,
+    /// Version of the configuration.
+    pub(crate) version: u64,
+    /// Age of the proof that this version is the newest.
+    pub(crate) proof_ms: Option<u64>,
+    /// Age of the list of upstreams.
+    pub(crate) list_ms: Option<u64>,
+}
+
+/// Asks for a transfer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Pull {
+    /// The configuration.
+    Config,
+    /// The upstreams.
+    List,
+}
+
+/// Answers a [`Pull`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Pulled {
+    /// The configuration as the operator wrote it.
+    Config {
+        /// Its bytes.
+        raw: Vec<u8>,
+        /// The store's revision at which it was the newest.
+        revision: u64,
+    },
+    /// The upstreams.
+    List {
+        /// Their entries.
+        listed: Vec<Listed>,
+        /// Age of the list in milliseconds.
+        age_ms: u64,
+    },
+    /// The peer has nothing to give.
+    Nothing,
+}
+
+/// Digest that stands for an upstream's id in a beat.
+pub(crate) fn digest(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
--- /dev/null
+++ b/papayaproxy/src/peers/node.rs
@@ -0,0 +1,260 @@
+//! The running exchange of one entry: its datagrams, questions and transfers.
+
+use super::constants::{
+    ASK_AGE, ASK_INTERVAL, ASK_PEERS, DATAGRAM_BYTES, LOADS_MAX, NAMES_EVERY,
+};
+use super::events;
+use super::message::{Beat, Message, Pull, Pulled, Tell};
+use super::relay;
+use super::table::{Running, Table};
+use crate::base::clock::Clock;
+use crate::base::name::{Incarnation, Name};
+use crate::catalog::Catalog;
+use crate::catalog::freshness::boot_time;
+use indexmap::IndexMap;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+
+/// What the exchange needs of the process.
+pub(crate) struct PeerSettings {
+    /// Address for peers, over UDP and TCP.
+    pub(crate) address: SocketAddr,
+    /// Addresses of some peers.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// The process' availability zone.
+    pub(crate) zone: Name,
+    /// This run of the process.
+    pub(crate) incarnation: Incarnation,
+}
+
+/// The running exchange.
+pub(crate) struct Peers {
+    socket: UdpSocket,
+    table: RefCell<Table>,
+    catalog: Rc<Catalog>,
+    clock: Clock,
+    zone: Name,
+    incarnation: Incarnation,
+    sequence: Cell<u64>,
+    /// Questions by nonce, with the time of asking.
+    asked: RefCell<IndexMap<u64, Duration>>,
+    pulling: Cell<bool>,
+}
+
+impl Peers {
+    /// Binds the address and starts the exchange. `loads` gives what this entry runs; `learn` takes
+    /// what the peers run and how many entries there are.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub(crate) async fn bind(
+        settings: PeerSettings,
+        catalog: Rc<Catalog>,
+        clock: Clock,
+        loads: impl Fn() -> Vec<(u32, u16)> + 'static,
+        learn: impl Fn(Running, usize) + 'static,
+    ) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(settings.address).await?;
+        let listener = TcpListener::bind(settings.address).await?;
+        let peers = Rc::new(Self {
+            table: RefCell::new(Table::new(socket.local_addr()?, settings.seeds)),
+            socket,
+            catalog: catalog.clone(),
+            clock,
+            zone: settings.zone,
+            incarnation: settings.incarnation,
+            sequence: Cell::new(0),
+            asked: RefCell::default(),
+            pulling: Cell::new(false),
+        });
+        tokio::task::spawn_local(relay::serve(listener, catalog));
+        tokio::task::spawn_local(peers.clone().receive());
+        tokio::task::spawn_local(peers.clone().beat(loads, learn));
+        tokio::task::spawn_local(peers.clone().ask());
+        Ok(peers)
+    }
+
+    /// Takes other seeds, after a change of the settings.
+    pub(crate) fn reseed(&self, seeds: Vec<SocketAddr>) {
+        self.table.borrow_mut().reseed(seeds);
+    }
+
+    async fn beat(
+        self: Rc<Self>,
+        loads: impl Fn() -> Vec<(u32, u16)>,
+        learn: impl Fn(Running, usize),
+    ) {
+        loop {
+            let now = self.clock.now();
+            self.table.borrow_mut().advance(now);
+            let (running, most) = {
+                let table = self.table.borrow();
+                (table.running(), table.most())
+            };
+            learn(running, most);
+            self.send_beats(loads()).await;
+            let interval = self.table.borrow().interval();
+            tokio::time::sleep(interval).await;
+        }
+    }
+
+    async fn send_beats(&self, mut loads: Vec<(u32, u16)>) {
+        loads.truncate(LOADS_MAX);
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        let named = sequence % NAMES_EVERY == 1;
+        let names = named.then(|| self.table.borrow().names(sequence as usize));
+        let beat = Beat {
+            zone: self.zone.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            version: self.catalog.version(),
+            names: names.unwrap_or_default(),
+            loads,
+        };
+        let addresses = self.table.borrow().addresses();
+        self.send(&Message::Beat(beat), &addresses).await;
+    }
+
+    async fn send(&self, message: &Message, to: &[SocketAddr]) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(%error, "a message cannot be encoded");
+                return;
+            }
+        };
+        for address in to {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                tracing::debug!(peer = %address, %error, "datagram not sent");
+            }
+        }
+    }
+
+    async fn receive(self: Rc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    // A peer that is away is reported here, on the next receive.
+                    tracing::debug!(%error, "receive failed");
+                    continue;
+                }
+            };
+            match postcard::from_bytes(&buffer[..length]) {
+                // A transfer takes long against the time between beats, so it runs beside them.
+                Ok(Message::Tell(tell)) => {
+                    tokio::task::spawn_local(self.clone().told(from, tell));
+                }
+                Ok(message) => self.take(from, message).await,
+                Err(error) => {
+                    let event = events::DATAGRAM_REFUSED;
+                    tracing::warn!(event, peer = %from, %error, "datagram refused");
+                }
+            }
+        }
+    }
+
+    async fn take(&self, from: SocketAddr, message: Message) {
+        match message {
+            Message::Beat(beat) => {
+                let now = self.clock.now();
+                self.table.borrow_mut().heard(from, beat, now);
+            }
+            Message::Ask { nonce } => {
+                let millis = |age: Duration| age.as_millis() as u64;
+                let tell = Tell {
+                    nonce,
+                    version: self.catalog.version(),
+                    proof_ms: self.catalog.age().map(millis),
+                    list_ms: self.catalog.directory_age().map(millis),
+                };
+                self.send(&Message::Tell(tell), &[from]).await;
+            }
+            Message::Tell(_) => {}
+        }
+    }
+
+    /// Takes a peer's statement. Its ages count from the time of asking, before which they were
+    /// not worked out.
+    async fn told(self: Rc<Self>, from: SocketAddr, tell: Tell) {
+        let asked = self.asked.borrow_mut().shift_remove(&tell.nonce);
+        let Some(asked) = asked else { return };
+        if tell.version > self.catalog.version() {
+            self.pull_config(from).await;
+        }
+        if let Some(age) = tell.proof_ms {
+            let at = asked.saturating_sub(Duration::from_millis(age));
+            self.catalog.prove(tell.version, at);
+        }
+        let own = self.catalog.directory_age();
+        let their = tell.list_ms.map(Duration::from_millis);
+        if their.is_some_and(|their| own.is_none_or(|own| their + ASK_INTERVAL < own)) {
+            self.pull_list(from).await;
+        }
+    }
+
+    async fn ask(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(ASK_INTERVAL).await;
+            let stale = self.catalog.age().is_none_or(|age| age > ASK_AGE);
+            let newer = self.table.borrow().newer(self.catalog.version());
+            if let Some(peer) = newer.filter(|_| stale || self.catalog.is_cut()) {
+                self.pull_config(peer).await;
+            }
+            if stale || self.catalog.is_cut() {
+                self.ask_peers().await;
+            }
+        }
+    }
+
+    async fn ask_peers(&self) {
+        let turn: usize = rand::random::<u16>().into();
+        let mut peers = self.table.borrow().live(self.catalog.version(), turn);
+        peers.truncate(ASK_PEERS);
+        let now = boot_time();
+        for peer in peers {
+            let nonce = rand::random();
+            let mut asked = self.asked.borrow_mut();
+            asked.retain(|_, at| now.saturating_sub(*at) < ASK_AGE);
+            asked.insert(nonce, now);
+            drop(asked);
+            self.send(&Message::Ask { nonce }, &[peer]).await;
+        }
+    }
+
+    async fn pull_config(&self, peer: SocketAddr) {
+        if let Some(Pulled::Config { raw, revision }) = self.pull(peer, Pull::Config).await {
+            self.catalog.take_config(raw.into(), revision, "peer");
+        }
+    }
+
+    async fn pull_list(&self, peer: SocketAddr) {
+        let asked = self.clock.now();
+        if let Some(Pulled::List { listed, age_ms }) = self.pull(peer, Pull::List).await {
+            let transit = self.clock.now().saturating_sub(asked);
+            self.catalog.take_list(listed, Duration::from_millis(age_ms) + transit);
+        }
+    }
+
+    /// One transfer at a time.
+    async fn pull(&self, peer: SocketAddr, what: Pull) -> Option<Pulled> {
+        if self.pulling.replace(true) {
+            return None;
+        }
+        let pulled = relay::pull(peer, what).await;
+        self.pulling.set(false);
+        match pulled {
+            Ok(pulled) => Some(pulled),
+            Err(error) => {
+                tracing::warn!(event = events::PULL_FAILED, %peer, ?what, %error, "pull failed");
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/peers/relay.rs
@@ -0,0 +1,80 @@
+//! Transfers between entries over TCP, for those that the store does not serve.
+
+use super::constants::{FRAME_BYTES, PULL_LIMIT};
+use super::message::{Pull, Pulled};
+use crate::catalog::Catalog;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Wait after a failed accept, so that a shortage of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES).new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Answers transfers until the runtime ends.
+pub(crate) async fn serve(listener: TcpListener, catalog: Rc<Catalog>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let answer = timeout(PULL_LIMIT, answer(stream, catalog.clone()));
+                tokio::task::spawn_local(async move {
+                    if let Ok(Err(error)) = answer.await {
+                        tracing::debug!(%error, "transfer to a peer broke off");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a peer");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(stream: TcpStream, catalog: Rc<Catalog>) -> io::Result<()> {
+    let mut frames = framed(stream);
+    while let Some(frame) = frames.next().await {
+        let pull: Pull = postcard::from_bytes(&frame?).map_err(io::Error::other)?;
+        let bytes = postcard::to_stdvec(&pulled(pull, &catalog)).map_err(io::Error::other)?;
+        frames.send(Bytes::from(bytes)).await?;
+    }
+    Ok(())
+}
+
+fn pulled(pull: Pull, catalog: &Catalog) -> Pulled {
+    match pull {
+        Pull::Config => catalog.held().map_or(Pulled::Nothing, |held| Pulled::Config {
+            raw: held.raw.to_vec(),
+            revision: held.revision,
+        }),
+        Pull::List => catalog.directory_age().map_or(Pulled::Nothing, |age| Pulled::List {
+            listed: catalog.with_directory(|d| d.list()),
+            age_ms: age.as_millis() as u64,
+        }),
+    }
+}
+
+/// Asks the peer at `address` for a transfer.
+///
+/// # Errors
+/// No connection, no answer in time, or bytes that are no answer.
+pub(crate) async fn pull(address: SocketAddr, what: Pull) -> io::Result<Pulled> {
+    let exchange = async {
+        let mut frames = framed(TcpStream::connect(address).await?);
+        let bytes = postcard::to_stdvec(&what).map_err(io::Error::other)?;
+        frames.send(Bytes::from(bytes)).await?;
+        let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+        postcard::from_bytes(&frame).map_err(io::Error::other)
+    };
+    timeout(PULL_LIMIT, exchange).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+}
--- /dev/null
+++ b/papayaproxy/src/platform/config.rs
@@ -0,0 +1,194 @@
+//! Reads the operator's configuration into the product's own types.
+
+use crate::base::name::Name;
+use crate::catalog::{
+    ClientLimits, Config, ConfigParts, EngineFigures, Route, RouteKind, Service, Workspace,
+};
+use indexmap::IndexMap;
+use serde::Deserialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Deserialize)]
+struct WireConfig {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    limits: Option<WireLimits>,
+    tenants: Option<Vec<WireTenant>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    #[serde(default)]
+    name: String,
+    host: String,
+    path_prefix: String,
+    /// What may be repeated, not where the route leads.
+    #[serde(default)]
+    route_type: String,
+    timeout_ms: Option<f64>,
+    target_latency_ms: Option<f64>,
+    gap_target_ms: Option<f64>,
+    priority: Option<u8>,
+    service: Option<String>,
+    /// Services that share the route by weight, in place of `service`.
+    #[serde(default)]
+    backends: Vec<WireShare>,
+    max_attempts: Option<u32>,
+    /// Whether requests need no key.
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    stream_resume: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireShare {
+    service: String,
+    #[serde(default)]
+    backend_weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireService {
+    name: String,
+    max_conns: Option<u32>,
+    /// Figures of the model engine, not a name.
+    engine_name: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    #[serde(default)]
+    slots: u32,
+    /// Tokens that fit the memory.
+    #[serde(default, rename = "kvTokens")]
+    kv_tokens: u64,
+    /// Steps of a pass.
+    #[serde(default)]
+    stride: u32,
+    #[serde(default)]
+    step_ms: f64,
+    #[serde(default)]
+    per_seq_ms: f64,
+    #[serde(default)]
+    context_per_k: f64,
+    #[serde(default)]
+    read_per_s: f64,
+    #[serde(default)]
+    form_ms: f64,
+    usual: Option<WireUsual>,
+}
+
+#[derive(Deserialize)]
+struct WireUsual {
+    #[serde(default)]
+    prompt: f64,
+    #[serde(default)]
+    answer: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+/// What the JSON parser reported.
+pub(crate) fn parse(bytes: &[u8]) -> Result<Config, serde_json::Error> {
+    let wire: WireConfig = serde_json::from_slice(bytes)?;
+    let keyed = wire.tenants.is_some();
+    let mut workspaces = IndexMap::new();
+    for tenant in wire.tenants.into_iter().flatten() {
+        let workspace =
+            Arc::new(Workspace { name: tenant.name.into(), priority: tenant.priority });
+        for key in tenant.api_keys {
+            workspaces.insert(key.into(), workspace.clone());
+        }
+    }
+    Ok(Config::new(ConfigParts {
+        version: wire.version,
+        routes: wire.routes.into_iter().map(route).collect(),
+        services: wire.services.into_iter().map(service).collect(),
+        workspaces: keyed.then_some(workspaces),
+        limits: wire.limits.map_or_else(ClientLimits::default, limits),
+    }))
+}
+
+fn route(wire: WireRoute) -> (Name, Route) {
+    let kind = match wire.route_type.as_str() {
+        "safe" => RouteKind::Safe,
+        "streaming" => RouteKind::Stream { resumable: wire.stream_resume },
+        // A kind that is not known here is never repeated.
+        _ => RouteKind::Unsafe,
+    };
+    let mut services: Vec<(Name, u32)> =
+        wire.backends.into_iter().map(|s| (s.service.into(), s.backend_weight)).collect();
+    if services.is_empty() {
+        services.extend(wire.service.map(|s| (s.into(), 1)));
+    }
+    let route = Route {
+        name: wire.name.into(),
+        prefix: wire.path_prefix.into(),
+        kind,
+        timeout: wire.timeout_ms.and_then(millis),
+        target: wire.target_latency_ms.and_then(millis),
+        gap: wire.gap_target_ms.and_then(millis),
+        priority: wire.priority.unwrap_or_default(),
+        attempts: wire.max_attempts.unwrap_or(1).max(1),
+        public: wire.public,
+        services,
+    };
+    (wire.host.to_ascii_lowercase().into(), route)
+}
+
+fn service(wire: WireService) -> (Name, Service) {
+    let engine = wire.engine_name.map(|e| EngineFigures {
+        slots: e.slots,
+        memory_tokens: e.kv_tokens,
+        stride: e.stride.max(1),
+        step_ms: e.step_ms,
+        sequence_ms: e.per_seq_ms,
+        context_ms: e.context_per_k,
+        prefill_rate: e.read_per_s,
+        form_ms: e.form_ms,
+        usual_prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
+        usual_answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
+    });
+    (wire.name.into(), Service { connections: wire.max_conns, engine })
+}
+
+fn limits(wire: WireLimits) -> ClientLimits {
+    let default = ClientLimits::default();
+    ClientLimits {
+        header_bytes: wire.max_header_bytes.unwrap_or(default.header_bytes),
+        body_bytes: wire.max_body_bytes.unwrap_or(default.body_bytes),
+        header_time: wire.header_timeout_ms.and_then(millis).unwrap_or(default.header_time),
+        idle_time: wire.idle_timeout_ms.and_then(millis).unwrap_or(default.idle_time),
+    }
+}
+
+fn millis(value: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(value / 1000.0).ok().filter(|d| !d.is_zero())
+}
--- a/papayaproxy/src/settings/log.rs
+++ b/papayaproxy/src/settings/log.rs
@@ -1,7 +1,7 @@
 //! Settings of the log.
 
 use super::reader::{Reader, SettingRow};
-use crate::telemetry::log::{LogFormat, open_log, parse_filter};
+use crate::telemetry::log::{LogFormat, LogGuard, open_log, parse_filter};
 
 /// Rows of the settings of the log.
 pub(crate) const ROWS: &[SettingRow] = &[
@@ -31,8 +31,9 @@
         Some(Self { format: format?, filter: filter? })
     }
 
-    /// Opens the process' log.
-    pub fn open(&self) {
-        open_log(self.format, &self.filter);
+    /// Opens the process' log, which is whole once the guard is dropped.
+    #[must_use]
+    pub fn open(&self) -> LogGuard {
+        open_log(self.format, &self.filter)
     }
 }
--- a/papayaproxy/src/streams/splitter.rs
+++ b/papayaproxy/src/streams/splitter.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Whether an event has begun that is not whole.
+    pub fn is_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Forgets a partial event, before the stream is taken up from another connection.
     pub fn reset(&mut self) {
         self.buffer.clear();
@@ -96,3 +101,9 @@
     }
     None
 }
+
+/// The id of a whole event, as its line `id:` gives it.
+pub fn event_id(raw: &[u8]) -> Option<u64> {
+    let line = raw.split(|b| *b == b'\n').find_map(|l| l.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- a/papayaproxy/src/telemetry/log.rs
+++ b/papayaproxy/src/telemetry/log.rs
@@ -1,7 +1,32 @@
-//! Structured logs to standard error.
+//! Structured logs to standard output, written by a thread of their own.
 
+use std::sync::OnceLock;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
+/// Lines that wait for the writer at most; further ones are dropped and counted.
+const LINES_MAX: usize = 8192;
+
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Writes the lines that wait when dropped.
+pub struct LogGuard {
+    _writer: WorkerGuard,
+}
+
+/// Log lines that were dropped because the writer could not keep up.
+pub(crate) fn dropped_lines() -> u64 {
+    DROPPED.get().map_or(0, |c| c.dropped_lines() as u64)
+}
+
+fn writer() -> (NonBlocking, LogGuard) {
+    let builder = NonBlockingBuilder::default().buffered_lines_limit(LINES_MAX).lossy(true);
+    let (writer, guard) = builder.thread_name("log").finish(std::io::stdout());
+    // A second log of one process is not opened, so its counter is not needed either.
+    let _ = DROPPED.set(writer.error_counter());
+    (writer, LogGuard { _writer: guard })
+}
+
 /// Form of the log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogFormat {
@@ -29,13 +54,18 @@
 /// Opens the process' log. `filter` has the form of `RUST_LOG`; it was checked with the settings.
 ///
 /// A second call in one process changes nothing, so that several roles can run in one.
-pub fn open_log(format: LogFormat, filter: &str) {
+///
+/// Log lines that still wait are written when the guard is dropped.
+#[must_use]
+pub fn open_log(format: LogFormat, filter: &str) -> LogGuard {
+    let (writer, guard) = writer();
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
     let _ = match format {
         LogFormat::Text => builder.with_ansi(false).try_init(),
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
     };
+    guard
 }
 
 /// Checks a log filter.
--- a/papayaproxy/src/telemetry/mod.rs
+++ b/papayaproxy/src/telemetry/mod.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use log::{LogFormat, open_log};
+pub use log::{LogFormat, LogGuard, open_log};
 pub use metrics::Metrics;
 pub use ops::{Ops, StatusSource};
 pub use status::Status;
