Count a stream as in progress until its last event

Ruled out: the library's graceful shutdown, which finishes requests in progress. Change: the call itself holds the guard.

--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -80,7 +80,6 @@
 }
 
 async fn answer(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let _busy = shared.busy();
     let mut response = match prepare(&shared, request).await {
         Ok(call) => call.run().await,
         Err(response) => response,
@@ -162,6 +161,7 @@
     );
     Ok(Call {
         shared: shared.clone(),
+        _busy: shared.busy(),
         on_time: route.target.unwrap_or(TARGET_DEFAULT),
         envelope,
         route,
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 use super::envelope::{Envelope, Verdict};
 use super::events;
 use super::pool::{Link, SendError};
-use super::process::Shared;
+use super::process::{Busy, Shared};
 use super::refuse;
 use super::relay;
 use super::seats::TakenSeat;
@@ -32,6 +32,8 @@
 pub(crate) struct Call {
     /// The process.
     pub(crate) shared: Rc<Shared>,
+    /// Counts it as in progress, until the last event of a stream too.
+    pub(crate) _busy: Busy,
     /// What the client says of it.
     pub(crate) envelope: Envelope,
     /// Its route.
