--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -10,6 +10,8 @@
 pub(crate) const FOREIGN_TIME: Duration = Duration::from_millis(1500);
 /// Time in which an upstream that cannot be reached gets nothing.
 pub(crate) const UNREACHED_TIME: Duration = Duration::from_millis(600);
+/// Time for which a group counts as broken after its agents said so last; they repeat it.
+pub(crate) const BROKEN_TIME: Duration = Duration::from_millis(1200);
 /// Load, in parts of the limit, by which another availability zone has to be better for an engine.
 pub(crate) const ZONE_BIAS: f64 = 0.06;
 /// The same for a plain service, whose work is short against the way between zones.
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -11,6 +11,7 @@
 use crate::catalog::{Config, Directory, EngineFigures};
 use crate::limits::CircuitSettings;
 use crate::peers::{Running, message::digest};
+use crate::ranks::message::Picture;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -143,6 +144,24 @@
         }
     }
 
+    /// Takes the picture of a lock-step group from its lead.
+    pub(crate) fn observe_group(&mut self, picture: &Picture, now: Duration) {
+        let members = picture.members.iter();
+        let requests: u32 = members.map(|(_, r, w)| u32::from(*r) + u32::from(*w)).sum();
+        let mean = f64::from(requests) / picture.members.len().max(1) as f64;
+        for upstream in self.upstreams.values_mut() {
+            let member = picture.members.iter().any(|(a, ..)| *a == upstream.address);
+            let service = self.services.get(&upstream.service);
+            let Some(figures) = service.and_then(|s| s.engine.as_ref()).filter(|_| member) else {
+                continue;
+            };
+            upstream.observe_group(picture.open, now);
+            if picture.pass_ms > 0.0 {
+                upstream.pace.set(figures, mean, f64::from(picture.pass_ms));
+            }
+        }
+    }
+
     /// What this entry runs, for its peers.
     pub(crate) fn loads(&self) -> Vec<(u32, u16)> {
         let busy = self.upstreams.values().filter(|u| u.own > 0);
--- a/papayaproxy/src/balance/engine.rs
+++ b/papayaproxy/src/balance/engine.rs
@@ -35,9 +35,10 @@
         }
     }
 
-    /// The learned factor; 1 where passes are as fast as the figures say.
-    pub(crate) fn factor(&self) -> f64 {
-        self.factor
+    /// Takes the duration of a pass as the replicas' own agents measure it.
+    pub(crate) fn set(&mut self, figures: &EngineFigures, running: f64, pass: f64) {
+        let model = pass_ms(figures, running.clamp(0.0, f64::from(figures.slots.max(1))));
+        self.factor = (pass / model.max(1.0)).min(GAP_STALL);
     }
 
     /// Most requests on a replica for which a pass stays within `gap`.
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -13,4 +13,4 @@
 mod tests;
 
 pub(crate) use desk::{Ask, Desk, Refusal, Seat, Step};
-pub(crate) use upstream::{End, Load};
+pub(crate) use upstream::End;
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -1,6 +1,6 @@
 //! What is known of one upstream.
 
-use super::constants::{FOREIGN_TIME, FULL_TIME, PLAIN_QUEUE, UNREACHED_TIME};
+use super::constants::{BROKEN_TIME, FOREIGN_TIME, FULL_TIME, PLAIN_QUEUE, UNREACHED_TIME};
 use super::engine::Pace;
 use super::events;
 use crate::base::name::Name;
@@ -9,17 +9,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Load as a replica tells it with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Load {
-    /// Requests that run.
-    pub(crate) running: u32,
-    /// Requests that wait.
-    pub(crate) waiting: u32,
-    /// Requests that can run.
-    pub(crate) slots: u32,
-}
-
 /// How a send has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum End {
@@ -66,6 +55,8 @@
     pub(crate) pace: Pace,
     circuit: Circuit,
     barred: Duration,
+    /// When the replica's group was last seen broken.
+    broken: Option<Duration>,
 }
 
 impl Upstream {
@@ -84,6 +75,7 @@
             pace: Pace::default(),
             circuit: Circuit::new(circuit),
             barred: Duration::ZERO,
+            broken: None,
         }
     }
 
@@ -102,7 +94,13 @@
 
     /// Whether it may be given a request.
     pub(crate) fn allows(&self, now: Duration) -> bool {
-        now >= self.barred && self.circuit.allows(now)
+        let broken = self.broken.is_some_and(|at| now < at + BROKEN_TIME);
+        now >= self.barred && !broken && self.circuit.allows(now)
+    }
+
+    /// Takes note of whether the replica's group runs passes.
+    pub(crate) fn observe_group(&mut self, open: bool, now: Duration) {
+        self.broken = (!open).then_some(now);
     }
 
     /// Takes note of a request that is sent there; gives whether it probes an open circuit.
@@ -116,9 +114,11 @@
         self.own = self.own.saturating_sub(1);
         let before = self.circuit.state();
         match end {
-            End::Good => drop(self.circuit.answered(true, probe, now)),
+            End::Good => {
+                let _ = self.circuit.answered(true, probe, now);
+            }
             End::Failed | End::Lost | End::Silent => {
-                drop(self.circuit.answered(false, probe, now));
+                let _ = self.circuit.answered(false, probe, now);
             }
             End::Abandoned => self.circuit.given_up(probe),
             End::Full => self.bar(FULL_TIME, probe, now),
--- a/papayaproxy/src/catalog/config.rs
+++ b/papayaproxy/src/catalog/config.rs
@@ -2,6 +2,7 @@
 
 use crate::base::name::Name;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -94,6 +95,21 @@
     pub(crate) usual_prompt: f64,
     /// Mean tokens of an answer.
     pub(crate) usual_answer: f64,
+    /// Sizes of its expert maps; `None` where it has none.
+    pub(crate) experts: Option<ExpertFigures>,
+}
+
+/// Sizes of the expert maps of a lock-step group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ExpertFigures {
+    /// Sets of layers that share a layout.
+    pub(crate) sets: u16,
+    /// Experts of a set.
+    pub(crate) experts: u16,
+    /// Experts of a set that one rank may hold.
+    pub(crate) places: u16,
+    /// Experts of a set that one rank may copy at a time.
+    pub(crate) spare: u16,
 }
 
 /// A service that routes lead to.
--- a/papayaproxy/src/daemon/command.rs
+++ b/papayaproxy/src/daemon/command.rs
@@ -12,12 +12,12 @@
     std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)
 }
 
-/// The option with which an entry forwards straight to upstreams.
-pub(crate) fn direct_arg() -> Arg {
+/// The option with which a daemon works without links between entries and agents.
+pub(crate) fn direct_arg(help: &'static str) -> Arg {
     Arg::new(DIRECT)
         .long(DIRECT)
         .action(ArgAction::SetTrue)
-        .help("Forwards straight to upstreams over HTTP, without agents")
+        .help(help)
 }
 
 /// Options of a daemon.
--- a/papayaproxy/src/daemon/gateway.rs
+++ b/papayaproxy/src/daemon/gateway.rs
@@ -21,6 +21,11 @@
         Ok(accepted) => accepted,
         Err(exit) => return exit,
     };
+    block_on_local(serve(settings, options))
+}
+
+/// Runs a daemon on one thread.
+pub(super) fn block_on_local(body: impl Future<Output = Result<(), ProcessError>>) -> ExitCode {
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -28,7 +33,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match LocalSet::new().block_on(&runtime, serve(settings, options)) {
+    match LocalSet::new().block_on(&runtime, body) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(code = %error.code(), "{error}");
--- a/papayaproxy/src/daemon/mod.rs
+++ b/papayaproxy/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod command;
 pub(crate) mod gateway;
 pub(crate) mod open;
+pub(crate) mod ranks;
 pub(crate) mod run;
 
 pub use open::{RunningAgent, RunningEntry, open_agent, open_entry};
--- a/papayaproxy/src/daemon/run.rs
+++ b/papayaproxy/src/daemon/run.rs
@@ -3,6 +3,7 @@
 use super::command::{Options, command, direct_arg};
 use super::gateway::run_gateway;
 use super::open::{open_agent, open_entry};
+use super::ranks::run_ranks;
 use crate::agent::AgentSettings;
 use crate::base::control::Control;
 use crate::base::error::ProcessError;
@@ -15,13 +16,16 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+const DIRECT_ENTRY: &str = "Forwards straight to upstreams over HTTP, without agents";
+const DIRECT_AGENT: &str = "Gives the orders of the model replica on its host; requests go past it";
+
 /// Exit code of a daemon whose settings are wrong.
 const EXIT_SETTINGS: u8 = 2;
 
 /// Runs `papaya-entry` with `args`.
 pub fn run_entry(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let about = "Takes callers' requests and routes them to upstreams";
-    let command = command("papaya-entry", about).arg(direct_arg());
+    let command = command("papaya-entry", about).arg(direct_arg(DIRECT_ENTRY));
     let options = Options::read(&command.get_matches_from(args));
     if options.direct {
         return run_gateway(&options);
@@ -43,7 +47,11 @@
 /// Runs `papaya-agent` with `args`.
 pub fn run_agent(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let about = "Guards one upstream: the only gate to it";
-    let options = Options::read(&command("papaya-agent", about).get_matches_from(args));
+    let command = command("papaya-agent", about).arg(direct_arg(DIRECT_AGENT));
+    let options = Options::read(&command.get_matches_from(args));
+    if options.direct {
+        return run_ranks(&options);
+    }
     let settings = AgentSettings::open(options.settings.as_deref(), &options.overrides);
     let main = Main {
         log: |s: &AgentSettings| &s.process.log,
@@ -136,7 +144,7 @@
 }
 
 /// Waits for SIGTERM or SIGINT.
-async fn stopped() {
+pub(super) async fn stopped() {
     let (Ok(mut term), Ok(mut int)) = (on(SignalKind::terminate()), on(SignalKind::interrupt()))
     else {
         return std::future::pending().await;
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -242,8 +242,7 @@
             Err(_) => return Err(miss(seat, End::Silent, true, "no answer in time".into())),
         };
         let (parts, body) = response.into_parts();
-        let answer = replica::read(&self.envelope.id, parts.status, &parts.headers);
-        match answer.verdict {
+        match replica::read(&self.envelope.id, parts.status, &parts.headers) {
             Verdict::NotRun { misdirected } => {
                 let end = if misdirected { End::Foreign } else { End::Full };
                 let detail = format!("{} without a run", parts.status);
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -15,7 +15,7 @@
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::{Catalog, Route};
 use crate::limits::CircuitSettings;
-use crate::peers::{PeerSettings, Peers};
+use crate::peers::{Hooks, PeerSettings, Peers};
 use crate::platform::Store;
 use crate::platform::names::READY_PATH;
 use crate::telemetry::{Metrics, Ops, Status, StatusSource};
@@ -107,14 +107,19 @@
             zone: settings.zone.clone(),
             incarnation,
         };
-        let (loads, learning) = (seats.clone(), seats);
+        let (loads, learning, picturing) = (seats.clone(), seats.clone(), seats);
         let peers = Peers::bind(
             peer_settings,
             catalog,
             clock,
-            move || loads.with(|desk| desk.loads()),
-            move |running, entries| {
-                learning.with(|desk| desk.observe(&running, entries, clock.now()));
+            Hooks {
+                loads: Box::new(move || loads.with(|desk| desk.loads())),
+                learn: Box::new(move |running, entries| {
+                    learning.with(|desk| desk.observe(running, entries, clock.now()));
+                }),
+                group: Box::new(move |picture| {
+                    picturing.with(|desk| desk.observe_group(picture, clock.now()));
+                }),
             },
         );
         let peers = peers
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -129,7 +129,7 @@
         let address = read_address(reader, "gateway");
         let ready = reader.parsed("gateway", "ready", expected);
         let peers = reader.parsed("gateway", "peers", expected);
-        let seeds = read_seeds(reader);
+        let seeds = read_seeds(reader, "gateway");
         let ops = read_address(reader, "ops");
         let store = read_address(reader, "store");
         let revoke = reader.value("bounds", "revoke", parse_duration);
@@ -155,8 +155,9 @@
     }
 }
 
-fn read_seeds(reader: &mut Reader) -> Option<Vec<SocketAddr>> {
-    reader.value("gateway", "seeds", |text| {
+/// Reads the addresses of some entries.
+pub(crate) fn read_seeds(reader: &mut Reader, section: &str) -> Option<Vec<SocketAddr>> {
+    reader.value(section, "seeds", |text| {
         let parts = text.split(',').map(str::trim).filter(|p| !p.is_empty());
         let seeds = parts.map(str::parse).collect::<Result<_, _>>();
         seeds.map_err(|_| "IP addresses and ports with commas".to_owned())
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod limits;
 pub mod membership;
 pub mod orders;
+pub mod ranks;
 pub mod routing;
 pub mod settings;
 pub mod streams;
@@ -75,6 +76,7 @@
     membership::events::ROWS,
     orders::events::ROWS,
     peers::events::ROWS,
+    ranks::events::ROWS,
     routing::events::ROWS,
     settings::events::ROWS,
     streams::events::ROWS,
@@ -87,5 +89,6 @@
     ("papaya-entry", entry::TABLES),
     ("papaya-entry --direct", gateway::TABLES),
     ("papaya-agent", agent::TABLES),
+    ("papaya-agent --direct", ranks::TABLES),
     ("papaya-console", console::TABLES),
 ];
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::directory::Listed;
+use crate::ranks::message::{Around, Here, Picture, RankMessage};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -17,6 +18,14 @@
     },
     /// Answers an [`Message::Ask`].
     Tell(Tell),
+    /// An agent tells that it is there.
+    Here(Here),
+    /// Answers a [`Message::Here`].
+    Around(Around),
+    /// How a lock-step group is.
+    Group(Picture),
+    /// Between agents only.
+    Rank(RankMessage),
 }
 
 /// What an entry does at the moment.
--- a/papayaproxy/src/peers/mod.rs
+++ b/papayaproxy/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Entries find each other, share what they run, and lend what the store does not give.
 
+pub(crate) mod agents;
 pub(crate) mod constants;
 pub(crate) mod events;
 pub(crate) mod message;
@@ -10,5 +11,5 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use node::{Peers, PeerSettings};
+pub(crate) use node::{Hooks, PeerSettings, Peers};
 pub(crate) use table::Running;
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -4,6 +4,7 @@
     ASK_AGE, ASK_INTERVAL, ASK_PEERS, DATAGRAM_BYTES, LOADS_MAX, NAMES_EVERY,
 };
 use super::events;
+use super::agents::Agents;
 use super::message::{Beat, Message, Pull, Pulled, Tell};
 use super::relay;
 use super::table::{Running, Table};
@@ -11,6 +12,7 @@
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::Catalog;
 use crate::catalog::freshness::boot_time;
+use crate::ranks::message::{Around, Here, Picture};
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -43,11 +45,22 @@
     /// Questions by nonce, with the time of asking.
     asked: RefCell<IndexMap<u64, Duration>>,
     pulling: Cell<bool>,
+    agents: RefCell<Agents>,
+    hooks: Hooks,
+}
+
+/// Where the exchange takes what it tells, and gives what it hears.
+pub(crate) struct Hooks {
+    /// What this entry runs, by the digest of the upstream's id.
+    pub(crate) loads: Box<dyn Fn() -> Vec<(u32, u16)>>,
+    /// Takes what the peers run and how many entries there are.
+    pub(crate) learn: Box<dyn Fn(&Running, usize)>,
+    /// Takes the picture of a lock-step group.
+    pub(crate) group: Box<dyn Fn(&Picture)>,
 }
 
 impl Peers {
-    /// Binds the address and starts the exchange. `loads` gives what this entry runs; `learn` takes
-    /// what the peers run and how many entries there are.
+    /// Binds the address and starts the exchange.
     ///
     /// # Errors
     /// The address cannot be bound.
@@ -55,8 +68,7 @@
         settings: PeerSettings,
         catalog: Rc<Catalog>,
         clock: Clock,
-        loads: impl Fn() -> Vec<(u32, u16)> + 'static,
-        learn: impl Fn(Running, usize) + 'static,
+        hooks: Hooks,
     ) -> io::Result<Rc<Self>> {
         let socket = UdpSocket::bind(settings.address).await?;
         let listener = TcpListener::bind(settings.address).await?;
@@ -70,10 +82,12 @@
             sequence: Cell::new(0),
             asked: RefCell::default(),
             pulling: Cell::new(false),
+            agents: RefCell::default(),
+            hooks,
         });
         tokio::task::spawn_local(relay::serve(listener, catalog));
         tokio::task::spawn_local(peers.clone().receive());
-        tokio::task::spawn_local(peers.clone().beat(loads, learn));
+        tokio::task::spawn_local(peers.clone().beat());
         tokio::task::spawn_local(peers.clone().ask());
         Ok(peers)
     }
@@ -83,11 +97,7 @@
         self.table.borrow_mut().reseed(seeds);
     }
 
-    async fn beat(
-        self: Rc<Self>,
-        loads: impl Fn() -> Vec<(u32, u16)>,
-        learn: impl Fn(Running, usize),
-    ) {
+    async fn beat(self: Rc<Self>) {
         loop {
             let now = self.clock.now();
             self.table.borrow_mut().advance(now);
@@ -95,13 +105,25 @@
                 let table = self.table.borrow();
                 (table.running(), table.most())
             };
-            learn(running, most);
-            self.send_beats(loads()).await;
+            (self.hooks.learn)(&running, most);
+            self.send_beats((self.hooks.loads)()).await;
             let interval = self.table.borrow().interval();
             tokio::time::sleep(interval).await;
         }
     }
 
+    /// Introduces an agent to the others of its group.
+    fn meet(&self, from: SocketAddr, here: Here) -> Around {
+        let service = here.service.clone();
+        let mut entries = self.table.borrow().names(0);
+        entries.extend(self.socket.local_addr().ok());
+        let config = self.catalog.config();
+        let engine = config.as_ref().and_then(|c| c.services.get(&service)?.engine.as_ref());
+        let now = self.clock.now();
+        let agents = self.agents.borrow_mut().meet(from, here, now);
+        Around { agents, entries, figures: engine.and_then(|e| e.experts) }
+    }
+
     async fn send_beats(&self, mut loads: Vec<(u32, u16)>) {
         loads.truncate(LOADS_MAX);
         let sequence = self.sequence.get() + 1;
@@ -176,7 +198,12 @@
                 };
                 self.send(&Message::Tell(tell), &[from]).await;
             }
-            Message::Tell(_) => {}
+            Message::Here(here) => {
+                let around = self.meet(from, here);
+                self.send(&Message::Around(around), &[from]).await;
+            }
+            Message::Group(picture) => (self.hooks.group)(&picture),
+            Message::Tell(_) | Message::Around(_) | Message::Rank(_) => {}
         }
     }
 
--- a/papayaproxy/src/platform/config.rs
+++ b/papayaproxy/src/platform/config.rs
@@ -2,7 +2,7 @@
 
 use crate::base::name::Name;
 use crate::catalog::{
-    ClientLimits, Config, ConfigParts, EngineFigures, Route, RouteKind, Service, Workspace,
+    ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service, Workspace,
 };
 use indexmap::IndexMap;
 use serde::Deserialize;
@@ -84,6 +84,15 @@
     #[serde(default)]
     form_ms: f64,
     usual: Option<WireUsual>,
+    #[serde(default)]
+    sets: u16,
+    /// Experts of one set.
+    #[serde(default)]
+    experts: u16,
+    #[serde(default)]
+    placements: u16,
+    #[serde(default, rename = "spareSlots")]
+    spare_slots: u16,
 }
 
 #[derive(Deserialize)]
@@ -175,6 +184,12 @@
         form_ms: e.form_ms,
         usual_prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
         usual_answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
+        experts: (e.sets > 0 && e.experts > 0).then_some(ExpertFigures {
+            sets: e.sets,
+            experts: e.experts,
+            places: e.placements,
+            spare: e.spare_slots,
+        }),
     });
     (wire.name.into(), Service { connections: wire.max_conns, engine })
 }
--- a/papayaproxy/src/platform/names.rs
+++ b/papayaproxy/src/platform/names.rs
@@ -16,8 +16,6 @@
 pub(crate) const SIGNATURE: HeaderName = HeaderName::from_static("x-server-stamp");
 /// Present where a replica states that it did not run the request.
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
-/// Running, waiting and slots of a replica, with commas.
-pub(crate) const LOAD: HeaderName = HeaderName::from_static("x-replica-load");
 /// Tokens of the prompt and most tokens of the answer, with a comma.
 pub(crate) const TOKENS: HeaderName = HeaderName::from_static("x-token-usage");
 /// A client's guess of the answer's tokens.
@@ -29,6 +27,12 @@
 pub(crate) const READY_PATH: &str = "/readiness";
 /// A replica's report of its own state.
 pub(crate) const REPORT_PATH: &str = "/report";
+/// How often a rank's requests chose each expert.
+pub(crate) const COUNTS_PATH: &str = "/picked";
+/// The experts of a rank.
+pub(crate) const LISTS_PATH: &str = "/picked?lists=1";
+/// Orders to a replica.
+pub(crate) const ORDER_PATH: &str = "/order";
 
 /// Key of the configuration in the store.
 pub(crate) const CONFIG_KEY: &str = "op/config";
--- a/papayaproxy/src/platform/store.rs
+++ b/papayaproxy/src/platform/store.rs
@@ -1,24 +1,15 @@
 //! Calls to the platform's store. It can only be read and watched.
 
+use super::caller::{CallError, Caller};
 use super::names::{CONFIG_KEY, UPSTREAM_PREFIX};
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::StatusCode;
 use serde::Deserialize;
 use snafu::Snafu;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
-
-/// Largest answer that is read, in bytes: a page of a megabyte in base64, with its frame.
-const ANSWER_BYTES_MAX: usize = 4 << 20;
 
 /// Time that a store has to answer a call; on bad days it takes a hundred times its usual 4 ms.
 const CALL_LIMIT: Duration = Duration::from_millis(1200);
@@ -29,15 +20,9 @@
 /// Why a call brought nothing.
 #[derive(Debug, Snafu)]
 pub(crate) enum StoreError {
-    /// No connection.
-    #[snafu(display("cannot connect to the store: {source}"))]
-    Connect { source: std::io::Error },
-    /// The connection broke or its bytes are no answer.
-    #[snafu(display("the store's answer broke off: {reason}"))]
-    Broken { reason: String },
-    /// No answer in time.
-    #[snafu(display("no answer from the store within {} ms", limit.as_millis()))]
-    Late { limit: Duration },
+    /// No answer.
+    #[snafu(display("{source}"), context(false))]
+    NoAnswer { source: CallError },
     /// The store refused the call.
     #[snafu(display("the store answered {status}"))]
     Refused { status: StatusCode },
@@ -94,19 +79,15 @@
     at_rev: u64,
 }
 
-type Connection = SendRequest<Empty<Bytes>>;
-
 /// The one client of the store.
 pub(crate) struct Store {
-    address: SocketAddr,
-    host: String,
-    idle: RefCell<Vec<Connection>>,
+    caller: Caller,
 }
 
 impl Store {
     /// A client of the store at `address`; connects at the first call.
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address, host: address.to_string(), idle: RefCell::default() }
+        Self { caller: Caller::new(address) }
     }
 
     /// Reads the configuration; no item where the operator has written none.
@@ -183,21 +164,9 @@
         Ok(Watched { items, revision: answer.at_rev.max(revision) })
     }
 
-    /// One call; `None` for 404. The connection is kept only after a whole answer.
+    /// One call; `None` for 404.
     async fn call(&self, path: &str, limit: Duration) -> Result<Option<Bytes>, StoreError> {
-        let answer = timeout(limit, self.exchange(path)).await;
-        answer.unwrap_or(Err(StoreError::Late { limit }))
-    }
-
-    async fn exchange(&self, path: &str) -> Result<Option<Bytes>, StoreError> {
-        let mut connection = self.connection().await?;
-        let request = Request::get(path).header(HOST, &self.host).body(Empty::new());
-        let request = request.map_err(|e| StoreError::Malformed { reason: e.to_string() })?;
-        let answer = connection.send_request(request).await.map_err(broken)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), ANSWER_BYTES_MAX).collect().await;
-        let body = body.map_err(broken)?.to_bytes();
-        self.idle.borrow_mut().push(connection);
+        let (status, body) = self.caller.get(path, limit).await?;
         match status {
             StatusCode::OK => Ok(Some(body)),
             StatusCode::NOT_FOUND => Ok(None),
@@ -205,31 +174,6 @@
             status => Err(StoreError::Refused { status }),
         }
     }
-
-    async fn connection(&self) -> Result<Connection, StoreError> {
-        loop {
-            let Some(idle) = self.idle.borrow_mut().pop() else { break };
-            if idle.is_ready() {
-                return Ok(idle);
-            }
-        }
-        let stream = TcpStream::connect(self.address).await;
-        let stream = stream.map_err(|source| StoreError::Connect { source })?;
-        if let Err(error) = stream.set_nodelay(true) {
-            tracing::debug!(%error, "cannot set TCP_NODELAY");
-        }
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(broken)?;
-        tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "connection to the store ended");
-            }
-        });
-        Ok(sender)
-    }
-}
-
-fn broken(error: impl std::fmt::Display) -> StoreError {
-    StoreError::Broken { reason: error.to_string() }
 }
 
 fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, StoreError> {
--- /dev/null
+++ b/papayaproxy/src/ranks/constants.rs
@@ -0,0 +1,63 @@
+//! Times and limits of the agreement on expert maps.
+
+use std::time::Duration;
+
+/// Pause between two reads of the own replica's report, which is free on its own host.
+pub(crate) const TICK: Duration = Duration::from_millis(100);
+/// Pause between two reads of the expert counts; the popularity of experts shifts within seconds.
+pub(crate) const COUNT_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause between two words to the entries that introduce agents to each other.
+pub(crate) const HERE_INTERVAL: Duration = Duration::from_millis(500);
+/// Entries that an agent introduces itself to.
+pub(crate) const HERE_ENTRIES: usize = 5;
+/// Ranks up to which states are told to all at each tick; the pause grows in proportion beyond.
+pub(crate) const TELL_RANKS: usize = 8;
+/// Time for a read of the own replica.
+pub(crate) const READ_LIMIT: Duration = Duration::from_millis(300);
+/// Time for an order to the own replica; it answers within a few milliseconds, or not at all.
+pub(crate) const ORDER_LIMIT: Duration = Duration::from_millis(60);
+/// Sends of one order in a row where no answer comes.
+pub(crate) const ORDER_TRIES: u32 = 4;
+
+/// Age at which a rank's state no longer counts; several ticks.
+pub(crate) const STATE_AGE: Duration = Duration::from_millis(700);
+/// Silence of the lower ranks after which a rank leads.
+pub(crate) const LEAD_SILENCE: Duration = Duration::from_millis(1200);
+/// Pause before a command is sent again to a rank whose state does not show it.
+pub(crate) const RESEND: Duration = Duration::from_millis(120);
+/// Time for all ranks to copy; the largest plan takes little over a second.
+pub(crate) const PREPARE_LIMIT: Duration = Duration::from_millis(4000);
+/// Time for the hold to show.
+pub(crate) const HOLD_LIMIT: Duration = Duration::from_millis(400);
+/// Time for all ranks to be armed; past it the switch is undone, since the group may stand still.
+pub(crate) const ARM_LIMIT: Duration = Duration::from_millis(900);
+/// Time by which the switch lies ahead when ranks are asked to arm.
+pub(crate) const SWITCH_AHEAD: Duration = Duration::from_millis(350);
+/// Least passes by which it lies ahead.
+pub(crate) const SWITCH_STEPS: u64 = 3;
+/// Passes by which the hold that moves a rank's order count on lies ahead: never reached.
+pub(crate) const FAR_STEPS: u64 = 10_000_000;
+/// Time within which an order without answer may still be carried out, with a margin.
+pub(crate) const LATE_ORDER: Duration = Duration::from_secs(13);
+/// Time without plans after an order without answer.
+pub(crate) const QUIET_AFTER_LOSS: Duration = Duration::from_millis(2500);
+
+/// Pause between two decisions on moves.
+pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Choices of experts that must be counted before the first plan, for each expert of a set.
+pub(crate) const COUNTS_LEAST: f64 = 20.0;
+/// Time constant of the popularity of the moment.
+pub(crate) const FAST_TIME: Duration = Duration::from_millis(1500);
+/// Time constant of the lasting popularity.
+pub(crate) const SLOW_TIME: Duration = Duration::from_secs(12);
+/// Weight of the moment's popularity against the lasting one.
+pub(crate) const MOMENT_PART: f32 = 0.6;
+/// Least gain in a set's skew for each copied expert, under full load; a copy slows passes and has
+/// its price.
+pub(crate) const GAIN_PER_COPY: f64 = 0.012;
+/// Load, as a part of the slots, below which passes are short enough as they are.
+pub(crate) const LOAD_LEAST: f64 = 0.1;
+/// Least gain of a whole plan in the mean skew of the sets; a switch takes all ranks' attention.
+pub(crate) const PLAN_GAIN: f64 = 0.06;
+/// Changes that the search makes in one set at most.
+pub(crate) const SEARCH_STEPS: usize = 96;
--- /dev/null
+++ b/papayaproxy/src/ranks/process.rs
@@ -0,0 +1,451 @@
+//! The running agent of one rank.
+
+use super::constants::{
+    COUNT_INTERVAL, HERE_ENTRIES, HERE_INTERVAL, LEAD_SILENCE, PLAN_INTERVAL, QUIET_AFTER_LOSS,
+    READ_LIMIT, STATE_AGE, TELL_RANKS, TICK,
+};
+use super::demand::Popularity;
+use super::events;
+use super::lead::{Lead, Phase, States};
+use super::message::{
+    Around, Command, Directed, Here, Lists, Picture, RankMessage, RankView, State,
+};
+use super::planner::plan;
+use super::rank::OwnRank;
+use super::settings::RankSettings;
+use crate::base::clock::Clock;
+use crate::base::error::ProcessError;
+use crate::base::name::Name;
+use crate::catalog::ExpertFigures;
+use crate::peers::message::Message;
+use indexmap::{IndexMap, IndexSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+/// Largest datagram that is taken, in bytes: a map of the largest group and its frame.
+const DATAGRAM_BYTES: usize = 16 << 10;
+
+/// A running agent.
+pub struct RankAgent {
+    name: Name,
+    _stop: DropGuard,
+}
+
+/// The agent's state, owned by its one task.
+struct Agent {
+    socket: UdpSocket,
+    clock: Clock,
+    service: Name,
+    own: OwnRank,
+    lead: Lead,
+    states: States,
+    /// Agents of the group by rank.
+    agents: IndexMap<u16, SocketAddr>,
+    entries: IndexSet<SocketAddr>,
+    figures: Option<ExpertFigures>,
+    popularity: Option<Popularity>,
+    /// The own counts at the last read.
+    counted: Vec<u64>,
+    chosen: Vec<u32>,
+    /// The own experts, with the epoch and version that they belong to.
+    experts: (u64, u64, Vec<Vec<u16>>),
+    pass: PassClock,
+    due: Due,
+    ticks: u64,
+    /// Since when lower ranks are silent.
+    lowest: Option<Duration>,
+    was_open: bool,
+}
+
+/// When things are due next.
+#[derive(Default)]
+struct Due {
+    count: Duration,
+    here: Duration,
+    plan: Duration,
+}
+
+/// Measures passes by the count of those begun.
+#[derive(Default)]
+struct PassClock {
+    at: Duration,
+    step: u64,
+    pass_ms: f64,
+}
+
+impl RankAgent {
+    /// Binds the address and starts the agent. Runs on the thread's `LocalSet`.
+    ///
+    /// # Errors
+    /// An address that cannot be bound.
+    pub async fn open(settings: RankSettings) -> Result<Self, ProcessError> {
+        let address = settings.address;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|source| ProcessError::Listen { address, source })?;
+        tracing::info!(
+            event = events::AGENT_STARTED,
+            name = %settings.name,
+            zone = %settings.zone,
+            replica = %settings.replica,
+            %address,
+            "open"
+        );
+        let agent = Agent {
+            socket,
+            clock: Clock::start(),
+            service: settings.service,
+            own: OwnRank::new(settings.replica),
+            lead: Lead::new(0, 0, 0),
+            states: States::new(),
+            agents: IndexMap::new(),
+            entries: settings.seeds.into_iter().collect(),
+            figures: None,
+            popularity: None,
+            counted: Vec::new(),
+            chosen: Vec::new(),
+            experts: (0, 0, Vec::new()),
+            pass: PassClock::default(),
+            due: Due::default(),
+            ticks: 0,
+            lowest: None,
+            was_open: false,
+        };
+        let stop = CancellationToken::new();
+        let stopped = stop.clone();
+        tokio::task::spawn_local(async move { stopped.run_until_cancelled(agent.run()).await });
+        Ok(Self { name: settings.name, _stop: stop.drop_guard() })
+    }
+
+    /// Ends the agent. What it leaves half done, the next lead undoes.
+    pub async fn stop(self) {
+        tracing::info!(event = events::AGENT_STOPPED, name = %self.name, "stopped");
+    }
+}
+
+impl Agent {
+    async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick().await,
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((length, from)) => self.receive(&buffer[..length], from).await,
+                    // A peer that is away is reported here, on the next receive.
+                    Err(error) => tracing::debug!(%error, "receive failed"),
+                },
+            }
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.clock.now();
+        self.ticks += 1;
+        self.own.refresh(now).await;
+        self.follow_group().await;
+        if now >= self.due.here {
+            self.due.here = now + HERE_INTERVAL;
+            self.introduce().await;
+        }
+        if now >= self.due.count {
+            self.due.count = now + COUNT_INTERVAL;
+            self.count().await;
+        }
+        let every = usize::from(self.size()).div_ceil(TELL_RANKS).max(1) as u64;
+        if self.ticks % every == 0 {
+            self.tell_state().await;
+        }
+        self.judge_lead(now);
+        self.plan(now);
+        self.act(now).await;
+        self.tell_entries().await;
+    }
+
+    fn size(&self) -> u16 {
+        self.own.view().map_or(0, |v| v.size)
+    }
+
+    /// Starts anew where the group has formed anew, and reads the own experts where they changed.
+    async fn follow_group(&mut self) {
+        let now = self.clock.now();
+        let Some(view) = self.own.view().cloned() else { return };
+        if view.epoch != self.lead.epoch() || !view.open {
+            self.lead.stop("the group has broken or formed anew", now);
+        }
+        if view.epoch != self.lead.epoch() {
+            self.lead = Lead::new(view.rank, view.size, view.epoch);
+            self.states.clear();
+            self.popularity = None;
+            self.lowest = None;
+        }
+        self.pass.observe(&view, now);
+        let known = (self.experts.0, self.experts.1) == (view.epoch, view.version);
+        if known && !self.experts.2.is_empty() {
+            return;
+        }
+        match self.own.replica().lists(READ_LIMIT).await {
+            Ok((version, experts)) => self.experts = (view.epoch, version, experts),
+            Err(error) => tracing::info!(%error, "the replica does not tell its experts"),
+        }
+    }
+
+    /// Reads how often requests chose each expert since the last read.
+    async fn count(&mut self) {
+        if self.own.view().is_none_or(|v| !v.open) {
+            return;
+        }
+        match self.own.replica().counts(READ_LIMIT).await {
+            Ok(counts) => {
+                let fresh = self.counted.len() != counts.chosen.len();
+                let deltas = counts.chosen.iter().zip(&self.counted);
+                // Counts start anew with the rank.
+                let deltas = deltas.map(|(new, old)| new.saturating_sub(*old) as u32);
+                self.chosen = if fresh { Vec::new() } else { deltas.collect() };
+                self.counted = counts.chosen;
+            }
+            Err(error) => tracing::info!(%error, "the replica does not tell its counts"),
+        }
+    }
+
+    fn state(&mut self) -> Option<State> {
+        let view = self.own.view()?.clone();
+        Some(State {
+            view,
+            replica: self.own.address(),
+            term: self.own.term(),
+            doubt: self.own.doubt(),
+            experts: (self.experts.1, self.experts.2.clone()),
+            chosen: std::mem::take(&mut self.chosen),
+        })
+    }
+
+    async fn tell_state(&mut self) {
+        let Some(state) = self.state() else { return };
+        let own = state.view.rank;
+        self.take_state(state.clone());
+        let to: Vec<SocketAddr> =
+            self.agents.iter().filter(|(rank, _)| **rank != own).map(|(_, a)| *a).collect();
+        self.send(&Message::Rank(RankMessage::State(Box::new(state))), &to).await;
+    }
+
+    fn take_state(&mut self, mut state: State) {
+        let now = self.clock.now();
+        let Some(view) = self.own.view() else { return };
+        if state.view.group != view.group || state.view.epoch != view.epoch {
+            return;
+        }
+        if let Some(figures) = self.figures {
+            let new = || Popularity::new(figures, now);
+            let chosen = std::mem::take(&mut state.chosen);
+            self.popularity.get_or_insert_with(new).take(&chosen, now);
+        }
+        self.states.insert(state.view.rank, (state, now));
+    }
+
+    /// The lowest rank that is heard of leads.
+    fn judge_lead(&mut self, now: Duration) {
+        let Some(view) = self.own.view().filter(|v| v.open) else { return };
+        let rank = view.rank;
+        let fresh = |at: &Duration| now.saturating_sub(*at) <= STATE_AGE;
+        let lower = self.states.iter().any(|(r, (_, at))| *r < rank && fresh(at));
+        if lower {
+            self.lowest = None;
+            self.lead.stop("a lower rank is heard of", now);
+            return;
+        }
+        let since = *self.lowest.get_or_insert(now);
+        if now > since + LEAD_SILENCE && *self.lead.phase() == Phase::Following {
+            let seen = self.states.values().map(|(s, _)| s.term).max();
+            self.lead.begin(seen.unwrap_or_default().max(self.own.term()), now);
+        }
+    }
+
+    fn plan(&mut self, now: Duration) {
+        let quiet = self.own.lost().is_some_and(|at| now < at + QUIET_AFTER_LOSS);
+        if *self.lead.phase() != Phase::Idle || now < self.due.plan || quiet {
+            return;
+        }
+        self.due.plan = now + PLAN_INTERVAL;
+        let Some(lists) = self.lists() else { return };
+        let Some(popularity) = &self.popularity else { return };
+        let load = self.load();
+        let Some(planned) = plan(popularity, &lists, load) else { return };
+        let versions = self.states.values().map(|(s, _)| {
+            s.view.version.max(s.view.prepared.unwrap_or_default())
+        });
+        let version = versions.max().unwrap_or_default() + 1;
+        tracing::info!(
+            event = events::PLAN_MADE,
+            version,
+            copies = planned.copies,
+            skew = planned.skew,
+            planned = planned.planned,
+            load,
+            "plan"
+        );
+        self.lead.propose(version, planned.map, now);
+    }
+
+    /// The map in use, by set and rank, if all ranks tell theirs of one version.
+    fn lists(&self) -> Option<Lists> {
+        let version = self.own.view()?.version;
+        let sets = usize::from(self.figures?.sets);
+        let mut lists: Lists = vec![Vec::new(); sets];
+        for rank in 0..self.size() {
+            let (state, _) = self.states.get(&rank)?;
+            let (of, experts) = &state.experts;
+            if *of != version || state.view.version != version || experts.len() != sets {
+                return None;
+            }
+            for (set, experts) in lists.iter_mut().zip(experts) {
+                set.push(experts.clone());
+            }
+        }
+        Some(lists)
+    }
+
+    /// Part of the group's slots that is taken, the requests that wait included.
+    fn load(&self) -> f64 {
+        let requests = |s: &State| f64::from(s.view.running + s.view.waiting);
+        let sum: f64 = self.states.values().map(|(s, _)| requests(s)).sum();
+        sum / (f64::from(self.size().max(1)) * SLOTS_USUAL)
+    }
+
+    /// Has the lead decide, and gives its commands.
+    async fn act(&mut self, now: Duration) {
+        let commands = self.lead.advance(&self.states, self.pass.pass_ms, now);
+        let (term, epoch) = (self.lead.term(), self.lead.epoch());
+        let own = self.own.view().map(|v| v.rank);
+        for (rank, command) in commands {
+            let directed = Directed { term, epoch, command };
+            if Some(rank) == own {
+                self.obey(&directed).await;
+            } else if let Some(address) = self.agents.get(&rank).copied() {
+                self.send(&Message::Rank(RankMessage::Do(Box::new(directed))), &[address]).await;
+            }
+        }
+    }
+
+    async fn obey(&mut self, directed: &Directed) {
+        let now = self.clock.now();
+        if directed.term < self.own.term() {
+            return;
+        }
+        if !matches!(directed.command, Command::Follow) || directed.term > self.own.term() {
+            self.own.obey(directed, now).await;
+        }
+        self.follow_group().await;
+        Box::pin(self.tell_state()).await;
+    }
+
+    async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
+        let message = match postcard::from_bytes(bytes) {
+            Ok(message) => message,
+            Err(error) => {
+                let event = crate::peers::events::DATAGRAM_REFUSED;
+                tracing::warn!(event, peer = %from, %error, "datagram refused");
+                return;
+            }
+        };
+        match message {
+            Message::Rank(RankMessage::State(state)) => {
+                let same = |v: &RankView| v.group == state.view.group;
+                if self.own.view().is_some_and(same) {
+                    self.agents.insert(state.view.rank, from);
+                }
+                self.take_state(*state);
+                if !matches!(self.lead.phase(), Phase::Following | Phase::Idle) {
+                    self.act(self.clock.now()).await;
+                }
+            }
+            Message::Rank(RankMessage::Do(directed)) => self.obey(&directed).await,
+            Message::Around(around) => self.meet(around),
+            _ => {}
+        }
+    }
+
+    fn meet(&mut self, around: Around) {
+        self.agents.extend(around.agents);
+        self.entries.extend(around.entries);
+        if around.figures.is_some() {
+            self.figures = around.figures;
+        }
+    }
+
+    /// Tells some entries who is here; they answer who else is.
+    async fn introduce(&mut self) {
+        let Some(view) = self.own.view() else { return };
+        let (group, rank) = (view.group.clone(), view.rank);
+        let here = Here { service: self.service.clone(), group, rank };
+        // All agents ask the same entries, so that they meet.
+        let mut entries: Vec<SocketAddr> = self.entries.iter().copied().collect();
+        entries.sort_unstable();
+        entries.truncate(HERE_ENTRIES);
+        self.send(&Message::Here(here), &entries).await;
+    }
+
+    /// Tells the entries how the group is: the lead at times, and whoever sees it break at once.
+    async fn tell_entries(&mut self) {
+        let Some(view) = self.own.view().cloned() else { return };
+        let broke = self.was_open && !view.open;
+        self.was_open = view.open;
+        let leads = *self.lead.phase() != Phase::Following && self.ticks % 2 == 0;
+        let reminds = !view.open && self.ticks % 5 == 0;
+        if !(broke || leads || reminds) {
+            return;
+        }
+        let requests = |s: &State| (s.replica, s.view.running as u16, s.view.waiting as u16);
+        let picture = Picture {
+            group: (self.service.clone(), view.group.clone()),
+            open: view.open,
+            pass_ms: self.pass.pass_ms as f32,
+            members: self.states.values().map(|(s, _)| requests(s)).collect(),
+        };
+        let entries: Vec<SocketAddr> = self.entries.iter().copied().collect();
+        self.send(&Message::Group(picture), &entries).await;
+    }
+
+    async fn send(&self, message: &Message, to: &[SocketAddr]) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(%error, "a message cannot be encoded");
+                return;
+            }
+        };
+        for address in to {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                tracing::debug!(peer = %address, %error, "datagram not sent");
+            }
+        }
+    }
+}
+
+/// Requests of a replica at which it counts as fully loaded.
+const SLOTS_USUAL: f64 = 10.0;
+
+/// Span over which passes are measured.
+const PASS_SPAN: Duration = Duration::from_millis(400);
+
+impl PassClock {
+    fn observe(&mut self, view: &RankView, now: Duration) {
+        let passed = now.saturating_sub(self.at);
+        if view.step < self.step {
+            *self = Self { at: now, step: view.step, pass_ms: 0.0 };
+        } else if passed >= PASS_SPAN {
+            let steps = view.step - self.step;
+            let busy = view.running + view.waiting > 0;
+            self.pass_ms = match steps {
+                0 if busy => passed.as_secs_f64() * 1000.0,
+                0 => 0.0,
+                steps => passed.as_secs_f64() * 1000.0 / steps as f64,
+            };
+            (self.at, self.step) = (now, view.step);
+        }
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/ranks/rank.rs
@@ -0,0 +1,262 @@
+//! The own rank: what its replica reports, and orders that take effect once or never.
+
+use super::constants::{FAR_STEPS, LATE_ORDER, ORDER_LIMIT, ORDER_TRIES, READ_LIMIT};
+use super::events;
+use super::message::{Armed, Command, Directed, Lists, RankView};
+use crate::platform::rank::{OwnReplica, RankError};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// An order to a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Order {
+    /// Copy what the map needs.
+    Prepare {
+        /// The map's version.
+        version: u64,
+        /// The map, by set and rank.
+        map: Lists,
+    },
+    /// Switch to a map as a pass begins.
+    Arm {
+        /// The map's version.
+        version: u64,
+        /// The pass.
+        step: u64,
+    },
+    /// Do not switch.
+    Disarm {
+        /// The map's version.
+        version: u64,
+    },
+    /// Hold a pass back.
+    Hold {
+        /// The pass.
+        step: u64,
+    },
+    /// Let a held pass begin.
+    Go {
+        /// The pass.
+        step: u64,
+    },
+}
+
+impl Order {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Prepare { .. } => "prepare",
+            Self::Arm { .. } => "arm",
+            Self::Disarm { .. } => "disarm",
+            Self::Hold { .. } => "hold",
+            Self::Go { .. } => "go",
+        }
+    }
+}
+
+/// A replica's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OrderReply {
+    /// It has begun.
+    Begun,
+    /// The state already holds.
+    Holds,
+    /// It does not fit the replica's state; nothing has begun.
+    Refused(u16),
+}
+
+/// What a command asks of a rank with a given view.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Need {
+    /// Nothing: the state already holds, or the command does not fit it.
+    Nothing,
+    /// One order.
+    One(Order),
+    /// A hold that is never reached, so that the count of orders moves on.
+    MoveOn,
+}
+
+/// Works out what a command asks for.
+pub(crate) fn need(command: &Command, view: &RankView, doubt: bool) -> Need {
+    match command {
+        Command::Prepare { version, map }
+            if view.prepared != Some(*version) && !view.busy && view.armed.is_none() =>
+        {
+            Need::One(Order::Prepare { version: *version, map: map.clone() })
+        }
+        Command::Arm { version, step }
+            if view.armed.is_none() && view.prepared == Some(*version) =>
+        {
+            Need::One(Order::Arm { version: *version, step: *step })
+        }
+        Command::Disarm { version } if is_armed(view, *version) => {
+            Need::One(Order::Disarm { version: *version })
+        }
+        Command::Hold { step } if view.held.is_none() => Need::One(Order::Hold { step: *step }),
+        Command::Go { step } if view.held == Some(*step) => Need::One(Order::Go { step: *step }),
+        // A hold of its own leaves no room for the one that would move the count on.
+        Command::Settle if doubt && view.held.is_none() => Need::MoveOn,
+        _ => Need::Nothing,
+    }
+}
+
+fn is_armed(view: &RankView, version: u64) -> bool {
+    view.armed.is_some_and(|Armed { version: armed, .. }| armed == version)
+}
+
+/// The own rank.
+pub(crate) struct OwnRank {
+    replica: OwnReplica,
+    address: SocketAddr,
+    /// The last report.
+    view: Option<RankView>,
+    /// The lead that is obeyed.
+    term: u64,
+    /// The count of orders at which one got no answer, and when.
+    doubt: Option<(u64, Duration)>,
+    /// Since when the replica does not answer.
+    away: Option<Duration>,
+    /// When an order last got no answer.
+    lost: Option<Duration>,
+}
+
+impl OwnRank {
+    /// The rank of the replica at `address`.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            replica: OwnReplica::new(address),
+            address,
+            view: None,
+            term: 0,
+            doubt: None,
+            away: None,
+            lost: None,
+        }
+    }
+
+    /// Where the replica listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The last report, while the replica answers.
+    pub(crate) fn view(&self) -> Option<&RankView> {
+        self.view.as_ref()
+    }
+
+    /// The lead that is obeyed.
+    pub(crate) fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Whether an order may still be carried out late.
+    pub(crate) fn doubt(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// When an order last got no answer.
+    pub(crate) fn lost(&self) -> Option<Duration> {
+        self.lost
+    }
+
+    /// The replica's own interface.
+    pub(crate) fn replica(&self) -> &OwnReplica {
+        &self.replica
+    }
+
+    /// Reads the report.
+    pub(crate) async fn refresh(&mut self, now: Duration) {
+        match self.replica.report(READ_LIMIT).await {
+            Ok(view) => {
+                if let Some(since) = self.away.take() {
+                    let away_ms = now.saturating_sub(since).as_millis() as u64;
+                    tracing::info!(event = events::REPLICA_BACK, away_ms, "replica answers again");
+                }
+                self.learn(view, now);
+            }
+            Err(error) => self.lose(&error, now),
+        }
+    }
+
+    /// Carries out a command of the lead, if the term and the epoch are not outdated.
+    pub(crate) async fn obey(&mut self, directed: &Directed, now: Duration) {
+        self.refresh(now).await;
+        if directed.term < self.term {
+            return;
+        }
+        self.term = directed.term;
+        let Some(view) = self.view.clone().filter(|v| v.epoch == directed.epoch) else { return };
+        match need(&directed.command, &view, self.doubt()) {
+            Need::Nothing => return,
+            Need::One(order) => self.order(&order, &view, now).await,
+            Need::MoveOn => {
+                let step = view.step + FAR_STEPS;
+                self.order(&Order::Hold { step }, &view, now).await;
+                self.refresh(now).await;
+                if let Some(view) = self.view.clone().filter(|v| v.held == Some(step)) {
+                    self.order(&Order::Go { step }, &view, now).await;
+                }
+            }
+        }
+        self.refresh(now).await;
+    }
+
+    /// Gives one order. All tries carry one count, so that only one of them can take effect.
+    async fn order(&mut self, order: &Order, view: &RankView, now: Duration) {
+        let name = order.name();
+        let expected = view.sequence;
+        for _ in 0..ORDER_TRIES {
+            match self.replica.order(order, view.epoch, expected, ORDER_LIMIT).await {
+                Ok(OrderReply::Begun | OrderReply::Holds) => return,
+                Ok(OrderReply::Refused(status)) => {
+                    let event = events::ORDER_REFUSED;
+                    tracing::info!(event, order = name, expected, status, "order refused");
+                    return;
+                }
+                Err(error) => {
+                    let event = events::ORDER_LOST;
+                    tracing::warn!(event, order = name, expected, %error, "order without answer");
+                    self.doubt = Some((expected, now));
+                    self.lost = Some(now);
+                }
+            }
+        }
+    }
+
+    fn learn(&mut self, view: Option<RankView>, now: Duration) {
+        let Some(view) = view else {
+            self.view = None;
+            return;
+        };
+        let same = |v: &RankView| v.group == view.group && v.epoch == view.epoch;
+        let known = self.view.as_ref().filter(|v| same(v) && v.open == view.open);
+        if known.is_none() {
+            tracing::info!(
+                event = events::RANK_CHANGED,
+                group = %view.group,
+                epoch = view.epoch,
+                rank = view.rank,
+                open = view.open,
+                "rank changed"
+            );
+        }
+        if !self.view.as_ref().is_some_and(|v| v.born == view.born) {
+            // An earlier run of this agent may have lost an order that nobody remembers.
+            self.doubt = Some((view.sequence, now));
+        }
+        let moved = |(count, since): &(u64, Duration)| {
+            view.sequence > *count || now > *since + LATE_ORDER
+        };
+        if self.doubt.as_ref().is_some_and(moved) {
+            self.doubt = None;
+        }
+        self.view = Some(view);
+    }
+
+    fn lose(&mut self, error: &RankError, now: Duration) {
+        if self.away.is_none() {
+            self.away = Some(now);
+            tracing::warn!(event = events::REPLICA_LOST, %error, "replica does not answer");
+        }
+        self.view = None;
+    }
+}
--- /dev/null
+++ b/papayaproxy/src/ranks/settings.rs
@@ -0,0 +1,90 @@
+//! Settings of an agent that gives its own rank's orders.
+
+use crate::base::name::Name;
+use crate::settings::process::read_address;
+use crate::settings::{LogSettings, Reader, SettingRow, SettingsError, log, parse_name};
+use crate::gateway::settings::read_seeds;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Rows of these settings.
+pub(crate) const ROWS: &[SettingRow] = &[
+    SettingRow { section: "process", key: "name", default: None, meaning: "the process' name" },
+    SettingRow { section: "process", key: "zone", default: None, meaning: "its availability zone" },
+    SettingRow {
+        section: "replica",
+        key: "address",
+        default: None,
+        meaning: "address and port of the model replica on this host",
+    },
+    SettingRow {
+        section: "replica",
+        key: "service",
+        default: None,
+        meaning: "the service that the replica serves",
+    },
+    SettingRow {
+        section: "ranks",
+        key: "address",
+        default: None,
+        meaning: "address and port for entries and the other ranks' agents, UDP",
+    },
+    SettingRow {
+        section: "ranks",
+        key: "seeds",
+        default: Some(""),
+        meaning: "addresses of some entries, with commas",
+    },
+];
+
+/// Every table of settings that such an agent reads.
+pub const TABLES: &[&[SettingRow]] = &[ROWS, log::ROWS];
+
+/// The checked settings.
+#[derive(Clone, Debug)]
+pub struct RankSettings {
+    /// The process' name.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Address of the model replica.
+    pub replica: SocketAddr,
+    /// The service that it serves.
+    pub service: Name,
+    /// Address for datagrams.
+    pub address: SocketAddr,
+    /// Some entries.
+    pub seeds: Vec<SocketAddr>,
+    /// Settings of the log.
+    pub log: LogSettings,
+}
+
+impl RankSettings {
+    /// Reads settings from a file and overrides.
+    ///
+    /// # Errors
+    /// Returns every mistake found.
+    pub fn open(file: Option<&Path>, overrides: &[String]) -> Result<Self, SettingsError> {
+        Reader::open(file, overrides, TABLES).check(Self::read)
+    }
+
+    /// Reads the settings; `None` if one is wrong, which the reader then reports.
+    pub fn read(reader: &mut Reader) -> Option<Self> {
+        let name = reader.value("process", "name", parse_name);
+        let zone = reader.value("process", "zone", parse_name);
+        let replica = read_address(reader, "replica");
+        let service = reader.value("replica", "service", parse_name);
+        let address = read_address(reader, "ranks");
+        let seeds = read_seeds(reader, "ranks");
+        let log = LogSettings::read(reader);
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            replica: replica?,
+            service: service?,
+            address: address?,
+            seeds: seeds.unwrap_or_default(),
+            log: log?,
+        })
+    }
+}
