Know broken groups at once, count prompts, keep popularity over epochs

Change: agents tell open, broken and stalled groups at each change; a request that only broken groups could serve is refused at once, to come back as late as it heeds; streams leave a broken group after 0.3 s; beats carry unread prompt tokens and the first event is predicted before a seat is given; rank 0 leads at once; popularity outlives an epoch; of two entries at one address the later start counts; doubt follows the short watches. Ruled out: longer waits for a seat (callers leave a silent stream after two seconds).

--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -16,6 +16,8 @@
 pub(crate) const ZONE_BIAS: f64 = 0.06;
 /// The same for a plain service, whose work is short against the way between zones.
 pub(crate) const ZONE_BIAS_PLAIN: f64 = 0.3;
+/// Weight, in a score, of the time to the first event against the load.
+pub(crate) const FIRST_WEIGHT: f64 = 0.4;
 /// Range of the random part of a score, so that entries with the same picture spread.
 pub(crate) const SCORE_NOISE: f64 = 0.05;
 
@@ -30,8 +32,23 @@
 
 /// Part of the latency target for which a request may wait for a seat.
 pub(crate) const WAIT_PART: f64 = 0.5;
-/// Part of the time left for which a request that came back may wait: it is late anyway.
-pub(crate) const WAIT_BACK: f64 = 0.3;
+/// Part of the latency target within which the first event has to be expected.
+pub(crate) const FIRST_PART: f64 = 0.95;
+/// Time for which a request that came back may wait: it is late anyway, and has no further try.
+pub(crate) const WAIT_BACK: Duration = Duration::from_millis(1200);
+/// Silence after which callers leave a stream, also before its first event.
+pub(crate) const CALLER_SILENCE: Duration = Duration::from_millis(1900);
+/// Silence of a stream, before its first event or between two, after which it goes on elsewhere,
+/// where nothing else is known of its group.
+pub(crate) const SILENCE_UNKNOWN: Duration = Duration::from_millis(1100);
+/// The same where its group is known to run passes: it waits its turn there.
+pub(crate) const SILENCE_HEALTHY: Duration = Duration::from_millis(1800);
+/// The same where its group is known to be broken; the news may be older than the event before.
+pub(crate) const SILENCE_BROKEN: Duration = Duration::from_millis(300);
+/// Age up to which the picture of a group counts.
+pub(crate) const PICTURE_AGE: Duration = Duration::from_millis(800);
+/// Part of the time left that callers wait at most before they come back.
+pub(crate) const RETURN_PART: f64 = 0.32;
 /// Weight of one interval in the rate of freed seats.
 pub(crate) const RATE_WEIGHT: f64 = 0.1;
 /// Patience, as a part of the usual one, below which a request has been refused before.
@@ -39,7 +56,7 @@
 /// Earliest time to come back; sooner the same batch still runs.
 pub(crate) const RETURN_LEAST: Duration = Duration::from_millis(700);
 /// Latest time to come back; clients heed at most a third of their time.
-pub(crate) const RETURN_MOST: Duration = Duration::from_millis(2500);
+pub(crate) const RETURN_MOST: Duration = Duration::from_millis(2600);
 
 /// Part of the allowed repeats that is used, since entries may know each other late.
 pub(crate) const BUDGET_PART: f64 = 0.8;
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -2,15 +2,16 @@
 
 use super::budget::{Budget, BudgetRule};
 use super::constants::{
-    RATE_WEIGHT, RETURN_LEAST, RETURN_MOST, SCORE_NOISE, WAIT_BACK, WAIT_PART, ZONE_BIAS,
-    ZONE_BIAS_PLAIN,
+    CALLER_SILENCE, FIRST_PART, FIRST_WEIGHT, RATE_WEIGHT, RETURN_LEAST, RETURN_MOST, RETURN_PART,
+    SCORE_NOISE, SILENCE_UNKNOWN, WAIT_BACK, WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN,
 };
 use super::events;
 use super::upstream::{End, Upstream};
 use crate::base::name::Name;
 use crate::catalog::{Config, Directory, EngineFigures};
 use crate::limits::CircuitSettings;
-use crate::peers::{Running, message::digest};
+use crate::peers::Running;
+use crate::peers::message::{Told, digest};
 use crate::ranks::message::Picture;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
@@ -35,6 +36,8 @@
     pub(crate) target: Duration,
     /// Longest pause between events that is on time.
     pub(crate) gap: Option<Duration>,
+    /// Tokens of its prompt.
+    pub(crate) tokens: u32,
     /// Whether it was refused before, so that it can no longer be on time.
     pub(crate) back: bool,
     /// Whether part of the answer is with the caller already.
@@ -52,6 +55,8 @@
     pub(crate) address: SocketAddr,
     /// Whether the request probes an open circuit.
     pub(crate) probe: bool,
+    /// Prompt tokens that the upstream reads for it.
+    pub(crate) tokens: u32,
 }
 
 /// Why a request is refused, and when to come back.
@@ -92,6 +97,8 @@
     upstreams: IndexMap<Name, Upstream>,
     services: IndexMap<Name, Service>,
     entries: usize,
+    /// Groups by service and name, and whether they run passes.
+    groups: IndexMap<(Name, Name), bool>,
     /// When the peers' load was last taken.
     picture: Duration,
 }
@@ -106,6 +113,7 @@
             upstreams: IndexMap::new(),
             services: IndexMap::new(),
             entries: 1,
+            groups: IndexMap::new(),
             picture: Duration::ZERO,
         }
     }
@@ -124,7 +132,16 @@
             known.engine = service.engine.clone();
         }
         let mut next = IndexMap::with_capacity(directory.len());
+        // After a crash an address has two entries for a while; the later start is there.
+        let mut newest: IndexMap<SocketAddr, u64> = IndexMap::new();
+        for (_, entry) in directory.ready() {
+            let born = newest.entry(entry.address).or_default();
+            *born = entry.born.max(*born);
+        }
         for (id, entry) in directory.ready() {
+            if newest.get(&entry.address).is_some_and(|born| *born > entry.born) {
+                continue;
+            }
             let same = |u: &Upstream| {
                 u.born == entry.born && u.address == entry.address && u.service == entry.service
             };
@@ -140,12 +157,23 @@
         self.entries = entries;
         self.picture = now;
         for upstream in self.upstreams.values_mut() {
-            upstream.others = running.get(&upstream.digest).copied().unwrap_or_default();
+            let (others, tokens) = running.get(&upstream.digest).copied().unwrap_or_default();
+            (upstream.others, upstream.others_tokens) = (others, tokens);
         }
     }
 
     /// Takes the picture of a lock-step group from its lead.
     pub(crate) fn observe_group(&mut self, picture: &Picture, now: Duration) {
+        let open = self.groups.insert(picture.group.clone(), picture.open);
+        if open != Some(picture.open) {
+            tracing::info!(
+                event = events::GROUP_CHANGED,
+                group = %picture.group.1,
+                open = picture.open,
+                members = picture.members.len(),
+                "group changed"
+            );
+        }
         let members = picture.members.iter();
         let requests: u32 = members.map(|(_, r, w)| u32::from(*r) + u32::from(*w)).sum();
         let mean = f64::from(requests) / picture.members.len().max(1) as f64;
@@ -163,9 +191,11 @@
     }
 
     /// What this entry runs, for its peers.
-    pub(crate) fn loads(&self) -> Vec<(u32, u16)> {
+    pub(crate) fn loads(&self) -> Vec<Told> {
         let busy = self.upstreams.values().filter(|u| u.own > 0);
-        busy.map(|u| (u.digest, u.own.min(u32::from(u16::MAX)) as u16)).collect()
+        let short = |n: u32| n.min(u32::from(u16::MAX)) as u16;
+        busy.map(|u| Told { upstream: u.digest, running: short(u.own), tokens: u.own_tokens })
+            .collect()
     }
 
     /// Requests that wait.
@@ -200,15 +230,26 @@
         if !self.upstreams.values().any(|u| u.service == ask.service) {
             return self.refuse(&ask, "no upstream", RETURN_LEAST);
         }
-        if let Some(seat) = self.seat(&ask, 1.0, now) {
+        if let Some(seat) = self.seat(&ask, false, now) {
             return Step::Go(seat);
         }
+        if !ask.back && !ask.begun && !self.may_open(&ask, now) {
+            // Nothing frees up soon. The later the caller returns, the likelier it is served.
+            return self.refuse(&ask, "group broken", latest_return(&ask));
+        }
         self.queue(ask, now)
     }
 
+    /// Whether some upstream could take the request once it has room.
+    fn may_open(&self, ask: &Ask, now: Duration) -> bool {
+        let mut all = self.upstreams.values().filter(|u| u.service == ask.service);
+        all.any(|u| !u.is_broken(now))
+    }
+
     /// Hands a seat back.
     pub(crate) fn release(&mut self, seat: &Seat, end: End, now: Duration) {
         let Some(upstream) = self.upstreams.get_mut(&seat.upstream) else { return };
+        upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.tokens);
         upstream.end(end, seat.probe, now);
         if let Some(service) = self.services.get_mut(&upstream.service) {
             let since = now.saturating_sub(service.freed).as_secs_f64().max(0.001);
@@ -217,6 +258,14 @@
         }
     }
 
+    /// Takes note that a request's answer has begun, so that its prompt is read.
+    pub(crate) fn begun(&mut self, seat: &mut Seat) {
+        if let Some(upstream) = self.upstreams.get_mut(&seat.upstream) {
+            upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.tokens);
+        }
+        seat.tokens = 0;
+    }
+
     /// Takes the gap between two events of a stream.
     pub(crate) fn observe_gap(&mut self, upstream: &str, gap: Duration) {
         let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
@@ -227,6 +276,14 @@
         }
     }
 
+    /// Whether a stream at `upstream` that has been silent for `silence` is better taken elsewhere.
+    pub(crate) fn gives_up(&self, upstream: &str, silence: Duration, now: Duration) -> bool {
+        // An upstream that is gone is known to nobody any more; its stream is not waited for.
+        let Some(silent) = self.upstreams.get(upstream) else { return silence >= SILENCE_UNKNOWN };
+        let mut others = self.upstreams.values().filter(|u| u.service == silent.service);
+        silence >= silent.silence(now) && others.any(|u| u.id != silent.id && u.allows(now))
+    }
+
     /// Forgets a waiting request.
     pub(crate) fn withdraw(&mut self, ticket: u64) {
         for service in self.services.values_mut() {
@@ -240,7 +297,9 @@
         let names: Vec<Name> = self.services.keys().cloned().collect();
         for name in names {
             let mut waiting = match self.services.get_mut(&name) {
-                Some(service) if !service.waiting.is_empty() => std::mem::take(&mut service.waiting),
+                Some(service) if !service.waiting.is_empty() => {
+                    std::mem::take(&mut service.waiting)
+                }
                 _ => continue,
             };
             // Requests that can still be on time go first, the oldest of them before the others.
@@ -260,16 +319,16 @@
     }
 
     fn decide(&mut self, ask: &Ask, now: Duration) -> Step {
-        if let Some(seat) = self.seat(ask, 1.0, now) {
+        if let Some(seat) = self.seat(ask, false, now) {
             return Step::Go(seat);
         }
         if now < patience(ask) {
             return Step::Wait;
         }
         // Its wait is over. One more in a batch costs the others less than a refusal costs it.
-        match self.seat(ask, f64::INFINITY, now) {
+        match self.seat(ask, true, now) {
             Some(seat) => Step::Go(seat),
-            None => self.refuse(ask, "no upstream takes it", RETURN_LEAST),
+            None => self.refuse(ask, "no upstream takes it", latest_return(ask)),
         }
     }
 
@@ -285,12 +344,13 @@
             return Step::Wait;
         }
         let spread = f64::from(ask.draw) / f64::from(u32::MAX);
-        let range = RETURN_MOST.saturating_sub(RETURN_LEAST);
+        let range = latest_return(&ask).saturating_sub(RETURN_LEAST);
         self.refuse(&ask, "no seat in time", RETURN_LEAST + range.mul_f64(spread))
     }
 
-    /// Takes a seat at the least loaded upstream whose load is below `part` of its limit.
-    fn seat(&mut self, ask: &Ask, part: f64, now: Duration) -> Option<Seat> {
+    /// Takes a seat at the least loaded upstream that has room. With `late`, the request may be
+    /// one more than keeps all in time, but not more than the upstream runs.
+    fn seat(&mut self, ask: &Ask, late: bool, now: Duration) -> Option<Seat> {
         let engine = self.services.get(&ask.service)?.engine.as_ref();
         let noise = |u: &Upstream| {
             let mixed = (ask.draw ^ u.digest).wrapping_mul(0x9E37_79B9);
@@ -305,12 +365,13 @@
             }
             candidates += 1;
             let limit = u.limit(engine, ask.gap);
-            let full = if part.is_finite() { u.running() + 1.0 > limit * part } else { false };
-            if full {
+            let first = engine.map(|e| u.first_event(e, ask.tokens)).unwrap_or_default();
+            if !fits(u, ask, late, limit, now + first) {
                 continue;
             }
             let away = if u.zone == self.zone { 0.0 } else { bias };
-            let score = u.running() / limit.max(1.0) + away + noise(u);
+            let slow = first.as_secs_f64() / ask.target.as_secs_f64().max(0.001);
+            let score = u.running() / limit.max(1.0) + slow * FIRST_WEIGHT + away + noise(u);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, index));
             }
@@ -332,7 +393,13 @@
             "send"
         );
         let probe = upstream.begin(now);
-        Some(Seat { upstream: upstream.id.clone(), address: upstream.address, probe })
+        upstream.own_tokens += ask.tokens;
+        Some(Seat {
+            upstream: upstream.id.clone(),
+            address: upstream.address,
+            probe,
+            tokens: ask.tokens,
+        })
     }
 
     fn refuse(&self, ask: &Ask, reason: &'static str, retry: Duration) -> Step {
@@ -352,8 +419,22 @@
 /// Until when a request waits for a seat.
 fn patience(ask: &Ask) -> Duration {
     if ask.back || ask.begun {
-        let left = ask.deadline.saturating_sub(ask.arrived);
-        return ask.arrived + left.mul_f64(WAIT_BACK);
+        return ask.deadline.min(ask.arrived + WAIT_BACK);
     }
     ask.arrived + ask.target.mul_f64(WAIT_PART)
 }
+
+/// Whether an upstream has room for the request, whose first event is expected at `first`.
+fn fits(u: &Upstream, ask: &Ask, late: bool, limit: f64, first: Duration) -> bool {
+    let running = u.running() + 1.0;
+    if late || ask.back || ask.begun {
+        return running <= f64::from(u.slots).max(limit) && first <= ask.arrived + CALLER_SILENCE;
+    }
+    running <= limit && first <= ask.arrived + ask.target.mul_f64(FIRST_PART)
+}
+
+/// The latest time after which a caller comes back.
+fn latest_return(ask: &Ask) -> Duration {
+    let left = ask.deadline.saturating_sub(ask.arrived);
+    left.mul_f64(RETURN_PART).min(RETURN_MOST)
+}
--- a/papayaproxy/src/balance/engine.rs
+++ b/papayaproxy/src/balance/engine.rs
@@ -1,4 +1,4 @@
-//! Pass times of a model engine, by its published figures and what is observed.
+//! Times of a model engine, by its published figures and what is observed.
 
 use super::constants::{GAP_PART, GAP_STALL, GAP_WEIGHT, SEATS_LEAST};
 use crate::catalog::EngineFigures;
@@ -6,12 +6,16 @@
 
 /// Milliseconds of a pass with `running` requests of the usual size, with balanced experts.
 pub(crate) fn pass_ms(figures: &EngineFigures, running: f64) -> f64 {
+    f64::from(figures.stride) * step_ms(figures, running)
+}
+
+fn step_ms(figures: &EngineFigures, running: f64) -> f64 {
     let context = figures.usual_prompt + figures.usual_answer / 2.0;
     let each = figures.sequence_ms + figures.context_ms * context / 1000.0;
-    f64::from(figures.stride) * (figures.step_ms + each * running)
+    figures.step_ms + each * running
 }
 
-/// How much slower a replica's passes are than the model's, learned from the gaps of its streams.
+/// How much slower a replica's passes are than the model's, learned from its agents or its streams.
 ///
 /// Unbalanced experts, other requests' prompts and slow replicas all show here.
 #[derive(Clone, Copy, Debug)]
@@ -51,4 +55,22 @@
         let most = if each > 0.0 { ((allowed - base) / each).floor() } else { slots };
         most.clamp((slots * SEATS_LEAST).floor().max(1.0), slots)
     }
+
+    /// Time to the first event of a request, behind `tokens` prompt tokens with its own, on a
+    /// replica with `running` requests.
+    pub(crate) fn first_event(
+        &self,
+        figures: &EngineFigures,
+        running: f64,
+        tokens: f64,
+    ) -> Duration {
+        let running = running.min(f64::from(figures.slots.max(1)));
+        let steps = (tokens / f64::from(figures.chunk.max(1))).ceil().max(1.0);
+        let passes = (steps / f64::from(figures.stride)).ceil();
+        // A request comes in the middle of a pass; its prompt is read in the passes after it.
+        let pass = pass_ms(figures, running);
+        let prefill = tokens * 1000.0 / figures.prefill_rate.max(1.0);
+        let ms = self.factor * (pass * (0.5 + passes) + prefill);
+        Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+    }
 }
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -1,6 +1,9 @@
 //! What is known of one upstream.
 
-use super::constants::{BROKEN_TIME, FOREIGN_TIME, FULL_TIME, PLAIN_QUEUE, UNREACHED_TIME};
+use super::constants::{
+    BROKEN_TIME, FOREIGN_TIME, FULL_TIME, PICTURE_AGE, PLAIN_QUEUE, SILENCE_BROKEN,
+    SILENCE_HEALTHY, SILENCE_UNKNOWN, UNREACHED_TIME,
+};
 use super::engine::Pace;
 use super::events;
 use crate::base::name::Name;
@@ -51,12 +54,18 @@
     pub(crate) own: u32,
     /// Requests of the other entries.
     pub(crate) others: u32,
+    /// Prompt tokens of this entry's requests that have not begun to answer.
+    pub(crate) own_tokens: u32,
+    /// The same of the other entries.
+    pub(crate) others_tokens: u32,
     /// How fast its passes are.
     pub(crate) pace: Pace,
     circuit: Circuit,
     barred: Duration,
     /// When the replica's group was last seen broken.
     broken: Option<Duration>,
+    /// When the replica's group was last seen running passes.
+    healthy: Option<Duration>,
 }
 
 impl Upstream {
@@ -72,13 +81,37 @@
             born: entry.born,
             own: 0,
             others: 0,
+            own_tokens: 0,
+            others_tokens: 0,
             pace: Pace::default(),
             circuit: Circuit::new(circuit),
             barred: Duration::ZERO,
             broken: None,
+            healthy: None,
         }
     }
 
+    /// Time to the first event of a request with `tokens` prompt tokens.
+    pub(crate) fn first_event(&self, figures: &EngineFigures, tokens: u32) -> Duration {
+        let before = f64::from(self.own_tokens) + f64::from(self.others_tokens);
+        self.pace.first_event(figures, self.running() + 1.0, before + f64::from(tokens))
+    }
+
+    /// Silence after which a stream goes on elsewhere.
+    pub(crate) fn silence(&self, now: Duration) -> Duration {
+        let fresh = |at: Duration| now < at + PICTURE_AGE;
+        match self.healthy {
+            _ if self.is_broken(now) => SILENCE_BROKEN,
+            Some(at) if fresh(at) => SILENCE_HEALTHY,
+            _ => SILENCE_UNKNOWN,
+        }
+    }
+
+    /// Whether its group does not run passes.
+    pub(crate) fn is_broken(&self, now: Duration) -> bool {
+        self.broken.is_some_and(|at| now < at + BROKEN_TIME)
+    }
+
     /// Requests of all entries.
     pub(crate) fn running(&self) -> f64 {
         f64::from(self.own + self.others)
@@ -94,13 +127,15 @@
 
     /// Whether it may be given a request.
     pub(crate) fn allows(&self, now: Duration) -> bool {
-        let broken = self.broken.is_some_and(|at| now < at + BROKEN_TIME);
-        now >= self.barred && !broken && self.circuit.allows(now)
+        now >= self.barred && !self.is_broken(now) && self.circuit.allows(now)
     }
 
     /// Takes note of whether the replica's group runs passes.
     pub(crate) fn observe_group(&mut self, open: bool, now: Duration) {
         self.broken = (!open).then_some(now);
+        if open {
+            self.healthy = Some(now);
+        }
     }
 
     /// Takes note of a request that is sent there; gives whether it probes an open circuit.
--- a/papayaproxy/src/catalog/config.rs
+++ b/papayaproxy/src/catalog/config.rs
@@ -89,6 +89,8 @@
     pub(crate) context_ms: f64,
     /// Prompt tokens read in a second.
     pub(crate) prefill_rate: f64,
+    /// Prompt tokens read in one step at most.
+    pub(crate) chunk: u32,
     /// Milliseconds until a group opens once all its ranks are back.
     pub(crate) form_ms: f64,
     /// Mean tokens of a prompt.
--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -60,7 +60,11 @@
     /// Upstreams that may take work.
     pub(crate) fn ready(&self) -> impl Iterator<Item = (&Name, &Entry)> {
         let ready = |row: &&Row| row.entry.state == EntryState::Ready;
-        self.rows.iter().map(|(id, r)| (id, r)).filter(move |(_, r)| ready(r)).map(|(i, r)| (i, &r.entry))
+        self.rows
+            .iter()
+            .map(|(id, r)| (id, r))
+            .filter(move |(_, r)| ready(r))
+            .map(|(i, r)| (i, &r.entry))
     }
 
     /// Every entry, for a peer.
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -2,7 +2,8 @@
 
 use super::config::Config;
 use super::constants::{
-    CONFIG_WAIT, LAPSE_TIME, PROBE_WAIT, RETRY_FIRST, RETRY_LONGEST, UPSTREAM_PAUSE, UPSTREAM_WAIT, WATCH_LAG,
+    CONFIG_WAIT, LAPSE_TIME, PROBE_WAIT, RETRY_FIRST, RETRY_LONGEST, UPSTREAM_PAUSE, UPSTREAM_WAIT,
+    WATCH_LAG,
 };
 use super::directory::{Directory, Listed};
 use super::events;
@@ -143,7 +144,14 @@
         let version = config.version;
         if version < held {
             let reason = "older than the one in force";
-            tracing::warn!(event = events::CONFIG_REFUSED, version, held, source, reason, "refused");
+            tracing::warn!(
+                event = events::CONFIG_REFUSED,
+                version,
+                held,
+                source,
+                reason,
+                "refused"
+            );
             return;
         }
         if version == held {
@@ -193,9 +201,10 @@
 
     /// Whether a missing entry may be the store's trouble alone.
     fn doubts(&self, now: Duration) -> bool {
+        // The short watches of the configuration notice an end of the trouble first.
+        let contact = self.config_contact.get();
         let recent = |at: Duration| now < at + LAPSE_TIME;
-        let unwell = |c: Contact| c.failing.is_some() || c.returned.is_some_and(recent);
-        unwell(self.upstream_contact.get()) || unwell(self.config_contact.get())
+        contact.failing.is_some() || contact.returned.is_some_and(recent)
     }
 
     fn take_changes(&self, watched: Watched) {
@@ -234,8 +243,7 @@
 
     fn confirm_list(&self, now: Duration, changed: bool) {
         self.listed.set(Some(now));
-        let returned =
-            self.upstream_contact.get().returned.max(self.config_contact.get().returned);
+        let returned = self.config_contact.get().returned;
         let expired = self.directory.borrow_mut().expire(returned, now);
         if changed || expired {
             self.changed.notify_waiters();
@@ -326,10 +334,15 @@
 async fn follow_upstreams(catalog: Rc<Catalog>) {
     let mut pause = RETRY_FIRST;
     let mut revision: Option<u64> = None;
+    let mut failed = false;
     loop {
         // Lapsed entries have to be let go in time, also while nothing changes.
         let lapsed = catalog.directory.borrow().has_lapsed();
-        let wait = if lapsed { UPSTREAM_PAUSE } else { UPSTREAM_WAIT };
+        let wait = match lapsed {
+            _ if failed => PROBE_WAIT,
+            true => UPSTREAM_PAUSE,
+            false => UPSTREAM_WAIT,
+        };
         let answer = match revision {
             Some(after) => catalog.store.watch_upstreams(after, wait).await,
             None => catalog.store.read_upstreams().await,
@@ -340,6 +353,7 @@
             continue;
         }
         let contact = &catalog.upstream_contact;
+        failed = answer.is_err();
         match answer {
             Ok(watched) => {
                 pause = settle(contact, "upstreams", None, pause, now);
--- a/papayaproxy/src/catalog/mod.rs
+++ b/papayaproxy/src/catalog/mod.rs
@@ -11,7 +11,8 @@
 mod tests;
 
 pub(crate) use config::{
-    ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service, Workspace,
+    ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service,
+    Workspace,
 };
 pub(crate) use directory::{Directory, Entry, EntryState};
 pub(crate) use follow::Catalog;
--- a/papayaproxy/src/daemon/command.rs
+++ b/papayaproxy/src/daemon/command.rs
@@ -14,10 +14,7 @@
 
 /// The option with which a daemon works without links between entries and agents.
 pub(crate) fn direct_arg(help: &'static str) -> Arg {
-    Arg::new(DIRECT)
-        .long(DIRECT)
-        .action(ArgAction::SetTrue)
-        .help(help)
+    Arg::new(DIRECT).long(DIRECT).action(ArgAction::SetTrue).help(help)
 }
 
 /// Options of a daemon.
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -18,9 +18,8 @@
 
 /// Largest plain answer, in bytes; it is held whole until it is known to be whole.
 pub(crate) const ANSWER_BYTES_MAX: usize = 8 << 20;
-/// Silence of a stream, before its first event or between two, after which it goes on elsewhere;
-/// callers leave after two seconds.
-pub(crate) const STREAM_SILENCE: Duration = Duration::from_millis(1100);
+/// Pause between two looks at a silent stream.
+pub(crate) const SILENCE_SLICE: Duration = Duration::from_millis(150);
 /// Silence of a plain upstream, in multiples of the latency target, after which a request that may
 /// be repeated goes elsewhere.
 pub(crate) const PLAIN_SILENCE: f64 = 3.0;
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -48,9 +48,9 @@
 }
 
 async fn serve_connection(stream: TcpStream, shared: Rc<Shared>) {
-    let options = stream.set_nodelay(true).and_then(|()| {
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_LIMIT))
-    });
+    let options = stream
+        .set_nodelay(true)
+        .and_then(|()| socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_LIMIT)));
     if let Err(error) = options {
         tracing::debug!(%error, "a client's connection takes no options");
     }
@@ -206,9 +206,7 @@
     match owner {
         KeyOwner::Known(workspace) => Ok(Some(workspace)),
         KeyOwner::Nobody => Ok(None),
-        KeyOwner::Unknown if shared.catalog.is_fresh(READY_AGE) => {
-            Err((codes::KEY_UNKNOWN, None))
-        }
+        KeyOwner::Unknown if shared.catalog.is_fresh(READY_AGE) => Err((codes::KEY_UNKNOWN, None)),
         KeyOwner::Unknown => Err((codes::CONFIG_STALE, Some(RETRY_UNREADY))),
     }
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -3,7 +3,7 @@
 use super::body::ReplyBody;
 use super::codes;
 use super::constants::{
-    ANSWER_BYTES_MAX, PLAIN_SILENCE, PLAIN_SILENCE_LEAST, SEND_LEAST, STREAM_SILENCE, UNRUN_MAX,
+    ANSWER_BYTES_MAX, PLAIN_SILENCE, PLAIN_SILENCE_LEAST, SEND_LEAST, SILENCE_SLICE, UNRUN_MAX,
 };
 use super::envelope::{Envelope, Verdict};
 use super::events;
@@ -215,6 +215,7 @@
             deadline: self.deadline,
             target: self.on_time,
             gap: self.route.gap,
+            tokens: self.envelope.prompt_tokens,
             back: self.back,
             begun,
             draw: rand::random(),
@@ -232,14 +233,14 @@
             Err(detail) => return Err(miss(seat, End::Unreached, false, detail)),
         };
         let request = self.build(&seat, last_event);
-        let limit = self.head_limit();
-        let response = match timeout(limit, link.send(request)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendError::Unsent(detail))) => {
+        let upstream = seat.seat().upstream.clone();
+        let response = match self.heard(&upstream, link.send(request)).await {
+            Some(Ok(response)) => response,
+            Some(Err(SendError::Unsent(detail))) => {
                 return Err(miss(seat, End::Unreached, false, detail));
             }
-            Ok(Err(SendError::Lost(detail))) => return Err(miss(seat, End::Lost, true, detail)),
-            Err(_) => return Err(miss(seat, End::Silent, true, "no answer in time".into())),
+            Some(Err(SendError::Lost(detail))) => return Err(miss(seat, End::Lost, true, detail)),
+            None => return Err(miss(seat, End::Silent, true, "no answer in time".into())),
         };
         let (parts, body) = response.into_parts();
         match replica::read(&self.envelope.id, parts.status, &parts.headers) {
@@ -283,19 +284,35 @@
         request
     }
 
-    /// Time for the head of an answer.
-    fn head_limit(&self) -> Duration {
-        let left = self.left();
+    /// Waits for the next word of `upstream`; `None` where the time is over, or where the upstream
+    /// has been silent for so long that the request is better taken elsewhere.
+    pub(crate) async fn heard<T>(
+        &self,
+        upstream: &Name,
+        word: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut word = std::pin::pin!(word);
+        let begun = self.shared.clock.now();
         let more = self.history.runs + 1 < self.route.attempts;
-        if !self.route.kind.is_repeatable() || !more {
-            return left;
+        let movable = more && self.route.kind.is_repeatable();
+        loop {
+            let limit = if movable { self.left().min(SILENCE_SLICE) } else { self.left() };
+            if let Ok(heard) = timeout(limit, word.as_mut()).await {
+                return Some(heard);
+            }
+            let now = self.shared.clock.now();
+            let silence = now.saturating_sub(begun);
+            if self.left().is_zero() || (movable && self.is_overdue(upstream, silence, now)) {
+                return None;
+            }
         }
-        let silence = if self.route.kind.is_stream() {
-            STREAM_SILENCE
-        } else {
-            self.on_time.mul_f64(PLAIN_SILENCE).max(PLAIN_SILENCE_LEAST)
-        };
-        silence.min(left)
+    }
+
+    fn is_overdue(&self, upstream: &str, silence: Duration, now: Duration) -> bool {
+        if self.route.kind.is_stream() {
+            return self.shared.seats.with(|desk| desk.gives_up(upstream, silence, now));
+        }
+        silence >= self.on_time.mul_f64(PLAIN_SILENCE).max(PLAIN_SILENCE_LEAST)
     }
 
     /// Reads a whole plain answer.
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -61,11 +61,7 @@
     ///
     /// # Errors
     /// No connection in time.
-    pub(crate) async fn link(
-        &self,
-        address: SocketAddr,
-        repeatable: bool,
-    ) -> Result<Link, String> {
+    pub(crate) async fn link(&self, address: SocketAddr, repeatable: bool) -> Result<Link, String> {
         match self.take(address, repeatable) {
             Some(link) => Ok(link),
             None => self.open(address).await,
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -1,8 +1,6 @@
 //! The running entry: what its parts share, its readiness and its graceful stop.
 
-use super::constants::{
-    KEY_AGE_PART, READY_AGE, SEAT_TICK, STOP_CLOSE, STOP_END, STOP_STREAMS,
-};
+use super::constants::{KEY_AGE_PART, READY_AGE, SEAT_TICK, STOP_CLOSE, STOP_END, STOP_STREAMS};
 use super::edge;
 use super::events;
 use super::meters::Meters;
--- a/papayaproxy/src/gateway/ready.rs
+++ b/papayaproxy/src/gateway/ready.rs
@@ -26,8 +26,8 @@
             let response = answer(&shared, &request);
             async move { Ok::<_, Infallible>(response) }
         });
-        let connection =
-            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service);
         tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "the balancer's connection broke");
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Passes the events of a stream on as they come, and takes a broken one up at another replica.
 
 use super::body::ReplyBody;
-use super::constants::{RELAY_FRAMES, STREAM_SILENCE};
+use super::constants::RELAY_FRAMES;
 use super::events;
 use super::exchange::{Call, Head, Missed, miss};
 use super::hops::copy_end_to_end;
@@ -15,7 +15,6 @@
 use std::io;
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 /// How far a stream has come.
@@ -102,29 +101,27 @@
     progress: &mut Progress,
     sender: &Sender<io::Result<Bytes>>,
 ) -> Part {
-    let Head { parts, mut body, link, seat, .. } = head;
+    let Head { parts, mut body, link, mut seat, .. } = head;
     let upstream = seat.seat().upstream.clone();
     let mut splitter = EventSplitter::default();
     let mut before: Option<Duration> = None;
     loop {
-        let left = call.left();
-        let limit = silence(call).min(left);
-        let frame = match timeout(limit, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => {
+        let frame = match call.heard(&upstream, body.frame()).await {
+            Some(Some(Ok(frame))) => frame,
+            Some(Some(Err(error))) => {
                 return Part::Broken(miss(seat, End::Lost, true, error.to_string()));
             }
-            Ok(None) if splitter.is_partial() => {
+            Some(None) if splitter.is_partial() => {
                 let detail = "ended within an event".into();
                 return Part::Broken(miss(seat, End::Lost, true, detail));
             }
-            Ok(None) => {
+            Some(None) => {
                 seat.ended(End::Good);
                 call.shared.pool.keep(link, &parts.headers);
                 return Part::Whole;
             }
-            Err(_) if call.left().is_zero() => return Part::Late,
-            Err(_) => {
+            None if call.left().is_zero() => return Part::Late,
+            None => {
                 return Part::Broken(miss(seat, End::Silent, true, "no event in time".into()));
             }
         };
@@ -143,7 +140,10 @@
                 let gap = now.saturating_sub(before);
                 call.shared.seats.with(|desk| desk.observe_gap(&upstream, gap));
             }
-            None => call.shared.meters.began(call.took()),
+            None => {
+                seat.begun();
+                call.shared.meters.began(call.took());
+            }
         }
         before = Some(now);
         if sender.send(Ok(bytes)).await.is_err() {
@@ -171,12 +171,6 @@
     Ok(bytes.freeze())
 }
 
-/// Silence after which the stream is taken up elsewhere; none where it may not be.
-fn silence(call: &Call) -> Duration {
-    let more = call.history.runs + 1 < call.route.attempts;
-    if call.route.kind.is_repeatable() && more { STREAM_SILENCE } else { Duration::MAX }
-}
-
 async fn cut(sender: &Sender<io::Result<Bytes>>, reason: &str) {
     // The caller may have left meanwhile; then nobody is told.
     let _ = sender.send(Err(io::Error::other(reason.to_owned()))).await;
--- a/papayaproxy/src/gateway/seats.rs
+++ b/papayaproxy/src/gateway/seats.rs
@@ -119,6 +119,12 @@
         &self.seat
     }
 
+    /// States that the answer has begun.
+    pub(crate) fn begun(&mut self) {
+        let seats = self.seats.clone();
+        seats.with(|desk| desk.begun(&mut self.seat));
+    }
+
     /// States how the request has ended; without it, it counts as abandoned.
     pub(crate) fn ended(mut self, end: End) {
         self.end = end;
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -3,7 +3,9 @@
 use crate::balance::budget::BudgetRule;
 use crate::base::name::Name;
 use crate::settings::process::read_address;
-use crate::settings::{LogSettings, Reader, SettingRow, SettingsError, log, parse_duration, parse_name};
+use crate::settings::{
+    LogSettings, Reader, SettingRow, SettingsError, log, parse_duration, parse_name,
+};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
--- a/papayaproxy/src/peers/constants.rs
+++ b/papayaproxy/src/peers/constants.rs
@@ -21,7 +21,7 @@
 pub(crate) const DATAGRAM_BYTES: usize = 1400;
 
 /// Age of the proof of freshness at which peers are asked; the store renews it more often.
-pub(crate) const ASK_AGE: Duration = Duration::from_millis(2400);
+pub(crate) const ASK_AGE: Duration = Duration::from_millis(2800);
 /// Pause between two looks at what is missing.
 pub(crate) const ASK_INTERVAL: Duration = Duration::from_millis(300);
 /// Peers asked at a time.
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -41,8 +41,19 @@
     pub(crate) version: u64,
     /// Other entries that it knows.
     pub(crate) names: Vec<SocketAddr>,
-    /// Requests that it runs, by the digest of the upstream's id.
-    pub(crate) loads: Vec<(u32, u16)>,
+    /// What it runs at each upstream.
+    pub(crate) loads: Vec<Told>,
+}
+
+/// What an entry runs at one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Told {
+    /// Digest of the upstream's id.
+    pub(crate) upstream: u32,
+    /// Requests.
+    pub(crate) running: u16,
+    /// Prompt tokens of those whose answer has not begun.
+    pub(crate) tokens: u32,
 }
 
 /// How fresh an entry's knowledge is, in milliseconds.
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -1,11 +1,9 @@
 //! The running exchange of one entry: its datagrams, questions and transfers.
 
-use super::constants::{
-    ASK_AGE, ASK_INTERVAL, ASK_PEERS, DATAGRAM_BYTES, LOADS_MAX, NAMES_EVERY,
-};
-use super::events;
 use super::agents::Agents;
-use super::message::{Beat, Message, Pull, Pulled, Tell};
+use super::constants::{ASK_AGE, ASK_INTERVAL, ASK_PEERS, DATAGRAM_BYTES, LOADS_MAX, NAMES_EVERY};
+use super::events;
+use super::message::{Beat, Message, Pull, Pulled, Tell, Told};
 use super::relay;
 use super::table::{Running, Table};
 use crate::base::clock::Clock;
@@ -51,8 +49,8 @@
 
 /// Where the exchange takes what it tells, and gives what it hears.
 pub(crate) struct Hooks {
-    /// What this entry runs, by the digest of the upstream's id.
-    pub(crate) loads: Box<dyn Fn() -> Vec<(u32, u16)>>,
+    /// What this entry runs at each upstream.
+    pub(crate) loads: Box<dyn Fn() -> Vec<Told>>,
     /// Takes what the peers run and how many entries there are.
     pub(crate) learn: Box<dyn Fn(&Running, usize)>,
     /// Takes the picture of a lock-step group.
@@ -124,7 +122,7 @@
         Around { agents, entries, figures: engine.and_then(|e| e.experts) }
     }
 
-    async fn send_beats(&self, mut loads: Vec<(u32, u16)>) {
+    async fn send_beats(&self, mut loads: Vec<Told>) {
         loads.truncate(LOADS_MAX);
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -2,14 +2,14 @@
 
 use super::constants::{BEAT_INTERVAL, BEAT_PEERS, NAMES_MAX, PEER_FORGET, PEER_SILENCE};
 use super::events;
-use super::message::Beat;
+use super::message::{Beat, Told};
 use crate::base::name::{Incarnation, Name};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// What the peers run, by the digest of the upstream's id.
-pub(crate) type Running = IndexMap<u32, u32>;
+/// What the peers run, by the digest of the upstream's id: requests, and prompt tokens unread.
+pub(crate) type Running = IndexMap<u32, (u32, u32)>;
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -19,7 +19,7 @@
     incarnation: Incarnation,
     sequence: u64,
     version: u64,
-    loads: Vec<(u32, u16)>,
+    loads: Vec<Told>,
 }
 
 /// The other entries.
@@ -103,9 +103,9 @@
             self.learn(*name);
         }
         let slot = self.peers.entry(from).or_default();
-        let old = slot.as_ref().is_some_and(|p| {
-            p.incarnation == beat.incarnation && p.sequence >= beat.sequence
-        });
+        let old = slot
+            .as_ref()
+            .is_some_and(|p| p.incarnation == beat.incarnation && p.sequence >= beat.sequence);
         if old {
             return false;
         }
@@ -153,8 +153,10 @@
     /// What the live peers run, by the digest of the upstream's id.
     pub(crate) fn running(&self) -> Running {
         let mut sum = Running::new();
-        for (upstream, count) in self.peers.values().flatten().flat_map(|p| &p.loads) {
-            *sum.entry(*upstream).or_default() += u32::from(*count);
+        for told in self.peers.values().flatten().flat_map(|p| &p.loads) {
+            let (running, tokens) = sum.entry(told.upstream).or_default();
+            *running += u32::from(told.running);
+            *tokens += told.tokens;
         }
         sum
     }
--- a/papayaproxy/src/platform/config.rs
+++ b/papayaproxy/src/platform/config.rs
@@ -2,7 +2,8 @@
 
 use crate::base::name::Name;
 use crate::catalog::{
-    ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service, Workspace,
+    ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service,
+    Workspace,
 };
 use indexmap::IndexMap;
 use serde::Deserialize;
@@ -82,6 +83,8 @@
     #[serde(default)]
     read_per_s: f64,
     #[serde(default)]
+    chunk: u32,
+    #[serde(default)]
     form_ms: f64,
     usual: Option<WireUsual>,
     #[serde(default)]
@@ -130,8 +133,7 @@
     let keyed = wire.tenants.is_some();
     let mut workspaces = IndexMap::new();
     for tenant in wire.tenants.into_iter().flatten() {
-        let workspace =
-            Arc::new(Workspace { name: tenant.name.into(), priority: tenant.priority });
+        let workspace = Arc::new(Workspace { name: tenant.name.into(), priority: tenant.priority });
         for key in tenant.api_keys {
             workspaces.insert(key.into(), workspace.clone());
         }
@@ -181,6 +183,7 @@
         sequence_ms: e.per_seq_ms,
         context_ms: e.context_per_k,
         prefill_rate: e.read_per_s,
+        chunk: e.chunk,
         form_ms: e.form_ms,
         usual_prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
         usual_answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
--- a/papayaproxy/src/platform/request.rs
+++ b/papayaproxy/src/platform/request.rs
@@ -17,7 +17,9 @@
     let mut keys = headers.get_all(KEY).iter();
     let key = match (keys.next(), keys.next()) {
         (None, _) => KeyHeader::Missing,
-        (Some(key), None) => key.to_str().map_or(KeyHeader::Unreadable, |k| KeyHeader::One(k.into())),
+        (Some(key), None) => {
+            key.to_str().map_or(KeyHeader::Unreadable, |k| KeyHeader::One(k.into()))
+        }
         _ => KeyHeader::Unreadable,
     };
     let tokens = text(headers, &TOKENS).and_then(|t| t.split_once(','));
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -42,6 +42,17 @@
 /// Time without plans after an order without answer.
 pub(crate) const QUIET_AFTER_LOSS: Duration = Duration::from_millis(2500);
 
+/// Span over which passes are measured.
+pub(crate) const PASS_SPAN: Duration = Duration::from_millis(400);
+/// Least time without a pass, with work to do, after which a group counts as stalled.
+pub(crate) const STALL_LEAST: Duration = Duration::from_millis(450);
+/// The same in passes of the usual duration.
+pub(crate) const STALL_PASSES: f64 = 4.0;
+
+/// Requests of a replica at which it counts as fully loaded.
+pub(crate) const SLOTS_USUAL: f64 = 10.0;
+/// Load that is assumed where a group has just formed: its requests are about to come back.
+pub(crate) const FIRST_LOAD: f64 = 0.6;
 /// Pause between two decisions on moves.
 pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 /// Choices of experts that must be counted before the first plan, for each expert of a set.
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -346,7 +346,9 @@
 
     fn enter(&mut self, phase: Phase, now: Duration, reason: &str) {
         let (version, step) = match &phase {
-            Phase::Preparing { version, .. } | Phase::Switching { version } => (Some(*version), None),
+            Phase::Preparing { version, .. } | Phase::Switching { version } => {
+                (Some(*version), None)
+            }
             Phase::Holding { version, step } | Phase::Arming { version, step } => {
                 (Some(*version), Some(*step))
             }
--- a/papayaproxy/src/ranks/planner.rs
+++ b/papayaproxy/src/ranks/planner.rs
@@ -34,7 +34,8 @@
     let price = GAIN_PER_COPY / load.min(1.0);
     let sets: Vec<SetPlan> =
         (0..).zip(lists).map(|(set, ranks)| plan_set(popularity, set, ranks, price)).collect();
-    let mean = |of: fn(&SetPlan) -> f64| sets.iter().map(of).sum::<f64>() / sets.len().max(1) as f64;
+    let mean =
+        |of: fn(&SetPlan) -> f64| sets.iter().map(of).sum::<f64>() / sets.len().max(1) as f64;
     let (skew, planned) = (mean(|s| s.skew), mean(|s| s.planned));
     let copies = sets.iter().map(|s| s.copies).sum();
     let map = sets.into_iter().map(|s| s.lists).collect();
@@ -79,13 +80,7 @@
 }
 
 /// Experts that ranks have to copy; `None` where one rank has more than it may.
-fn copies(
-    old: &LayerMap,
-    new: &LayerMap,
-    shape: Shape,
-    free: u16,
-    spare: u16,
-) -> Option<usize> {
+fn copies(old: &LayerMap, new: &LayerMap, shape: Shape, free: u16, spare: u16) -> Option<usize> {
     let slots = usize::from(shape.slots);
     let mut all = 0;
     for (had, has) in old.slots.chunks(slots).zip(new.slots.chunks(slots)) {
@@ -100,9 +95,9 @@
 
 fn to_layer(ranks: &[Vec<u16>], free: u16, shape: Shape) -> LayerMap {
     let slots = usize::from(shape.slots);
-    let padded = ranks.iter().flat_map(|experts| {
-        experts.iter().copied().chain(std::iter::repeat(free)).take(slots)
-    });
+    let padded = ranks
+        .iter()
+        .flat_map(|experts| experts.iter().copied().chain(std::iter::repeat(free)).take(slots));
     LayerMap { slots: padded.collect() }
 }
 
--- a/papayaproxy/src/ranks/process.rs
+++ b/papayaproxy/src/ranks/process.rs
@@ -1,8 +1,9 @@
 //! The running agent of one rank.
 
 use super::constants::{
-    COUNT_INTERVAL, HERE_ENTRIES, HERE_INTERVAL, LEAD_SILENCE, PLAN_INTERVAL, QUIET_AFTER_LOSS,
-    READ_LIMIT, STATE_AGE, TELL_RANKS, TICK,
+    COUNT_INTERVAL, FIRST_LOAD, HERE_ENTRIES, HERE_INTERVAL, LEAD_SILENCE, PASS_SPAN,
+    PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL, STALL_LEAST, STALL_PASSES, STATE_AGE,
+    TELL_RANKS, TICK,
 };
 use super::demand::Popularity;
 use super::events;
@@ -74,6 +75,9 @@
     at: Duration,
     step: u64,
     pass_ms: f64,
+    /// When a pass last began, or nothing was to do.
+    moved: Duration,
+    last: u64,
 }
 
 impl RankAgent {
@@ -180,7 +184,6 @@
         if view.epoch != self.lead.epoch() {
             self.lead = Lead::new(view.rank, view.size, view.epoch);
             self.states.clear();
-            self.popularity = None;
             self.lowest = None;
         }
         self.pass.observe(&view, now);
@@ -259,7 +262,9 @@
             return;
         }
         let since = *self.lowest.get_or_insert(now);
-        if now > since + LEAD_SILENCE && *self.lead.phase() == Phase::Following {
+        // Nobody is below rank 0, so that it has nobody to wait for.
+        let waited = rank == 0 || now > since + LEAD_SILENCE;
+        if waited && *self.lead.phase() == Phase::Following {
             let seen = self.states.values().map(|(s, _)| s.term).max();
             self.lead.begin(seen.unwrap_or_default().max(self.own.term()), now);
         }
@@ -273,11 +278,14 @@
         self.due.plan = now + PLAN_INTERVAL;
         let Some(lists) = self.lists() else { return };
         let Some(popularity) = &self.popularity else { return };
-        let load = self.load();
+        // The map that a group starts with is poor: where demand is known, it is replaced at once.
+        let first = self.own.view().is_some_and(|v| v.version == 0);
+        let load = if first { self.load().max(FIRST_LOAD) } else { self.load() };
         let Some(planned) = plan(popularity, &lists, load) else { return };
-        let versions = self.states.values().map(|(s, _)| {
-            s.view.version.max(s.view.prepared.unwrap_or_default())
-        });
+        let versions = self
+            .states
+            .values()
+            .map(|(s, _)| s.view.version.max(s.view.prepared.unwrap_or_default()));
         let version = versions.max().unwrap_or_default() + 1;
         tracing::info!(
             event = events::PLAN_MADE,
@@ -392,17 +400,18 @@
     /// Tells the entries how the group is: the lead at times, and whoever sees it break at once.
     async fn tell_entries(&mut self) {
         let Some(view) = self.own.view().cloned() else { return };
-        let broke = self.was_open && !view.open;
-        self.was_open = view.open;
+        let running = view.open && !self.pass.is_stalled(self.clock.now());
+        let changed = self.was_open != running;
+        self.was_open = running;
         let leads = *self.lead.phase() != Phase::Following && self.ticks % 2 == 0;
-        let reminds = !view.open && self.ticks % 5 == 0;
-        if !(broke || leads || reminds) {
+        let reminds = !running && self.ticks % 3 == 0;
+        if !(changed || leads || reminds) {
             return;
         }
         let requests = |s: &State| (s.replica, s.view.running as u16, s.view.waiting as u16);
         let picture = Picture {
             group: (self.service.clone(), view.group.clone()),
-            open: view.open,
+            open: running,
             pass_ms: self.pass.pass_ms as f32,
             members: self.states.values().map(|(s, _)| requests(s)).collect(),
         };
@@ -426,17 +435,20 @@
     }
 }
 
-/// Requests of a replica at which it counts as fully loaded.
-const SLOTS_USUAL: f64 = 10.0;
-
-/// Span over which passes are measured.
-const PASS_SPAN: Duration = Duration::from_millis(400);
-
 impl PassClock {
+    /// Whether there is work and no pass has begun for much longer than one takes.
+    fn is_stalled(&self, now: Duration) -> bool {
+        let usual = Duration::from_secs_f64(self.pass_ms.min(1000.0) * STALL_PASSES / 1000.0);
+        now.saturating_sub(self.moved) > usual.max(STALL_LEAST)
+    }
+
     fn observe(&mut self, view: &RankView, now: Duration) {
         let passed = now.saturating_sub(self.at);
+        if view.step != self.last || view.running + view.waiting == 0 || view.held.is_some() {
+            (self.last, self.moved) = (view.step, now);
+        }
         if view.step < self.step {
-            *self = Self { at: now, step: view.step, pass_ms: 0.0 };
+            (self.at, self.step, self.pass_ms) = (now, view.step, 0.0);
         } else if passed >= PASS_SPAN {
             let steps = view.step - self.step;
             let busy = view.running + view.waiting > 0;
--- a/papayaproxy/src/ranks/rank.rs
+++ b/papayaproxy/src/ranks/rank.rs
@@ -243,9 +243,8 @@
             // An earlier run of this agent may have lost an order that nobody remembers.
             self.doubt = Some((view.sequence, now));
         }
-        let moved = |(count, since): &(u64, Duration)| {
-            view.sequence > *count || now > *since + LATE_ORDER
-        };
+        let moved =
+            |(count, since): &(u64, Duration)| view.sequence > *count || now > *since + LATE_ORDER;
         if self.doubt.as_ref().is_some_and(moved) {
             self.doubt = None;
         }
--- a/papayaproxy/src/ranks/settings.rs
+++ b/papayaproxy/src/ranks/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of an agent that gives its own rank's orders.
 
 use crate::base::name::Name;
+use crate::gateway::settings::read_seeds;
 use crate::settings::process::read_address;
 use crate::settings::{LogSettings, Reader, SettingRow, SettingsError, log, parse_name};
-use crate::gateway::settings::read_seeds;
 use std::net::SocketAddr;
 use std::path::Path;
 
--- a/papayaproxy/src/streams/mod.rs
+++ b/papayaproxy/src/streams/mod.rs
@@ -14,4 +14,4 @@
 pub use assembler::{Assembler, Drops};
 pub use progress::{EventTaken, Progress};
 pub use resume::{Break, ModelRef, Plan, Replica, Resumes};
-pub use splitter::{EngineEvent, EventSplitter, TextPiece, read_event, event_id};
+pub use splitter::{EngineEvent, EventSplitter, TextPiece, event_id, read_event};
