--- a/papayaproxy/src/ranks/events.rs
+++ b/papayaproxy/src/ranks/events.rs
@@ -5,6 +5,7 @@
 events! {
     AGENT_STARTED = 3400, "An agent is open. Fields: name, zone, replica, address.";
     AGENT_STOPPED = 3401, "An agent has ended. Fields: name.";
+    AGENT_RELOADED = 3411, "The settings were read again. Fields: seeds, outcome.";
     RANK_CHANGED = 3402, "The own rank's group is another one, or is open or broken from now on. Fields: group, epoch, rank, open.";
     LEAD_TAKEN = 3403, "This agent leads the group from now on. Fields: group, epoch, term.";
     LEAD_LEFT = 3404, "This agent no longer leads. Fields: group, term, reason.";
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -356,6 +356,11 @@
         };
         let (event, phase_name) = (events::PHASE_CHANGED, phase.name());
         tracing::info!(event, phase = phase_name, version, step, reason, "phase");
+        if phase == Phase::Undoing {
+            // Only what a rank says under a new term is known to be later than the last command,
+            // since a datagram may be late; and no earlier command is obeyed after it.
+            self.term = next_term(self.term, self.rank);
+        }
         self.phase = phase;
         self.entered = now;
         self.sent.clear();
--- a/papayaproxy/src/ranks/process.rs
+++ b/papayaproxy/src/ranks/process.rs
@@ -23,6 +23,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -32,6 +33,7 @@
 /// A running agent.
 pub struct RankAgent {
     name: Name,
+    seeds: watch::Sender<Vec<SocketAddr>>,
     _stop: DropGuard,
 }
 
@@ -120,8 +122,18 @@
         };
         let stop = CancellationToken::new();
         let stopped = stop.clone();
-        tokio::task::spawn_local(async move { stopped.run_until_cancelled(agent.run()).await });
-        Ok(Self { name: settings.name, _stop: stop.drop_guard() })
+        let (seeds, changed) = watch::channel(Vec::new());
+        tokio::task::spawn_local(
+            async move { stopped.run_until_cancelled(agent.run(changed)).await },
+        );
+        Ok(Self { name: settings.name, seeds, _stop: stop.drop_guard() })
+    }
+
+    /// Takes changed settings. Only the seeds can change in a running process.
+    pub fn reload(&self, settings: &RankSettings) {
+        self.seeds.send_replace(settings.seeds.clone());
+        let seeds = settings.seeds.len();
+        tracing::info!(event = events::AGENT_RELOADED, seeds, outcome = "taken", "reloaded");
     }
 
     /// Ends the agent. What it leaves half done, the next lead undoes.
@@ -131,13 +143,16 @@
 }
 
 impl Agent {
-    async fn run(mut self) {
+    async fn run(mut self, mut seeds: watch::Receiver<Vec<SocketAddr>>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick().await,
+                Ok(()) = seeds.changed() => {
+                    self.entries.extend(seeds.borrow_and_update().iter().copied());
+                }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from).await,
                     // A peer that is away is reported here, on the next receive.
@@ -220,8 +235,8 @@
         Some(State {
             view,
             replica: self.own.address(),
-            term: self.own.term(),
-            doubt: self.own.doubt(),
+            term: self.own.memory().term,
+            doubt: self.own.memory().doubt(),
             experts: (self.experts.1, self.experts.2.clone()),
             chosen: std::mem::take(&mut self.chosen),
         })
@@ -266,12 +281,12 @@
         let waited = rank == 0 || now > since + LEAD_SILENCE;
         if waited && *self.lead.phase() == Phase::Following {
             let seen = self.states.values().map(|(s, _)| s.term).max();
-            self.lead.begin(seen.unwrap_or_default().max(self.own.term()), now);
+            self.lead.begin(seen.unwrap_or_default().max(self.own.memory().term), now);
         }
     }
 
     fn plan(&mut self, now: Duration) {
-        let quiet = self.own.lost().is_some_and(|at| now < at + QUIET_AFTER_LOSS);
+        let quiet = self.own.memory().lost.is_some_and(|at| now < at + QUIET_AFTER_LOSS);
         if *self.lead.phase() != Phase::Idle || now < self.due.plan || quiet {
             return;
         }
@@ -341,10 +356,10 @@
 
     async fn obey(&mut self, directed: &Directed) {
         let now = self.clock.now();
-        if directed.term < self.own.term() {
+        if directed.term < self.own.memory().term {
             return;
         }
-        if !matches!(directed.command, Command::Follow) || directed.term > self.own.term() {
+        if !matches!(directed.command, Command::Follow) || directed.term > self.own.memory().term {
             self.own.obey(directed, now).await;
         }
         self.follow_group().await;
--- a/papayaproxy/src/ranks/rank.rs
+++ b/papayaproxy/src/ranks/rank.rs
@@ -103,34 +103,70 @@
     view.armed.is_some_and(|Armed { version: armed, .. }| armed == version)
 }
 
-/// The own rank.
-pub(crate) struct OwnRank {
-    replica: OwnReplica,
-    address: SocketAddr,
+/// What an agent remembers of its rank. Without I/O or clock.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Memory {
     /// The last report.
-    view: Option<RankView>,
+    pub(crate) view: Option<RankView>,
     /// The lead that is obeyed.
-    term: u64,
+    pub(crate) term: u64,
     /// The count of orders at which one got no answer, and when.
     doubt: Option<(u64, Duration)>,
+    /// When an order last got no answer.
+    pub(crate) lost: Option<Duration>,
+}
+
+impl Memory {
+    /// Whether an order may still be carried out late.
+    pub(crate) fn doubt(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// Takes a report.
+    pub(crate) fn learn(&mut self, view: RankView, now: Duration) {
+        if !self.view.as_ref().is_some_and(|v| v.born == view.born) {
+            // An earlier run of this agent may have lost an order that nobody remembers.
+            self.doubt = Some((view.sequence, now));
+        }
+        // All tries of an order carry one count, so none is carried out once the count has moved.
+        let moved =
+            |(count, since): &(u64, Duration)| view.sequence > *count || now > *since + LATE_ORDER;
+        if self.doubt.as_ref().is_some_and(moved) {
+            self.doubt = None;
+        }
+        self.view = Some(view);
+    }
+
+    /// Takes note of an order at `expected` that got no answer.
+    pub(crate) fn unanswered(&mut self, expected: u64, now: Duration) {
+        self.doubt = Some((expected, now));
+        self.lost = Some(now);
+    }
+
+    /// What a command asks for, if neither its term nor its epoch is outdated.
+    pub(crate) fn accept(&mut self, directed: &Directed) -> Need {
+        if directed.term < self.term {
+            return Need::Nothing;
+        }
+        self.term = directed.term;
+        let view = self.view.as_ref().filter(|v| v.epoch == directed.epoch);
+        view.map_or(Need::Nothing, |view| need(&directed.command, view, self.doubt()))
+    }
+}
+
+/// The own rank.
+pub(crate) struct OwnRank {
+    replica: OwnReplica,
+    address: SocketAddr,
+    memory: Memory,
     /// Since when the replica does not answer.
     away: Option<Duration>,
-    /// When an order last got no answer.
-    lost: Option<Duration>,
 }
 
 impl OwnRank {
     /// The rank of the replica at `address`.
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self {
-            replica: OwnReplica::new(address),
-            address,
-            view: None,
-            term: 0,
-            doubt: None,
-            away: None,
-            lost: None,
-        }
+        Self { replica: OwnReplica::new(address), address, memory: Memory::default(), away: None }
     }
 
     /// Where the replica listens.
@@ -140,22 +176,12 @@
 
     /// The last report, while the replica answers.
     pub(crate) fn view(&self) -> Option<&RankView> {
-        self.view.as_ref()
-    }
-
-    /// The lead that is obeyed.
-    pub(crate) fn term(&self) -> u64 {
-        self.term
-    }
-
-    /// Whether an order may still be carried out late.
-    pub(crate) fn doubt(&self) -> bool {
-        self.doubt.is_some()
+        self.memory.view.as_ref()
     }
 
-    /// When an order last got no answer.
-    pub(crate) fn lost(&self) -> Option<Duration> {
-        self.lost
+    /// What is remembered of the rank.
+    pub(crate) fn memory(&self) -> &Memory {
+        &self.memory
     }
 
     /// The replica's own interface.
@@ -171,29 +197,27 @@
                     let away_ms = now.saturating_sub(since).as_millis() as u64;
                     tracing::info!(event = events::REPLICA_BACK, away_ms, "replica answers again");
                 }
-                self.learn(view, now);
+                match view {
+                    Some(view) => self.learn(view, now),
+                    None => self.memory.view = None,
+                }
             }
             Err(error) => self.lose(&error, now),
         }
     }
 
-    /// Carries out a command of the lead, if the term and the epoch are not outdated.
+    /// Carries out a command of the lead.
     pub(crate) async fn obey(&mut self, directed: &Directed, now: Duration) {
         self.refresh(now).await;
-        if directed.term < self.term {
-            return;
-        }
-        self.term = directed.term;
-        let Some(view) = self.view.clone().filter(|v| v.epoch == directed.epoch) else { return };
-        match need(&directed.command, &view, self.doubt()) {
+        match self.memory.accept(directed) {
             Need::Nothing => return,
-            Need::One(order) => self.order(&order, &view, now).await,
+            Need::One(order) => self.order(&order, now).await,
             Need::MoveOn => {
-                let step = view.step + FAR_STEPS;
-                self.order(&Order::Hold { step }, &view, now).await;
+                let step = self.view().map_or(0, |v| v.step) + FAR_STEPS;
+                self.order(&Order::Hold { step }, now).await;
                 self.refresh(now).await;
-                if let Some(view) = self.view.clone().filter(|v| v.held == Some(step)) {
-                    self.order(&Order::Go { step }, &view, now).await;
+                if self.view().is_some_and(|v| v.held == Some(step)) {
+                    self.order(&Order::Go { step }, now).await;
                 }
             }
         }
@@ -201,11 +225,11 @@
     }
 
     /// Gives one order. All tries carry one count, so that only one of them can take effect.
-    async fn order(&mut self, order: &Order, view: &RankView, now: Duration) {
+    async fn order(&mut self, order: &Order, now: Duration) {
+        let Some((epoch, expected)) = self.view().map(|v| (v.epoch, v.sequence)) else { return };
         let name = order.name();
-        let expected = view.sequence;
         for _ in 0..ORDER_TRIES {
-            match self.replica.order(order, view.epoch, expected, ORDER_LIMIT).await {
+            match self.replica.order(order, epoch, expected, ORDER_LIMIT).await {
                 Ok(OrderReply::Begun | OrderReply::Holds) => return,
                 Ok(OrderReply::Refused(status)) => {
                     let event = events::ORDER_REFUSED;
@@ -215,21 +239,16 @@
                 Err(error) => {
                     let event = events::ORDER_LOST;
                     tracing::warn!(event, order = name, expected, %error, "order without answer");
-                    self.doubt = Some((expected, now));
-                    self.lost = Some(now);
+                    self.memory.unanswered(expected, now);
                 }
             }
         }
     }
 
-    fn learn(&mut self, view: Option<RankView>, now: Duration) {
-        let Some(view) = view else {
-            self.view = None;
-            return;
-        };
-        let same = |v: &RankView| v.group == view.group && v.epoch == view.epoch;
-        let known = self.view.as_ref().filter(|v| same(v) && v.open == view.open);
-        if known.is_none() {
+    fn learn(&mut self, view: RankView, now: Duration) {
+        let same =
+            |v: &&RankView| v.group == view.group && v.epoch == view.epoch && v.open == view.open;
+        if self.view().filter(same).is_none() {
             tracing::info!(
                 event = events::RANK_CHANGED,
                 group = %view.group,
@@ -239,16 +258,7 @@
                 "rank changed"
             );
         }
-        if !self.view.as_ref().is_some_and(|v| v.born == view.born) {
-            // An earlier run of this agent may have lost an order that nobody remembers.
-            self.doubt = Some((view.sequence, now));
-        }
-        let moved =
-            |(count, since): &(u64, Duration)| view.sequence > *count || now > *since + LATE_ORDER;
-        if self.doubt.as_ref().is_some_and(moved) {
-            self.doubt = None;
-        }
-        self.view = Some(view);
+        self.memory.learn(view, now);
     }
 
     fn lose(&mut self, error: &RankError, now: Duration) {
@@ -256,6 +266,6 @@
             self.away = Some(now);
             tracing::warn!(event = events::REPLICA_LOST, %error, "replica does not answer");
         }
-        self.view = None;
+        self.memory.view = None;
     }
 }
--- /dev/null
+++ b/papayaproxy/src/ranks/tests/planner.rs
@@ -0,0 +1,69 @@
+//! Plans for the demand of the day.
+
+use crate::catalog::ExpertFigures;
+use crate::ranks::demand::Popularity;
+use crate::ranks::message::Lists;
+use crate::ranks::planner::plan;
+use rstest::rstest;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn figures(ranks: u16, sets: u16, experts: u16, places: u16) -> (u16, ExpertFigures) {
+    (ranks, ExpertFigures { sets, experts, places, spare: 4 })
+}
+
+/// The map that a group starts with: experts in turn.
+fn first_map(ranks: u16, figures: ExpertFigures) -> Lists {
+    let of = |rank: u16| (0..figures.experts).filter(|e| e % ranks == rank).collect::<Vec<u16>>();
+    vec![(0..ranks).map(of).collect(); figures.sets.into()]
+}
+
+/// Popularity in which few experts get most of the choices.
+fn skewed(figures: ExpertFigures) -> Popularity {
+    let mut popularity = Popularity::new(figures, NOW);
+    let cells = usize::from(figures.sets) * usize::from(figures.experts);
+    let experts = usize::from(figures.experts);
+    let chosen = |cell: usize| 40_000 / (1 + (cell % experts * 37 % experts) as u32);
+    popularity.take(&(0..cells).map(chosen).collect::<Vec<u32>>(), NOW);
+    popularity
+}
+
+#[rstest]
+#[case::today(figures(8, 6, 64, 11))]
+#[case::grown(figures(32, 12, 128, 5))]
+fn plan_skewed_balances(#[case] (ranks, figures): (u16, ExpertFigures)) {
+    let lists = first_map(ranks, figures);
+    let planned = plan(&skewed(figures), &lists, 1.0).unwrap();
+    assert!(planned.planned < planned.skew * 0.7, "{} to {}", planned.skew, planned.planned);
+    for (set, before) in planned.map.iter().zip(&lists) {
+        let mut seen: Vec<u16> = set.iter().flatten().copied().collect();
+        seen.sort_unstable();
+        seen.dedup();
+        assert_eq!(seen.len(), usize::from(figures.experts), "each expert is somewhere");
+        for (rank, had) in set.iter().zip(before) {
+            assert!(rank.len() <= usize::from(figures.places));
+            let copied = rank.iter().filter(|e| !had.contains(e)).count();
+            assert!(copied <= usize::from(figures.spare), "{copied} copies in one set");
+        }
+    }
+}
+
+#[rstest]
+#[case::balanced(1.0, 0)]
+#[case::idle(0.0, 40_000)]
+fn plan_without_gain_none(#[case] load: f64, #[case] step: u32) {
+    let (ranks, figures) = figures(8, 6, 64, 11);
+    let cells = usize::from(figures.sets) * usize::from(figures.experts);
+    let mut popularity = Popularity::new(figures, NOW);
+    let chosen = |cell: usize| 500 + step / (1 + (cell % 64) as u32);
+    popularity.take(&(0..cells).map(chosen).collect::<Vec<u32>>(), NOW);
+    assert!(plan(&popularity, &first_map(ranks, figures), load).is_none());
+}
+
+#[test]
+fn plan_uncounted_none() {
+    let (ranks, figures) = figures(8, 6, 64, 11);
+    let popularity = Popularity::new(figures, NOW);
+    assert!(plan(&popularity, &first_map(ranks, figures), 1.0).is_none());
+}
