Know cut zones: send nothing there, say not ready, give connections back

Change: two failed connections in a row bar a zone for 0.8 s; an entry that hears of no entry of any other zone for 0.7 s is not ready and closes connections after each answer; a replica that is full with little to do counts as closed for 0.5 s, since its group does not run. Ruled out: shorter connection limits (a lost packet costs a second on lossy links).

--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -6,6 +6,15 @@
 pub(crate) const PLAIN_QUEUE: f64 = 2.0;
 /// Time in which an upstream that said it is full gets nothing new; a pass or two.
 pub(crate) const FULL_TIME: Duration = Duration::from_millis(150);
+/// Time in which an upstream that said it is full though it has little to do gets nothing: its group
+/// does not run passes.
+pub(crate) const CLOSED_TIME: Duration = Duration::from_millis(500);
+/// Part of the slots below which an upstream has little to do.
+pub(crate) const CLOSED_PART: f64 = 0.5;
+/// Connections in a row to one availability zone that fail before it counts as cut off.
+pub(crate) const ZONE_FAILURES: u32 = 2;
+/// Time in which an availability zone that is cut off gets nothing; then it is tried again.
+pub(crate) const ZONE_TIME: Duration = Duration::from_millis(800);
 /// Time in which an upstream that is not the expected one gets nothing; its entry changes meanwhile.
 pub(crate) const FOREIGN_TIME: Duration = Duration::from_millis(1500);
 /// Time in which an upstream that cannot be reached gets nothing.
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -3,7 +3,8 @@
 use super::budget::{Budget, BudgetRule};
 use super::constants::{
     CALLER_SILENCE, FIRST_PART, FIRST_WEIGHT, RATE_WEIGHT, RETURN_LEAST, RETURN_MOST, RETURN_PART,
-    SCORE_NOISE, SILENCE_UNKNOWN, WAIT_BACK, WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN,
+    SCORE_NOISE, SILENCE_UNKNOWN, WAIT_BACK, WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN, ZONE_FAILURES,
+    ZONE_TIME,
 };
 use super::events;
 use super::upstream::{End, Upstream};
@@ -99,6 +100,8 @@
     entries: usize,
     /// Groups by service and name, and whether they run passes.
     groups: IndexMap<(Name, Name), bool>,
+    /// Availability zones: failed connections in a row, and until when nothing is sent there.
+    zones: IndexMap<Name, (u32, Duration)>,
     /// When the peers' load was last taken.
     picture: Duration,
 }
@@ -114,6 +117,7 @@
             services: IndexMap::new(),
             entries: 1,
             groups: IndexMap::new(),
+            zones: IndexMap::new(),
             picture: Duration::ZERO,
         }
     }
@@ -243,7 +247,11 @@
     /// Whether some upstream could take the request once it has room.
     fn may_open(&self, ask: &Ask, now: Duration) -> bool {
         let mut all = self.upstreams.values().filter(|u| u.service == ask.service);
-        all.any(|u| !u.is_broken(now))
+        all.any(|u| !u.is_broken(now) && !self.is_zone_barred(&u.zone, now))
+    }
+
+    fn is_zone_barred(&self, zone: &Name, now: Duration) -> bool {
+        *zone != self.zone && self.zones.get(zone).is_some_and(|(_, barred)| now < *barred)
     }
 
     /// Hands a seat back.
@@ -251,6 +259,17 @@
         let Some(upstream) = self.upstreams.get_mut(&seat.upstream) else { return };
         upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.tokens);
         upstream.end(end, seat.probe, now);
+        let (failed, barred) = self.zones.entry(upstream.zone.clone()).or_default();
+        match end {
+            End::Unreached => {
+                *failed += 1;
+                if *failed >= ZONE_FAILURES {
+                    *barred = now + ZONE_TIME;
+                }
+            }
+            End::Abandoned | End::Silent => {}
+            _ => (*failed, *barred) = (0, Duration::ZERO),
+        }
         if let Some(service) = self.services.get_mut(&upstream.service) {
             let since = now.saturating_sub(service.freed).as_secs_f64().max(0.001);
             service.rate += RATE_WEIGHT * (1.0 / since - service.rate);
@@ -363,6 +382,9 @@
             if u.service != ask.service || ask.avoid.contains(&u.id) || !u.allows(now) {
                 continue;
             }
+            if self.is_zone_barred(&u.zone, now) {
+                continue;
+            }
             candidates += 1;
             let limit = u.limit(engine, ask.gap);
             let first = engine.map(|e| u.first_event(e, ask.tokens)).unwrap_or_default();
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -1,8 +1,8 @@
 //! What is known of one upstream.
 
 use super::constants::{
-    BROKEN_TIME, FOREIGN_TIME, FULL_TIME, PICTURE_AGE, PLAIN_QUEUE, SILENCE_BROKEN,
-    SILENCE_HEALTHY, SILENCE_UNKNOWN, UNREACHED_TIME,
+    BROKEN_TIME, CLOSED_PART, CLOSED_TIME, FOREIGN_TIME, FULL_TIME, PICTURE_AGE, PLAIN_QUEUE,
+    SILENCE_BROKEN, SILENCE_HEALTHY, SILENCE_UNKNOWN, UNREACHED_TIME,
 };
 use super::engine::Pace;
 use super::events;
@@ -64,6 +64,8 @@
     barred: Duration,
     /// When the replica's group was last seen broken.
     broken: Option<Duration>,
+    /// Until when it counts as unable to run anything.
+    closed: Duration,
     /// When the replica's group was last seen running passes.
     healthy: Option<Duration>,
 }
@@ -87,6 +89,7 @@
             circuit: Circuit::new(circuit),
             barred: Duration::ZERO,
             broken: None,
+            closed: Duration::ZERO,
             healthy: None,
         }
     }
@@ -109,7 +112,7 @@
 
     /// Whether its group does not run passes.
     pub(crate) fn is_broken(&self, now: Duration) -> bool {
-        self.broken.is_some_and(|at| now < at + BROKEN_TIME)
+        now < self.closed || self.broken.is_some_and(|at| now < at + BROKEN_TIME)
     }
 
     /// Requests of all entries.
@@ -156,6 +159,10 @@
                 let _ = self.circuit.answered(false, probe, now);
             }
             End::Abandoned => self.circuit.given_up(probe),
+            End::Full if self.running() < f64::from(self.slots) * CLOSED_PART => {
+                self.closed = now + CLOSED_TIME;
+                self.bar(CLOSED_TIME, probe, now);
+            }
             End::Full => self.bar(FULL_TIME, probe, now),
             End::Foreign => self.bar(FOREIGN_TIME, probe, now),
             End::Unreached => self.bar(UNREACHED_TIME, probe, now),
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -84,7 +84,8 @@
         Ok(call) => call.run().await,
         Err(response) => response,
     };
-    if shared.is_stopping() {
+    // Kept connections would bring more requests to where they are served worse.
+    if shared.is_stopping() || !shared.is_ready() {
         refuse::close(&mut response);
     }
     response
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -362,7 +362,7 @@
             _ if ran => (codes::ANSWER_LOST, None),
             Stop::Late => (codes::NOT_OFFERED, Some(Duration::ZERO)),
             Stop::Refused(refusal) => (codes::NO_SEAT, Some(refusal.retry)),
-            Stop::Spent => (codes::TURNED_DOWN, Some(crate::balance::constants::RETURN_LEAST)),
+            Stop::Spent => (codes::TURNED_DOWN, Some(crate::balance::constants::RETURN_MOST)),
         };
         let response = match retry {
             Some(after) => refuse::come_back(code, after),
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -18,7 +18,7 @@
 use crate::platform::names::READY_PATH;
 use crate::telemetry::{Metrics, Ops, Status, StatusSource};
 use indexmap::IndexMap;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -52,6 +52,8 @@
     requests: Cell<u64>,
     ready: Cell<bool>,
     status: Arc<Mutex<Status>>,
+    /// The exchange with the other entries, once it runs.
+    peers: OnceCell<Rc<Peers>>,
     /// Longest patience seen of a route's clients.
     patience: RefCell<IndexMap<Name, Duration>>,
 }
@@ -96,6 +98,7 @@
             requests: Cell::new(0),
             ready: Cell::new(false),
             status: status.clone(),
+            peers: OnceCell::new(),
             patience: RefCell::default(),
             settings: settings.clone(),
         });
@@ -123,6 +126,7 @@
         let peers = peers
             .await
             .map_err(|source| ProcessError::Listen { address: settings.peers, source })?;
+        let _ = shared.peers.set(peers.clone());
         let source: StatusSource =
             Arc::new(move || status.lock().unwrap_or_else(PoisonError::into_inner).clone());
         let ops = Ops::bind(settings.ops, metrics, source)
@@ -242,6 +246,7 @@
             () if self.is_stopping() => "stopping",
             () if self.catalog.config().is_none() => "no configuration",
             () if self.seats.with(|desk| desk.len()) == 0 => "no upstreams",
+            () if self.peers.get().is_some_and(|p| p.is_cut_off()) => "zone cut off",
             () if !self.catalog.is_fresh(READY_AGE) => "configuration not proven fresh",
             () => "serving",
         };
--- a/papayaproxy/src/peers/constants.rs
+++ b/papayaproxy/src/peers/constants.rs
@@ -9,6 +9,8 @@
 pub(crate) const BEAT_PEERS: usize = 12;
 /// Silence after which a peer counts as away: several lost datagrams in a row.
 pub(crate) const PEER_SILENCE: Duration = Duration::from_millis(1500);
+/// Silence of all peers in all other availability zones after which this one counts as cut off.
+pub(crate) const ZONE_SILENCE: Duration = Duration::from_millis(700);
 /// Silence after which a peer is forgotten; replaced hosts come with new addresses.
 pub(crate) const PEER_FORGET: Duration = Duration::from_secs(30);
 /// One beat in so many names other peers.
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Whether no entry of another availability zone is heard of any more.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.table.borrow().is_cut_off(&self.zone, self.clock.now())
+    }
+
     /// Introduces an agent to the others of its group.
     fn meet(&self, from: SocketAddr, here: Here) -> Around {
         let service = here.service.clone();
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -1,6 +1,8 @@
 //! The core of the exchange: which entries are live and what they run. Without I/O or clock.
 
-use super::constants::{BEAT_INTERVAL, BEAT_PEERS, NAMES_MAX, PEER_FORGET, PEER_SILENCE};
+use super::constants::{
+    BEAT_INTERVAL, BEAT_PEERS, NAMES_MAX, PEER_FORGET, PEER_SILENCE, ZONE_SILENCE,
+};
 use super::events;
 use super::message::{Beat, Told};
 use crate::base::name::{Incarnation, Name};
@@ -77,6 +79,13 @@
         1 + self.peers.values().flatten().filter(|p| p.live).count()
     }
 
+    /// Whether entries of other availability zones are known and none of them is heard of.
+    pub(crate) fn is_cut_off(&self, zone: &str, now: Duration) -> bool {
+        let mut others = self.peers.values().flatten().filter(|p| p.zone != zone).peekable();
+        let silent = |p: &Peer| now.saturating_sub(p.heard) > ZONE_SILENCE;
+        others.peek().is_some() && others.all(silent)
+    }
+
     /// Most entries that were live at a time, this one included.
     pub(crate) fn most(&self) -> usize {
         self.most
