Spend no repeats twice after a restart; expected durations; stand in for silent agents; tests

An agent that is killed with its rank held left the group to stand until it was back; one that wakes from a freeze acted on old datagrams. Change: the slack of the budget accrues over the first window; a seat needs the answer to be whole by the deadline; pass times are smoothed, told only while passes run, and a replica without work is tried again; the lead reads and orders silent ranks' replicas from afar; a woken agent drops what waited.

--- a/papayaproxy/src/balance/budget.rs
+++ b/papayaproxy/src/balance/budget.rs
@@ -44,11 +44,14 @@
         allowed
     }
 
-    /// Repeats that are left in the present span.
+    /// Repeats that are left in the present span. `now` counts from the start of the process.
     pub(crate) fn left(&mut self, entries: usize, now: Duration) -> f64 {
         self.expire(now);
         let entries = entries.max(BUDGET_ENTRIES) as f64;
-        let part = self.rule.ratio * self.requests.len() as f64 + self.rule.slack / entries;
+        // What the run before this one has spent is not known; it leaves the span as time passes.
+        let known = (now.as_secs_f64() / self.rule.window.as_secs_f64()).min(1.0);
+        let slack = self.rule.slack / entries * known;
+        let part = self.rule.ratio * self.requests.len() as f64 + slack;
         part * BUDGET_PART - self.repeats.len() as f64
     }
 
--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -34,17 +34,19 @@
 pub(crate) const GAP_PART: f64 = 0.92;
 /// Weight of one observed gap in the learned factor: some tens of events.
 pub(crate) const GAP_WEIGHT: f64 = 0.03;
+/// Weight of one picture of a group's passes in the learned factor; pictures come each 0.2 s.
+pub(crate) const PASS_WEIGHT: f64 = 0.35;
 /// Longest gap that is taken for a pass, in multiples of the model; longer ones are stalls.
 pub(crate) const GAP_STALL: f64 = 12.0;
 /// Lowest limit of requests on a replica, as a part of its slots, however slow it is.
-pub(crate) const SEATS_LEAST: f64 = 0.5;
+pub(crate) const SEATS_LEAST: f64 = 0.25;
 
 /// Part of the latency target for which a request may wait for a seat.
 pub(crate) const WAIT_PART: f64 = 0.5;
 /// Part of the latency target within which the first event has to be expected.
 pub(crate) const FIRST_PART: f64 = 0.95;
 /// Time for which a request that came back may wait: it is late anyway, and has no further try.
-pub(crate) const WAIT_BACK: Duration = Duration::from_millis(1200);
+pub(crate) const WAIT_BACK: Duration = Duration::from_millis(1500);
 /// Silence after which callers leave a stream, also before its first event.
 pub(crate) const CALLER_SILENCE: Duration = Duration::from_millis(1900);
 /// Silence of a stream, before its first event or between two, after which it goes on elsewhere,
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -188,8 +188,9 @@
                 continue;
             };
             upstream.observe_group(picture.open, now);
-            if picture.pass_ms > 0.0 {
-                upstream.pace.set(figures, mean, f64::from(picture.pass_ms));
+            match picture.pass_ms > 0.0 {
+                true => upstream.pace.set(figures, mean, f64::from(picture.pass_ms)),
+                false => upstream.pace.rest(),
             }
         }
     }
@@ -388,7 +389,12 @@
             candidates += 1;
             let limit = u.limit(engine, ask.gap);
             let first = engine.map(|e| u.first_event(e, ask.tokens)).unwrap_or_default();
-            if !fits(u, ask, late, limit, now + first) {
+            let whole = engine.map(|e| first + u.answer(e)).unwrap_or_default();
+            // An upstream without work is tried, whatever was learned of it before.
+            let idle = u.running() < 1.0;
+            let ends = now + whole <= ask.deadline;
+            let usable = idle || (ends && fits(u, ask, late, limit, now + first));
+            if !usable {
                 continue;
             }
             let away = if u.zone == self.zone { 0.0 } else { bias };
@@ -414,6 +420,12 @@
             candidates,
             "send"
         );
+        // A zone that was cut off is tried with one request at a time.
+        if let Some((failed, barred)) = self.zones.get_mut(&upstream.zone)
+            && *failed >= ZONE_FAILURES
+        {
+            *barred = now + ZONE_TIME;
+        }
         let probe = upstream.begin(now);
         upstream.own_tokens += ask.tokens;
         Some(Seat {
--- a/papayaproxy/src/balance/engine.rs
+++ b/papayaproxy/src/balance/engine.rs
@@ -1,6 +1,6 @@
 //! Times of a model engine, by its published figures and what is observed.
 
-use super::constants::{GAP_PART, GAP_STALL, GAP_WEIGHT, SEATS_LEAST};
+use super::constants::{GAP_PART, GAP_STALL, GAP_WEIGHT, PASS_WEIGHT, SEATS_LEAST};
 use crate::catalog::EngineFigures;
 use std::time::Duration;
 
@@ -42,7 +42,12 @@
     /// Takes the duration of a pass as the replicas' own agents measure it.
     pub(crate) fn set(&mut self, figures: &EngineFigures, running: f64, pass: f64) {
         let model = pass_ms(figures, running.clamp(0.0, f64::from(figures.slots.max(1))));
-        self.factor = (pass / model.max(1.0)).min(GAP_STALL);
+        self.factor += PASS_WEIGHT * ((pass / model.max(1.0)).min(GAP_STALL) - self.factor);
+    }
+
+    /// Takes note that the replica runs nothing: what was slow need not be so any more.
+    pub(crate) fn rest(&mut self) {
+        self.factor += PASS_WEIGHT * (1.0 - self.factor).min(0.0);
     }
 
     /// Most requests on a replica for which a pass stays within `gap`.
@@ -73,4 +78,13 @@
         let ms = self.factor * (pass * (0.5 + passes) + prefill);
         Duration::from_secs_f64(ms.max(0.0) / 1000.0)
     }
+
+    /// Time from the first event to the last of an answer with `tokens` tokens, on a replica with
+    /// `running` requests.
+    pub(crate) fn answer(&self, figures: &EngineFigures, running: f64, tokens: f64) -> Duration {
+        let running = running.min(f64::from(figures.slots.max(1)));
+        let passes = tokens / f64::from(figures.stride);
+        let ms = self.factor * pass_ms(figures, running) * passes;
+        Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+    }
 }
--- /dev/null
+++ b/papayaproxy/src/balance/tests/budget.rs
@@ -0,0 +1,42 @@
+//! The shared budget of repeats.
+
+use crate::balance::budget::{Budget, BudgetRule};
+use std::time::Duration;
+
+const RULE: BudgetRule = BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10) };
+const ENTRIES: usize = 8;
+
+fn spend(budget: &mut Budget, requests: usize, now: Duration) -> usize {
+    (0..requests).for_each(|_| budget.earn(now));
+    (0..10_000).take_while(|_| budget.try_take(ENTRIES, now)).count()
+}
+
+#[test]
+fn budget_all_entries_within_rule() {
+    let now = Duration::from_secs(20);
+    let spent: usize = (0..ENTRIES).map(|_| spend(&mut Budget::new(RULE), 100, now)).sum();
+    let allowed = RULE.ratio * 800.0 + RULE.slack;
+    assert!(spent as f64 <= allowed, "{spent} of {allowed}");
+    assert!(spent as f64 >= allowed * 0.5, "{spent} of {allowed}");
+}
+
+/// All entries are killed in the middle of a span: the second runs must not spend it again.
+#[test]
+fn budget_restart_within_rule() {
+    let before = Duration::from_secs(30);
+    let spent: usize = (0..ENTRIES).map(|_| spend(&mut Budget::new(RULE), 60, before)).sum();
+    // The new processes are three seconds old, and the first spans end seven seconds later.
+    let again = Duration::from_secs(3);
+    let more: usize = (0..ENTRIES).map(|_| spend(&mut Budget::new(RULE), 60, again)).sum();
+    let allowed = RULE.ratio * 960.0 + RULE.slack;
+    assert!((spent + more) as f64 <= allowed, "{spent} and {more} of {allowed}");
+}
+
+#[test]
+fn budget_span_over_renewed() {
+    let mut budget = Budget::new(RULE);
+    let first = spend(&mut budget, 50, Duration::from_secs(20));
+    assert!(first > 0);
+    assert_eq!(spend(&mut budget, 0, Duration::from_secs(25)), 0);
+    assert!(spend(&mut budget, 50, Duration::from_secs(31)) > 0);
+}
--- /dev/null
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -0,0 +1,255 @@
+//! Patterns of load that once hurt: who is sent, who waits, who is refused.
+
+use crate::balance::budget::BudgetRule;
+use crate::balance::desk::{Ask, Desk, Seat, Step};
+use crate::balance::upstream::End;
+use crate::base::name::Name;
+use crate::catalog::directory::{Directory, Entry, EntryState};
+use crate::catalog::{ClientLimits, Config, ConfigParts, EngineFigures, Service};
+use crate::limits::CircuitSettings;
+use crate::peers::Running;
+use crate::ranks::message::Picture;
+use indexmap::IndexMap;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const START: Duration = Duration::from_secs(30);
+const TARGET: Duration = Duration::from_millis(400);
+const GAP: Duration = Duration::from_millis(120);
+
+fn figures() -> EngineFigures {
+    EngineFigures {
+        slots: 12,
+        memory_tokens: 372_000,
+        stride: 5,
+        step_ms: 5.85,
+        sequence_ms: 0.355,
+        context_ms: 0.036,
+        prefill_rate: 61_200.0,
+        chunk: 512,
+        form_ms: 600.0,
+        usual_prompt: 835.0,
+        usual_answer: 139.0,
+        experts: None,
+    }
+}
+
+fn address(index: u16) -> SocketAddr {
+    format!("10.0.0.1:{}", 8000 + index).parse().unwrap()
+}
+
+fn entry(index: u16, zone: &str, service: &str) -> Entry {
+    Entry {
+        service: service.into(),
+        address: address(index),
+        zone: zone.into(),
+        slots: 12,
+        state: EntryState::Ready,
+        cold: false,
+        born: 1,
+    }
+}
+
+/// A desk in zone `a` before `zones` of replicas of the service `llm`, four in each.
+fn desk(zones: &[&str]) -> (Desk, Directory, Config) {
+    let rule = BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10) };
+    let circuit = CircuitSettings {
+        ratio: 0.5,
+        first: Duration::from_secs(1),
+        longest: Duration::from_secs(5),
+    };
+    let mut desk = Desk::new("a".into(), rule, circuit);
+    let mut directory = Directory::default();
+    let mut index = 0;
+    for zone in zones {
+        for _ in 0..4 {
+            directory.put(&id(index), entry(index, zone, "llm"), 1);
+            index += 1;
+        }
+    }
+    let llm = Service { connections: None, engine: Some(figures()) };
+    let config = Config::new(ConfigParts {
+        version: 1,
+        routes: Vec::new(),
+        services: IndexMap::from([(Name::from("llm"), llm)]),
+        workspaces: None,
+        limits: ClientLimits::default(),
+    });
+    desk.install(&config, &directory);
+    desk.observe(&Running::new(), 8, START);
+    (desk, directory, config)
+}
+
+fn id(index: u16) -> Name {
+    format!("i-{index}").into()
+}
+
+fn ask(ticket: u64, now: Duration) -> Ask {
+    Ask {
+        ticket,
+        request: format!("r{ticket}").into(),
+        service: "llm".into(),
+        avoid: Vec::new(),
+        arrived: now,
+        deadline: now + Duration::from_secs(8),
+        target: TARGET,
+        gap: Some(GAP),
+        tokens: 800,
+        back: false,
+        begun: false,
+        draw: (ticket as u32).wrapping_mul(0x9E37_79B9),
+    }
+}
+
+fn go(step: Step) -> Option<Seat> {
+    match step {
+        Step::Go(seat) => Some(seat),
+        _ => None,
+    }
+}
+
+fn picture(open: bool, members: std::ops::Range<u16>) -> Picture {
+    Picture {
+        group: ("llm".into(), format!("g{}", members.start).into()),
+        open,
+        pass_ms: 0.0,
+        members: members.map(|i| (address(i), 0, 0)).collect(),
+    }
+}
+
+/// After a power loss all clients come at once: prompts are read one after the other, so seats are
+/// given only while the first event is expected in time, not until all slots are full.
+#[test]
+fn offer_crowd_bounded_by_prompts() {
+    let (mut desk, ..) = desk(&["a"]);
+    let steps = (0..200).map(|t| desk.offer(ask(t, START), START));
+    let sent = steps.filter(|s| matches!(s, Step::Go(_))).count();
+    assert!((8..4 * 12).contains(&sent), "{sent} sent at once to four replicas");
+}
+
+/// Once the prompts are read, the rest of the slots is given out.
+#[test]
+fn offer_prompts_read_more_seats() {
+    let (mut desk, ..) = desk(&["a"]);
+    let mut seats: Vec<Seat> =
+        (0..200).filter_map(|t| go(desk.offer(ask(t, START), START))).collect();
+    let before = seats.len();
+    seats.iter_mut().for_each(|s| desk.begun(s));
+    let more = (300..500).filter_map(|t| go(desk.offer(ask(t, START), START))).count();
+    assert!(more > 0 && before + more <= 4 * 12, "{before} and {more}");
+}
+
+/// A zone is cut and the only group spans it: callers are refused at once, to come back as late as
+/// they heed, and none waits for a group that cannot run.
+#[test]
+fn offer_group_broken_refused_at_once() {
+    let (mut desk, ..) = desk(&["a", "b"]);
+    desk.observe_group(&picture(false, 0..8), START);
+    match desk.offer(ask(1, START), START) {
+        Step::Refuse(refusal) => assert!(refusal.retry > Duration::from_secs(2)),
+        step => panic!("{step:?}"),
+    }
+    desk.observe_group(&picture(true, 0..8), START);
+    assert!(go(desk.offer(ask(2, START), START)).is_some());
+}
+
+/// One of two groups is broken: all work goes to the other.
+#[test]
+fn offer_one_group_broken_other_taken() {
+    let (mut desk, ..) = desk(&["a", "b"]);
+    desk.observe_group(&picture(false, 0..4), START);
+    for ticket in 0..8 {
+        let seat = go(desk.offer(ask(ticket, START), START)).unwrap();
+        let index: u16 = seat.upstream[2..].parse().unwrap();
+        assert!(index >= 4, "{} is in the broken group", seat.upstream);
+    }
+}
+
+/// This entry is in the zone that is cut off: after two failed connections it sends nothing to the
+/// other zones but one request at a time.
+#[test]
+fn offer_zone_unreached_barred() {
+    let (mut desk, ..) = desk(&["b", "c"]);
+    let mut failed = 0;
+    for ticket in 0..40 {
+        if let Some(seat) = go(desk.offer(ask(ticket, START), START)) {
+            desk.release(&seat, End::Unreached, START);
+            failed += 1;
+        }
+    }
+    assert!(failed <= 4, "{failed} connections tried");
+    let later = START + Duration::from_secs(1);
+    let tried = (50..60).filter_map(|t| go(desk.offer(ask(t, later), later))).count();
+    assert!((1..=2).contains(&tried), "{tried} tried again");
+}
+
+/// A slow group was left alone until it had no work; what was learned of it must not keep it idle.
+#[test]
+fn offer_slow_group_idle_tried_again() {
+    let (mut desk, ..) = desk(&["a"]);
+    let mut slow = picture(true, 0..4);
+    slow.pass_ms = 3000.0;
+    slow.members.iter_mut().for_each(|m| m.1 = 8);
+    (0..20).for_each(|_| desk.observe_group(&slow, START));
+    assert!(go(desk.offer(ask(1, START), START)).is_some());
+}
+
+/// Capacity is taken: the request that can still be on time goes before the one that was refused
+/// before, and both get a seat once there is one.
+#[rstest]
+#[case::fresh_first(false, 1)]
+#[case::back_waits(true, 2)]
+fn advance_order_fresh_first(#[case] first_back: bool, #[case] expected: u64) {
+    let (mut desk, ..) = desk(&["a"]);
+    let mut seats = Vec::new();
+    for ticket in 100..400 {
+        let mut crowd = ask(ticket, START);
+        crowd.back = true;
+        if let Some(mut seat) = go(desk.offer(crowd, START)) {
+            desk.begun(&mut seat);
+            seats.push(seat);
+        }
+    }
+    (100..400).for_each(|t| desk.withdraw(t));
+    for _ in 0..6 {
+        let seat = seats.pop().unwrap();
+        desk.release(&seat, End::Good, START + Duration::from_millis(10));
+    }
+    let now = START + Duration::from_millis(20);
+    let mut one = ask(1, now);
+    let mut two = ask(2, now);
+    (one.back, two.back) = (first_back, !first_back);
+    let steps: Vec<(u64, bool)> =
+        [one, two].into_iter().map(|a| (a.ticket, go(desk.offer(a, now)).is_some())).collect();
+    assert!(steps.iter().any(|(ticket, went)| *ticket == expected && *went), "{steps:?}");
+}
+
+/// After a crash the store still has the entry of the start before: the later start is called.
+#[test]
+fn install_address_twice_later_start() {
+    let (mut desk, mut directory, config) = desk(&[]);
+    let old = entry(0, "a", "llm");
+    let new = Entry { born: 2, ..old.clone() };
+    directory.put(&id(1), old, 1);
+    directory.put(&id(2), new, 2);
+    desk.install(&config, &directory);
+    let seat = go(desk.offer(ask(1, START), START)).unwrap();
+    assert_eq!(seat.upstream, id(2));
+    assert_eq!(desk.len(), 1);
+}
+
+/// Several entries with the same picture do not all choose the same replica.
+#[test]
+fn offer_same_picture_spread() {
+    let chosen: Vec<Name> = (0..40)
+        .map(|entry| {
+            let (mut desk, ..) = desk(&["a"]);
+            go(desk.offer(ask(entry * 7919, START), START)).unwrap().upstream
+        })
+        .collect();
+    for index in 0..4 {
+        let count = chosen.iter().filter(|c| **c == id(index)).count();
+        assert!(count <= 24, "{count} of 40 entries chose {}", id(index));
+    }
+}
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Time from the first event to the last of a usual answer.
+    pub(crate) fn answer(&self, figures: &EngineFigures) -> Duration {
+        self.pace.answer(figures, self.running() + 1.0, figures.usual_answer)
+    }
+
     /// Whether its group does not run passes.
     pub(crate) fn is_broken(&self, now: Duration) -> bool {
         now < self.closed || self.broken.is_some_and(|at| now < at + BROKEN_TIME)
--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -59,12 +59,8 @@
 impl Directory {
     /// Upstreams that may take work.
     pub(crate) fn ready(&self) -> impl Iterator<Item = (&Name, &Entry)> {
-        let ready = |row: &&Row| row.entry.state == EntryState::Ready;
-        self.rows
-            .iter()
-            .map(|(id, r)| (id, r))
-            .filter(move |(_, r)| ready(r))
-            .map(|(i, r)| (i, &r.entry))
+        let entries = self.rows.iter().map(|(id, row)| (id, &row.entry));
+        entries.filter(|(_, entry)| entry.state == EntryState::Ready)
     }
 
     /// Every entry, for a peer.
--- /dev/null
+++ b/papayaproxy/src/catalog/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of the catalog.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod directory;
+mod look_ups;
--- a/papayaproxy/src/gateway/envelope.rs
+++ b/papayaproxy/src/gateway/envelope.rs
@@ -25,10 +25,6 @@
     pub(crate) patience: Option<Duration>,
     /// Tokens of the prompt; 0 where it says nothing.
     pub(crate) prompt_tokens: u32,
-    /// Most tokens of the answer; 0 where it says nothing.
-    pub(crate) answer_tokens: u32,
-    /// The client's guess of the answer's tokens.
-    pub(crate) answer_hint: Option<u32>,
     /// Last event that the client has of a stream that it takes up again.
     pub(crate) last_event: Option<u64>,
 }
--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -13,6 +13,7 @@
     requests: Counter<u64>,
     duration: Histogram<f64>,
     first: Histogram<f64>,
+    opened: Counter<u64>,
 }
 
 impl Meters {
@@ -34,9 +35,18 @@
                 .with_description("Time to the first event of a stream in seconds")
                 .with_boundaries(BUCKETS.to_vec())
                 .build(),
+            opened: meter
+                .u64_counter("papaya_gateway_connections")
+                .with_description("Connections opened to upstreams")
+                .build(),
         }
     }
 
+    /// Counts connections opened to upstreams.
+    pub(crate) fn opened(&self, connections: u64) {
+        self.opened.add(connections, &[]);
+    }
+
     /// Counts an answer.
     pub(crate) fn answered(&self, status: u16, took: Duration) {
         self.requests.add(1, &[KeyValue::new("status", i64::from(status))]);
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -52,9 +52,9 @@
         Self { clock, links: RefCell::default(), opened: Cell::new(0) }
     }
 
-    /// Connections opened so far.
-    pub(crate) fn opened(&self) -> u64 {
-        self.opened.get()
+    /// Connections opened since the last call.
+    pub(crate) fn take_opened(&self) -> u64 {
+        self.opened.take()
     }
 
     /// A kept connection to `address`, or a new one.
@@ -84,12 +84,11 @@
         }
     }
 
-    /// Closes connections that are idle for too long, and those to upstreams that are gone.
-    pub(crate) fn sweep(&self, in_use: impl Fn(SocketAddr) -> bool) {
+    /// Closes connections that are idle for too long.
+    pub(crate) fn sweep(&self) {
         let now = self.clock.now();
-        self.links.borrow_mut().retain(|address, links| {
-            let usable = in_use(*address);
-            links.retain(|l| usable && !l.sender.is_closed() && now < l.kept + l.idle);
+        self.links.borrow_mut().retain(|_, links| {
+            links.retain(|l| !l.sender.is_closed() && now < l.kept + l.idle);
             !links.is_empty()
         });
     }
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -154,6 +154,11 @@
         self.address
     }
 
+    /// Whether it says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
     /// Takes changed settings. Only the seeds can change in a running process.
     pub fn reload(&self, settings: &GatewaySettings) {
         self.peers.reseed(settings.seeds.clone());
@@ -235,7 +240,8 @@
     async fn watch_state(self: Rc<Self>) {
         loop {
             self.judge_ready();
-            self.pool.sweep(|_| true);
+            self.pool.sweep();
+            self.meters.opened(self.pool.take_opened());
             *self.status.lock().unwrap_or_else(PoisonError::into_inner) = self.status();
             tokio::time::sleep(STATE_INTERVAL).await;
         }
--- /dev/null
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of the gateway over real sockets, against stand-ins for the store and the replicas.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod answers;
+mod stand_ins;
+mod streams;
--- /dev/null
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -0,0 +1,203 @@
+//! Stand-ins for the platform's store, replicas and clients, written over raw bytes so that they can
+//! also send what is no answer.
+
+use crate::gateway::{Gateway, GatewaySettings, TABLES};
+use crate::settings::Reader;
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+
+/// What a stand-in does with a connection after it has read a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// Sends bytes.
+    Send(String),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+}
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    /// Request line and headers.
+    pub(crate) head: String,
+    /// Body.
+    pub(crate) body: String,
+}
+
+impl Seen {
+    /// The value of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(':'));
+        lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()).next()
+    }
+}
+
+/// A stand-in server, with the requests that it has read.
+#[derive(Clone)]
+pub(crate) struct StandIn {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// What came.
+    pub(crate) seen: Rc<RefCell<Vec<Seen>>>,
+}
+
+impl StandIn {
+    /// Starts a server that answers each request as `script` says.
+    pub(crate) async fn bind(script: impl Fn(&Seen) -> Vec<Act> + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stand_in = Self { address: listener.local_addr().unwrap(), seen: Rc::default() };
+        let (seen, script) = (stand_in.seen.clone(), Rc::new(script));
+        tokio::task::spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::task::spawn_local(talk(stream, seen.clone(), script.clone()));
+            }
+        });
+        stand_in
+    }
+}
+
+async fn talk(
+    mut stream: TcpStream,
+    seen: Rc<RefCell<Vec<Seen>>>,
+    script: Rc<impl Fn(&Seen) -> Vec<Act>>,
+) {
+    while let Some(request) = read_request(&mut stream).await {
+        seen.borrow_mut().push(request.clone());
+        for act in script(&request) {
+            match act {
+                Act::Send(text) => {
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                Act::Wait(time) => tokio::time::sleep(time).await,
+                Act::Close => return,
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        bytes.push(stream.read_u8().await.ok()?);
+    }
+    let mut seen = Seen { head: String::from_utf8(bytes).unwrap(), body: String::new() };
+    let length: usize = seen.header("content-length").map_or(0, |l| l.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    seen.body = String::from_utf8(body).unwrap();
+    Some(seen)
+}
+
+/// A whole answer of a replica to `request`.
+pub(crate) fn reply(request: &Seen, status: &str, body: &str) -> String {
+    let id = request.header("x-request-id").unwrap_or_default();
+    format!(
+        "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Server-Stamp: stamp\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A replica's word that it has not run the request.
+pub(crate) const SHED: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+const CONFIG: &str = r#"{"version": 7, "routes": [
+  {"name": "safe", "host": "h.example", "pathPrefix": "/safe/", "routeType": "safe", "service": "plain",
+   "maxAttempts": 2, "timeoutMs": 2000, "targetLatencyMs": 150},
+  {"name": "once", "host": "h.example", "pathPrefix": "/once/", "routeType": "unsafe", "service": "plain",
+   "maxAttempts": 1, "timeoutMs": 2000, "targetLatencyMs": 150},
+  {"name": "stream", "host": "h.example", "pathPrefix": "/stream/", "routeType": "streaming", "service": "plain",
+   "maxAttempts": 2, "timeoutMs": 5000, "targetLatencyMs": 400, "gapTargetMs": 120, "streamResume": true}],
+ "services": [{"name": "plain"}],
+ "tenants": [{"name": "w1", "apiKeys": ["k1"]}]}"#;
+
+/// A store that publishes the configuration above and `replicas`.
+async fn store(replicas: Vec<SocketAddr>) -> StandIn {
+    StandIn::bind(move |request| {
+        let target = request.head.split(' ').nth(1).unwrap_or_default();
+        let item = |key: &str, value: &str| {
+            let value = BASE64_STANDARD.encode(value);
+            format!(r#"{{"key":"{key}","value":"{value}","revision":3,"created":3,"atRev":5}}"#)
+        };
+        let (wait, body) = if target.starts_with("/kv-key") {
+            (0, item("op/config", CONFIG))
+        } else if target.starts_with("/kv-range") {
+            let entry = |(i, address): (usize, &SocketAddr)| {
+                let value = format!(
+                    r#"{{"service":"plain","address":"{address}","zone":"a","slots":6,"state":"ready","born":1}}"#
+                );
+                item(&format!("servers/i-{i}"), &value)
+            };
+            let items: Vec<String> = replicas.iter().enumerate().map(entry).collect();
+            (0, format!(r#"{{"items":[{}],"hasMore":false,"atRev":5}}"#, items.join(",")))
+        } else {
+            (200, r#"{"events":[],"atRev":5}"#.to_owned())
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        vec![Act::Wait(Duration::from_millis(wait)), Act::Send(head + &body)]
+    })
+    .await
+}
+
+/// A gateway in front of stand-ins.
+pub(crate) struct Stage {
+    gateway: Gateway,
+    _store: StandIn,
+}
+
+impl Stage {
+    /// Opens a gateway before `replicas`, and waits until it knows them.
+    pub(crate) async fn open(replicas: &[&StandIn]) -> Self {
+        let store = store(replicas.iter().map(|r| r.address).collect()).await;
+        let text = format!(
+            "[process]\nname = entry-1\nzone = a\n[gateway]\naddress = 127.0.0.1:0\n\
+             ready = 127.0.0.1:0\npeers = 127.0.0.1:0\n[ops]\naddress = 127.0.0.1:0\n\
+             [store]\naddress = {}\n[bounds]\ngrace = 1s\n[budget]\nwindow = 1ms\n",
+            store.address
+        );
+        let settings = Reader::from_text("test", &text, TABLES).check(GatewaySettings::read);
+        let stage =
+            Self { gateway: Gateway::open(settings.unwrap()).await.unwrap(), _store: store };
+        while !stage.gateway.is_ready() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        stage
+    }
+
+    /// Sends a request with key and id, and reads until the connection closes.
+    pub(crate) async fn call(&self, method: &str, path: &str, more: &str) -> String {
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Key: k1\r\n\
+             X-Request-Deadline-Ms: 4000\r\nConnection: close\r\n{more}\r\n"
+        );
+        self.send(&request).await
+    }
+
+    /// Sends bytes, and reads until the connection closes.
+    pub(crate) async fn send(&self, request: &str) -> String {
+        let mut stream = TcpStream::connect(self.gateway.address()).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        // A reset after the last byte is an end as well.
+        let _ = stream.read_to_end(&mut bytes).await;
+        String::from_utf8(bytes).unwrap()
+    }
+}
+
+/// Runs `body` as the daemon runs: on one thread.
+pub(crate) fn on_one_thread(body: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, body);
+}
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -47,12 +47,15 @@
     hooks: Hooks,
 }
 
+/// Takes what the peers run and how many entries there are.
+pub(crate) type Learn = Box<dyn Fn(&Running, usize)>;
+
 /// Where the exchange takes what it tells, and gives what it hears.
 pub(crate) struct Hooks {
     /// What this entry runs at each upstream.
     pub(crate) loads: Box<dyn Fn() -> Vec<Told>>,
     /// Takes what the peers run and how many entries there are.
-    pub(crate) learn: Box<dyn Fn(&Running, usize)>,
+    pub(crate) learn: Learn,
     /// Takes the picture of a lock-step group.
     pub(crate) group: Box<dyn Fn(&Picture)>,
 }
@@ -250,14 +253,17 @@
         let now = boot_time();
         for peer in peers {
             let nonce = rand::random();
-            let mut asked = self.asked.borrow_mut();
-            asked.retain(|_, at| now.saturating_sub(*at) < ASK_AGE);
-            asked.insert(nonce, now);
-            drop(asked);
+            self.note_asked(nonce, now);
             self.send(&Message::Ask { nonce }, &[peer]).await;
         }
     }
 
+    fn note_asked(&self, nonce: u64, now: Duration) {
+        let mut asked = self.asked.borrow_mut();
+        asked.retain(|_, at| now.saturating_sub(*at) < ASK_AGE);
+        asked.insert(nonce, now);
+    }
+
     async fn pull_config(&self, peer: SocketAddr) {
         if let Some(Pulled::Config { raw, revision }) = self.pull(peer, Pull::Config).await {
             self.catalog.take_config(raw.into(), revision, "peer");
--- a/papayaproxy/src/platform/names.rs
+++ b/papayaproxy/src/platform/names.rs
@@ -18,8 +18,6 @@
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 /// Tokens of the prompt and most tokens of the answer, with a comma.
 pub(crate) const TOKENS: HeaderName = HeaderName::from_static("x-token-usage");
-/// A client's guess of the answer's tokens.
-pub(crate) const ANSWER_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 /// Id of the last event that the caller of a stream has.
 pub(crate) const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/papayaproxy/src/platform/request.rs
+++ b/papayaproxy/src/platform/request.rs
@@ -1,8 +1,6 @@
 //! Headers of clients' requests, read and rewritten for replicas.
 
-use super::names::{
-    ANSWER_HINT, DEADLINE, EXPECTED_REPLICA, KEY, LAST_EVENT, REQUEST_ID, TOKENS, WORKSPACE,
-};
+use super::names::{DEADLINE, EXPECTED_REPLICA, KEY, LAST_EVENT, REQUEST_ID, TOKENS, WORKSPACE};
 use crate::gateway::hops::copy_end_to_end;
 use crate::gateway::{Envelope, KeyHeader};
 use hyper::HeaderMap;
@@ -28,8 +26,6 @@
         key,
         patience: number(headers, &DEADLINE).map(|ms: u64| Duration::from_millis(ms)),
         prompt_tokens: tokens.and_then(|(p, _)| p.trim().parse().ok()).unwrap_or_default(),
-        answer_tokens: tokens.and_then(|(_, a)| a.trim().parse().ok()).unwrap_or_default(),
-        answer_hint: number(headers, &ANSWER_HINT),
         last_event: number(headers, &LAST_EVENT),
     }
 }
--- /dev/null
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -0,0 +1,117 @@
+//! Tests of names and formats.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use super::request::{Send, read, rewrite};
+use super::{config, replica, upstream};
+use crate::catalog::EntryState;
+use crate::gateway::{KeyHeader, Verdict};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
+    let pair = |(name, value): &(&'static str, &str)| {
+        (HeaderName::from_static(name), HeaderValue::from_str(value).unwrap())
+    };
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs.iter().map(pair) {
+        headers.append(name, value);
+    }
+    headers
+}
+
+const ENTRY: &str = r#"{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":12,
+    "state":"ready","coldRemainingMs":0,"sequence":4,"born":1788488797833}"#;
+
+#[test]
+fn upstream_parse_whole() {
+    let entry = upstream::parse(ENTRY.as_bytes()).unwrap();
+    assert_eq!((entry.slots, entry.state, entry.cold), (12, EntryState::Ready, false));
+}
+
+#[rstest]
+#[case::state("\"ready\"", "\"resting\"")]
+#[case::slots("12", "\"many\"")]
+#[case::address("10.0.0.1:80", "somewhere")]
+#[case::missing("\"zone\":\"a\",", "")]
+#[case::bytes("{", "\u{0}{")]
+fn upstream_parse_wrong(#[case] from: &str, #[case] to: &str) {
+    assert!(upstream::parse(ENTRY.replacen(from, to, 1).as_bytes()).is_err());
+}
+
+#[rstest]
+#[case::one(&[("x-key", "k1")], KeyHeader::One("k1".into()))]
+#[case::none(&[], KeyHeader::Missing)]
+#[case::two(&[("x-key", "k1"), ("x-key", "k2")], KeyHeader::Unreadable)]
+fn request_key(#[case] pairs: &[(&'static str, &str)], #[case] expected: KeyHeader) {
+    assert_eq!(read(&headers(pairs)).key, expected);
+}
+
+/// What the system says of a request cannot be said by its client, and its key stays here.
+#[test]
+fn rewrite_own_headers_replaced() {
+    let client = headers(&[
+        ("x-key", "k1"),
+        ("x-tenant", "another"),
+        ("x-expect-instance", "i-9"),
+        ("x-request-deadline-ms", "8000"),
+        ("x-request-id", "r1"),
+        ("x-model", "m"),
+        ("connection", "close, x-model, x-strange, trailing"),
+        ("transfer-encoding", "chunked"),
+        ("trailing", "1"),
+        ("x-strange", "kept"),
+    ]);
+    let left = Some(Duration::from_millis(1500));
+    let send = Send { replica: "i-1", workspace: Some("w1"), left, last_event: Some(12) };
+    let expected = headers(&[
+        ("x-request-id", "r1"),
+        ("x-model", "m"),
+        ("x-strange", "kept"),
+        ("x-expect-instance", "i-1"),
+        ("x-tenant", "w1"),
+        ("x-request-deadline-ms", "1500"),
+        ("last-event-id", "12"),
+    ]);
+    assert_eq!(rewrite(&client, &send), expected);
+}
+
+const ID: (&str, &str) = ("x-request-id", "r1");
+const STAMP: (&str, &str) = ("x-server-stamp", "s");
+
+#[rstest]
+#[case::whole(200, &[ID, STAMP], Verdict::Final)]
+#[case::of_another(200, &[("x-request-id", "r2"), STAMP], Verdict::Foreign)]
+#[case::unsigned(200, &[ID], Verdict::Foreign)]
+#[case::unnamed(200, &[STAMP], Verdict::Foreign)]
+#[case::encoded(200, &[ID, STAMP, ("content-encoding", "gzip")], Verdict::Foreign)]
+#[case::shed(503, &[("x-not-executed", "1")], Verdict::NotRun { misdirected: false })]
+#[case::misdirected(421, &[], Verdict::NotRun { misdirected: true })]
+#[case::unproven(503, &[ID], Verdict::Unproven)]
+#[case::too_many(429, &[ID], Verdict::Unproven)]
+#[case::own_failure(500, &[ID, STAMP], Verdict::Failed)]
+#[case::refused(400, &[ID, STAMP], Verdict::Final)]
+fn replica_verdict(
+    #[case] status: u16,
+    #[case] pairs: &[(&'static str, &str)],
+    #[case] expected: Verdict,
+) {
+    let status = StatusCode::from_u16(status).unwrap();
+    assert_eq!(replica::read("r1", status, &headers(pairs)), expected);
+}
+
+proptest! {
+    /// Bytes of another writer never stop the process.
+    #[test]
+    fn parse_mutated_no_panic(at in 0usize..400, byte in any::<u8>(), cut in 0usize..400) {
+        let mut bytes = ENTRY.as_bytes().to_vec();
+        let length = bytes.len();
+        bytes[at % length] = byte;
+        bytes.truncate(cut.max(1));
+        let _ = upstream::parse(&bytes);
+        let _ = config::parse(&bytes);
+    }
+}
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -21,8 +21,16 @@
 
 /// Age at which a rank's state no longer counts; several ticks.
 pub(crate) const STATE_AGE: Duration = Duration::from_millis(700);
-/// Silence of the lower ranks after which a rank leads.
-pub(crate) const LEAD_SILENCE: Duration = Duration::from_millis(1200);
+/// Time that a rank waits, once the states of all lower ranks are outdated, before it leads.
+pub(crate) const LEAD_SILENCE: Duration = Duration::from_millis(400);
+/// Pause between two reads from afar of a replica whose agent is silent; each has its price.
+pub(crate) const STAND_IN_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause before a replica that did not answer from afar is read again.
+pub(crate) const LATE_STAND_IN: Duration = Duration::from_millis(1000);
+/// Time for a call to a replica on another host; the way there and back, and some.
+pub(crate) const AFAR_LIMIT: Duration = Duration::from_millis(80);
+/// Time without a tick after which an agent was frozen: what waits in its socket is outdated.
+pub(crate) const FROZEN: Duration = Duration::from_millis(600);
 /// Pause before a command is sent again to a rank whose state does not show it.
 pub(crate) const RESEND: Duration = Duration::from_millis(120);
 /// Time for all ranks to copy; the largest plan takes little over a second.
--- a/papayaproxy/src/ranks/events.rs
+++ b/papayaproxy/src/ranks/events.rs
@@ -13,6 +13,8 @@
     PHASE_CHANGED = 3406, "The agreement has come to another phase. Fields: phase, version, step, reason.";
     ORDER_LOST = 3407, "An order got no answer and may be carried out later. Fields: order, expected, error.";
     ORDER_REFUSED = 3408, "The replica refused an order. Fields: order, expected, status.";
+    STAND_IN = 3412, "A rank's agent is silent, and the lead reads and orders its replica from afar. Fields: rank, replica.";
+    WOKEN = 3413, "This agent was frozen; datagrams that waited meanwhile are dropped. Fields: frozen_ms, dropped.";
     REPLICA_LOST = 3409, "The own replica does not answer. Fields: error.";
     REPLICA_BACK = 3410, "The own replica answers again. Fields: away_ms.";
 }
--- a/papayaproxy/src/ranks/process.rs
+++ b/papayaproxy/src/ranks/process.rs
@@ -1,9 +1,9 @@
 //! The running agent of one rank.
 
 use super::constants::{
-    COUNT_INTERVAL, FIRST_LOAD, HERE_ENTRIES, HERE_INTERVAL, LEAD_SILENCE, PASS_SPAN,
-    PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL, STALL_LEAST, STALL_PASSES, STATE_AGE,
-    TELL_RANKS, TICK,
+    AFAR_LIMIT, COUNT_INTERVAL, FIRST_LOAD, FROZEN, HERE_ENTRIES, HERE_INTERVAL, LATE_STAND_IN,
+    LEAD_SILENCE, PASS_SPAN, PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL, STALL_LEAST,
+    STALL_PASSES, STAND_IN_INTERVAL, STATE_AGE, TELL_RANKS, TICK,
 };
 use super::demand::Popularity;
 use super::events;
@@ -18,6 +18,7 @@
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
 use crate::catalog::ExpertFigures;
+use crate::catalog::freshness::boot_time;
 use crate::peers::message::Message;
 use indexmap::{IndexMap, IndexSet};
 use std::net::SocketAddr;
@@ -55,8 +56,12 @@
     chosen: Vec<u32>,
     /// The own experts, with the epoch and version that they belong to.
     experts: (u64, u64, Vec<Vec<u16>>),
+    /// Replicas whose agents are silent, while something is under way.
+    stand_ins: IndexMap<u16, OwnRank>,
     pass: PassClock,
     due: Due,
+    /// When the last tick ended, by the clock that counts suspension.
+    ticked: Duration,
     ticks: u64,
     /// Since when lower ranks are silent.
     lowest: Option<Duration>,
@@ -69,6 +74,7 @@
     count: Duration,
     here: Duration,
     plan: Duration,
+    stand_in: Duration,
 }
 
 /// Measures passes by the count of those begun.
@@ -104,7 +110,7 @@
             socket,
             clock: Clock::start(),
             service: settings.service,
-            own: OwnRank::new(settings.replica),
+            own: OwnRank::new(settings.replica, READ_LIMIT),
             lead: Lead::new(0, 0, 0),
             states: States::new(),
             agents: IndexMap::new(),
@@ -114,8 +120,10 @@
             counted: Vec::new(),
             chosen: Vec::new(),
             experts: (0, 0, Vec::new()),
+            stand_ins: IndexMap::new(),
             pass: PassClock::default(),
             due: Due::default(),
+            ticked: boot_time(),
             ticks: 0,
             lowest: None,
             was_open: false,
@@ -149,7 +157,10 @@
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.tick().await,
+                _ = ticks.tick() => {
+                    self.tick().await;
+                    self.ticked = boot_time();
+                }
                 Ok(()) = seeds.changed() => {
                     self.entries.extend(seeds.borrow_and_update().iter().copied());
                 }
@@ -162,7 +173,26 @@
         }
     }
 
+    /// Drops what waited while this process was frozen: its commands may have been undone since.
+    fn drop_outdated(&mut self) {
+        let frozen = boot_time().saturating_sub(self.ticked);
+        if frozen < FROZEN {
+            return;
+        }
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        let mut dropped = 0u64;
+        while self.socket.try_recv_from(&mut buffer).is_ok() {
+            dropped += 1;
+        }
+        self.ticked = boot_time();
+        self.states.clear();
+        self.lead.stop("was frozen", self.clock.now());
+        let frozen_ms = frozen.as_millis() as u64;
+        tracing::warn!(event = events::WOKEN, frozen_ms, dropped, "woken");
+    }
+
     async fn tick(&mut self) {
+        self.drop_outdated();
         let now = self.clock.now();
         self.ticks += 1;
         self.own.refresh(now).await;
@@ -176,10 +206,11 @@
             self.count().await;
         }
         let every = usize::from(self.size()).div_ceil(TELL_RANKS).max(1) as u64;
-        if self.ticks % every == 0 {
+        if self.ticks.is_multiple_of(every) {
             self.tell_state().await;
         }
         self.judge_lead(now);
+        self.stand_in(now).await;
         self.plan(now);
         self.act(now).await;
         self.tell_entries().await;
@@ -285,6 +316,51 @@
         }
     }
 
+    /// Reads the replicas of silent agents while something is under way, so that no group is held
+    /// for want of an agent.
+    async fn stand_in(&mut self, now: Duration) {
+        if matches!(self.lead.phase(), Phase::Following | Phase::Idle | Phase::Preparing { .. }) {
+            self.stand_ins.clear();
+            return;
+        }
+        if now < self.due.stand_in {
+            return;
+        }
+        self.due.stand_in = now + STAND_IN_INTERVAL;
+        let stale = |at: Duration| now.saturating_sub(at) > STATE_AGE;
+        let silent: Vec<(u16, SocketAddr)> = self
+            .states
+            .iter()
+            .filter(|(rank, (_, at))| stale(*at) || self.stand_ins.contains_key(*rank))
+            .map(|(rank, (state, _))| (*rank, state.replica))
+            .collect();
+        for (rank, replica) in silent {
+            self.stand_ins.entry(rank).or_insert_with(|| {
+                tracing::warn!(event = events::STAND_IN, rank, %replica, "stand in");
+                OwnRank::new(replica, AFAR_LIMIT)
+            });
+            self.read_stand_in(rank).await;
+        }
+    }
+
+    async fn read_stand_in(&mut self, rank: u16) {
+        let now = self.clock.now();
+        let Some(stand_in) = self.stand_ins.get_mut(&rank) else { return };
+        stand_in.refresh(now).await;
+        if stand_in.view().is_none() {
+            // Its host is frozen or cut off as well; nothing is known of the rank.
+            self.stand_ins.shift_remove(&rank);
+            self.due.stand_in = now + LATE_STAND_IN;
+            return;
+        }
+        let Some(view) = stand_in.view().filter(|v| v.epoch == self.lead.epoch()) else { return };
+        let memory = stand_in.memory();
+        if let Some((state, at)) = self.states.get_mut(&rank) {
+            state.view = view.clone();
+            (state.term, state.doubt, *at) = (memory.term, memory.doubt(), now);
+        }
+    }
+
     fn plan(&mut self, now: Duration) {
         let quiet = self.own.memory().lost.is_some_and(|at| now < at + QUIET_AFTER_LOSS);
         if *self.lead.phase() != Phase::Idle || now < self.due.plan || quiet {
@@ -348,6 +424,9 @@
             let directed = Directed { term, epoch, command };
             if Some(rank) == own {
                 self.obey(&directed).await;
+            } else if let Some(stand_in) = self.stand_ins.get_mut(&rank) {
+                stand_in.obey(&directed, now).await;
+                self.read_stand_in(rank).await;
             } else if let Some(address) = self.agents.get(&rank).copied() {
                 self.send(&Message::Rank(RankMessage::Do(Box::new(directed))), &[address]).await;
             }
@@ -367,6 +446,11 @@
     }
 
     async fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
+        // The datagram in hand is the oldest of those that waited.
+        if boot_time().saturating_sub(self.ticked) >= FROZEN {
+            self.drop_outdated();
+            return;
+        }
         let message = match postcard::from_bytes(bytes) {
             Ok(message) => message,
             Err(error) => {
@@ -380,6 +464,7 @@
                 let same = |v: &RankView| v.group == state.view.group;
                 if self.own.view().is_some_and(same) {
                     self.agents.insert(state.view.rank, from);
+                    self.stand_ins.shift_remove(&state.view.rank);
                 }
                 self.take_state(*state);
                 if !matches!(self.lead.phase(), Phase::Following | Phase::Idle) {
@@ -418,8 +503,8 @@
         let running = view.open && !self.pass.is_stalled(self.clock.now());
         let changed = self.was_open != running;
         self.was_open = running;
-        let leads = *self.lead.phase() != Phase::Following && self.ticks % 2 == 0;
-        let reminds = !running && self.ticks % 3 == 0;
+        let leads = *self.lead.phase() != Phase::Following && self.ticks.is_multiple_of(2);
+        let reminds = !running && self.ticks.is_multiple_of(3);
         if !(changed || leads || reminds) {
             return;
         }
@@ -466,12 +551,12 @@
             (self.at, self.step, self.pass_ms) = (now, view.step, 0.0);
         } else if passed >= PASS_SPAN {
             let steps = view.step - self.step;
-            let busy = view.running + view.waiting > 0;
-            self.pass_ms = match steps {
-                0 if busy => passed.as_secs_f64() * 1000.0,
-                0 => 0.0,
-                steps => passed.as_secs_f64() * 1000.0 / steps as f64,
-            };
+            let idle = view.running + view.waiting == 0;
+            if idle {
+                self.pass_ms = 0.0;
+            } else if steps > 0 {
+                self.pass_ms = passed.as_secs_f64() * 1000.0 / steps as f64;
+            }
             (self.at, self.step) = (now, view.step);
         }
     }
--- a/papayaproxy/src/ranks/rank.rs
+++ b/papayaproxy/src/ranks/rank.rs
@@ -1,6 +1,6 @@
 //! The own rank: what its replica reports, and orders that take effect once or never.
 
-use super::constants::{FAR_STEPS, LATE_ORDER, ORDER_LIMIT, ORDER_TRIES, READ_LIMIT};
+use super::constants::{FAR_STEPS, LATE_ORDER, ORDER_LIMIT, ORDER_TRIES};
 use super::events;
 use super::message::{Armed, Command, Directed, Lists, RankView};
 use crate::platform::rank::{OwnReplica, RankError};
@@ -124,7 +124,7 @@
 
     /// Takes a report.
     pub(crate) fn learn(&mut self, view: RankView, now: Duration) {
-        if !self.view.as_ref().is_some_and(|v| v.born == view.born) {
+        if self.view.as_ref().is_none_or(|v| v.born != view.born) {
             // An earlier run of this agent may have lost an order that nobody remembers.
             self.doubt = Some((view.sequence, now));
         }
@@ -161,12 +161,15 @@
     memory: Memory,
     /// Since when the replica does not answer.
     away: Option<Duration>,
+    /// Time for one read.
+    limit: Duration,
 }
 
 impl OwnRank {
-    /// The rank of the replica at `address`.
-    pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { replica: OwnReplica::new(address), address, memory: Memory::default(), away: None }
+    /// The rank of the replica at `address`, which answers reads within `limit`.
+    pub(crate) fn new(address: SocketAddr, limit: Duration) -> Self {
+        let (replica, memory) = (OwnReplica::new(address), Memory::default());
+        Self { replica, address, memory, away: None, limit }
     }
 
     /// Where the replica listens.
@@ -191,7 +194,7 @@
 
     /// Reads the report.
     pub(crate) async fn refresh(&mut self, now: Duration) {
-        match self.replica.report(READ_LIMIT).await {
+        match self.replica.report(self.limit).await {
             Ok(view) => {
                 if let Some(since) = self.away.take() {
                     let away_ms = now.saturating_sub(since).as_millis() as u64;
--- a/papayaproxy/src/telemetry/gauges.rs
+++ b/papayaproxy/src/telemetry/gauges.rs
@@ -1,5 +1,6 @@
 //! Gauges that follow the state of a process.
 
+use super::log::dropped_lines;
 use super::metrics::Metrics;
 use super::ops::StatusSource;
 use super::status::Status;
@@ -11,7 +12,7 @@
     value: fn(&Status) -> f64,
 }
 
-const GAUGES: [Gauge; 6] = [
+const GAUGES: [Gauge; 7] = [
     Gauge {
         name: "papaya_generation",
         meaning: "Generation of the fleet document in force",
@@ -28,6 +29,11 @@
         value: |s| f64::from(u8::from(s.ready)),
     },
     Gauge { name: "papaya_calls", meaning: "Calls in progress", value: |s| s.calls as f64 },
+    Gauge {
+        name: "papaya_log_dropped",
+        meaning: "Log lines dropped since the writer could not keep up",
+        value: |_| dropped_lines() as f64,
+    },
     Gauge { name: "papaya_peers", meaning: "Live peers", value: |s| s.peers as f64 },
     Gauge { name: "papaya_upstreams", meaning: "Live upstreams", value: |s| s.upstreams as f64 },
 ];
