--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -47,6 +47,8 @@
 pub(crate) const FIRST_PART: f64 = 0.95;
 /// Time for which a request that came back may wait: it is late anyway, and has no further try.
 pub(crate) const WAIT_BACK: Duration = Duration::from_millis(1500);
+/// The same where every group that could take it is known not to run; it may form again meanwhile.
+pub(crate) const WAIT_BROKEN: Duration = Duration::from_millis(500);
 /// Silence after which callers leave a stream, also before its first event.
 pub(crate) const CALLER_SILENCE: Duration = Duration::from_millis(1900);
 /// Silence of a stream, before its first event or between two, after which it goes on elsewhere,
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -3,8 +3,8 @@
 use super::budget::{Budget, BudgetRule};
 use super::constants::{
     CALLER_SILENCE, FIRST_PART, FIRST_WEIGHT, RATE_WEIGHT, RETURN_LEAST, RETURN_MOST, RETURN_PART,
-    SCORE_NOISE, SILENCE_UNKNOWN, WAIT_BACK, WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN, ZONE_FAILURES,
-    ZONE_TIME,
+    SCORE_NOISE, SILENCE_UNKNOWN, WAIT_BACK, WAIT_BROKEN, WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN,
+    ZONE_FAILURES, ZONE_TIME,
 };
 use super::events;
 use super::upstream::{End, Upstream};
@@ -301,7 +301,8 @@
         // An upstream that is gone is known to nobody any more; its stream is not waited for.
         let Some(silent) = self.upstreams.get(upstream) else { return silence >= SILENCE_UNKNOWN };
         let mut others = self.upstreams.values().filter(|u| u.service == silent.service);
-        silence >= silent.silence(now) && others.any(|u| u.id != silent.id && u.allows(now))
+        let free = |u: &Upstream| u.allows(now) && u.running() < f64::from(u.slots);
+        silence >= silent.silence(now) && others.any(|u| u.id != silent.id && free(u))
     }
 
     /// Forgets a waiting request.
@@ -342,7 +343,9 @@
         if let Some(seat) = self.seat(ask, false, now) {
             return Step::Go(seat);
         }
-        if now < patience(ask) {
+        let broken = !ask.begun && !self.may_open(ask, now);
+        let until = if broken { ask.arrived + WAIT_BROKEN } else { patience(ask) };
+        if now < until {
             return Step::Wait;
         }
         // Its wait is over. One more in a batch costs the others less than a refusal costs it.
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -154,6 +154,21 @@
     assert!(go(desk.offer(ask(2, START), START)).is_some());
 }
 
+/// A caller that came back has no further try, and waits a little for a broken group, but is not
+/// held until it gives up.
+#[test]
+fn advance_group_broken_back_refused_soon() {
+    let (mut desk, ..) = desk(&["a"]);
+    desk.observe_group(&picture(false, 0..4), START);
+    let mut late = ask(1, START);
+    late.back = true;
+    assert!(matches!(desk.offer(late, START), Step::Wait));
+    let soon = START + Duration::from_millis(300);
+    assert!(desk.advance(soon).is_empty());
+    let over = START + Duration::from_millis(600);
+    assert!(matches!(desk.advance(over).as_slice(), [(1, Step::Refuse(_))]));
+}
+
 /// One of two groups is broken: all work goes to the other.
 #[test]
 fn offer_one_group_broken_other_taken() {
--- a/papayaproxy/tests/docs.rs
+++ b/papayaproxy/tests/docs.rs
@@ -94,8 +94,9 @@
 #[test]
 fn metrics_on_page() {
     let source = source(&root().join("papayaproxy/src/telemetry"))
-        + &source(&root().join("papayaproxy/src/entry"));
-    let page = std::fs::read_to_string(root().join("docs/operations.md")).unwrap();
+        + &source(&root().join("papayaproxy/src/entry"))
+        + &source(&root().join("papayaproxy/src/gateway"));
+    let page = std::fs::read_to_string(root().join("docs/OPERATIONS.md")).unwrap();
     let in_name = |c: char| c.is_ascii_lowercase() || c == '_';
     for name in runs(&source, "\"papaya_", in_name).into_iter().filter(|n| !n.starts_with("test")) {
         assert!(page.contains(&format!("`papaya_{name}")), "papaya_{name} is not on the page");
--- a/papayaproxy/tests/settings.rs
+++ b/papayaproxy/tests/settings.rs
@@ -26,6 +26,43 @@
     assert!(valid, "{report}");
 }
 
+fn check_direct(daemon: &str, file: &str, set: &[&str]) -> (bool, String) {
+    let mut command = Command::cargo_bin(daemon).expect("the daemon is built");
+    // The variable names the file where the command line does not.
+    command.args(["--direct", "--check"]).env("PAPAYAPROXY_SETTINGS", sample(file));
+    for text in set {
+        command.arg("--set").arg(text);
+    }
+    let output = command.output().expect("the daemon runs");
+    (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+#[rstest]
+#[case::entry("papaya-entry", "gateway.ini")]
+#[case::agent("papaya-agent", "rank.ini")]
+fn check_direct_samples(#[case] daemon: &str, #[case] file: &str) {
+    let (valid, report) = check_direct(daemon, file, &[]);
+    assert!(valid, "{report}");
+}
+
+#[rstest]
+#[case::store("papaya-entry", "gateway.ini", "store.address=here", "P1005 --set [store] address: ")]
+#[case::seeds("papaya-entry", "gateway.ini", "gateway.seeds=a,b", "P1005 --set [gateway] seeds: ")]
+#[case::ratio("papaya-entry", "gateway.ini", "budget.ratio=-1", "P1005 --set [budget] ratio: ")]
+#[case::revoke("papaya-entry", "gateway.ini", "bounds.revoke=5", "P1005 --set [bounds] revoke: ")]
+#[case::key("papaya-entry", "gateway.ini", "gateway.speed=1", "P1003 --set [gateway] speed: ")]
+#[case::replica("papaya-agent", "rank.ini", "replica.address=x", "P1005 --set [replica] address: ")]
+fn check_direct_mistakes(
+    #[case] daemon: &str,
+    #[case] file: &str,
+    #[case] set: &str,
+    #[case] expected: &str,
+) {
+    let (valid, report) = check_direct(daemon, file, &[set]);
+    assert!(!valid);
+    assert!(report.contains(expected), "{report}");
+}
+
 #[rstest]
 #[case::section("other.key=1", "P1002 --set [other] key: ")]
 #[case::key("entry.speed=1", "P1003 --set [entry] speed: ")]
