A copy of an expert has to gain 0.02 of skew; callers that came back wait for broken groups

Cause: the test advance_group_broken_back_refused_soon failed: how fast seats are freed was asked of a service in which nothing runs. Change: such callers wait their half second; the least gain of a copy is 0.02 (0.012 before).

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -356,13 +356,15 @@
     }
 
     fn queue(&mut self, ask: Ask, now: Duration) -> Step {
+        let broken = !self.may_open(&ask, now);
         let Some(service) = self.services.get_mut(&ask.service) else {
             return self.refuse(&ask, "service unknown", RETURN_LEAST);
         };
         let ahead = service.waiting.iter().filter(|a| a.back <= ask.back).count();
         let expected = (ahead + 1) as f64 / service.rate.max(0.2);
         let wait = patience(&ask).saturating_sub(now).as_secs_f64();
-        if ask.begun || expected <= wait {
+        // How fast seats are freed says nothing where no group runs; such a wait is short.
+        if ask.begun || broken || expected <= wait {
             service.waiting.push(ask);
             return Step::Wait;
         }
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -73,7 +73,7 @@
 pub(crate) const MOMENT_PART: f32 = 0.6;
 /// Least gain in a set's skew for each copied expert, under full load; a copy slows passes and has
 /// its price.
-pub(crate) const GAIN_PER_COPY: f64 = 0.012;
+pub(crate) const GAIN_PER_COPY: f64 = 0.02;
 /// Load, as a part of the slots, below which passes are short enough as they are.
 pub(crate) const LOAD_LEAST: f64 = 0.1;
 /// Least gain of a whole plan in the mean skew of the sets; a switch takes all ranks' attention.
