--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -185,17 +185,32 @@
         self.send(&request).await
     }
 
+    /// Stops the gateway gracefully.
+    pub(crate) async fn stop(self) {
+        self.gateway.stop().await;
+    }
+
+    /// Where clients connect.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.gateway.address()
+    }
+
     /// Sends bytes, and reads until the connection closes.
     pub(crate) async fn send(&self, request: &str) -> String {
-        let mut stream = TcpStream::connect(self.gateway.address()).await.unwrap();
-        stream.write_all(request.as_bytes()).await.unwrap();
-        let mut bytes = Vec::new();
-        // A reset after the last byte is an end as well.
-        let _ = stream.read_to_end(&mut bytes).await;
-        String::from_utf8(bytes).unwrap()
+        send_to(self.address(), request).await
     }
 }
 
+/// Sends bytes to `address`, and reads until the connection closes.
+pub(crate) async fn send_to(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    // A reset after the last byte is an end as well.
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8(bytes).unwrap()
+}
+
 /// Runs `body` as the daemon runs: on one thread.
 pub(crate) fn on_one_thread(body: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/papayaproxy/src/gateway/tests/streams.rs
+++ b/papayaproxy/src/gateway/tests/streams.rs
@@ -1,6 +1,6 @@
 //! Event streams: passed on, taken up elsewhere, never with a piece twice.
 
-use super::stand_ins::{Act, Seen, Stage, StandIn, on_one_thread};
+use super::stand_ins::{Act, Seen, Stage, StandIn, on_one_thread, send_to};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -98,6 +98,34 @@
     });
 }
 
+/// A stream that runs when the stop begins is passed on to its last event.
+#[test]
+fn stop_stream_in_progress_whole() {
+    on_one_thread(async {
+        let replica = StandIn::bind(|request| {
+            let mut acts = vec![Act::Send(head(request))];
+            for id in 1..=EVENTS {
+                acts.push(Act::Wait(Duration::from_millis(130)));
+                acts.push(Act::Send(chunk(&event(id))));
+            }
+            acts.push(Act::Send("0\r\n\r\n".into()));
+            acts
+        })
+        .await;
+        let stage = Stage::open(&[&replica]).await;
+        let request = "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n\
+                       X-Key: k1\r\nContent-Length: 0\r\n\r\n";
+        let call = tokio::task::spawn_local(send_to(stage.address(), request));
+        while replica.seen.borrow().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        stage.stop().await;
+        let answer = call.await.unwrap();
+        assert_eq!(pieces(&answer), (1..=EVENTS).collect::<Vec<_>>(), "{answer}");
+        assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    });
+}
+
 /// The caller's own last event counts.
 #[test]
 fn call_stream_taken_up_by_caller() {
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -5,6 +5,7 @@
 use crate::ranks::message::{Around, Here, Picture, RankMessage};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use tokio::net::UdpSocket;
 
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -103,3 +104,19 @@
 pub(crate) fn digest(id: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
 }
+
+/// Sends a datagram to each address. What cannot be sent is only noted: the next one follows soon.
+pub(crate) async fn send(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            tracing::error!(%error, "a message cannot be encoded");
+            return;
+        }
+    };
+    for address in to {
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            tracing::debug!(peer = %address, %error, "datagram not sent");
+        }
+    }
+}
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -3,7 +3,7 @@
 use super::agents::Agents;
 use super::constants::{ASK_AGE, ASK_INTERVAL, ASK_PEERS, DATAGRAM_BYTES, LOADS_MAX, NAMES_EVERY};
 use super::events;
-use super::message::{Beat, Message, Pull, Pulled, Tell, Told};
+use super::message::{Beat, Message, Pull, Pulled, Tell, Told, send};
 use super::relay;
 use super::table::{Running, Table};
 use crate::base::clock::Clock;
@@ -149,18 +149,7 @@
     }
 
     async fn send(&self, message: &Message, to: &[SocketAddr]) {
-        let bytes = match postcard::to_stdvec(message) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                tracing::error!(%error, "a message cannot be encoded");
-                return;
-            }
-        };
-        for address in to {
-            if let Err(error) = self.socket.send_to(&bytes, address).await {
-                tracing::debug!(peer = %address, %error, "datagram not sent");
-            }
-        }
+        send(&self.socket, message, to).await;
     }
 
     async fn receive(self: Rc<Self>) {
--- a/papayaproxy/src/ranks/mod.rs
+++ b/papayaproxy/src/ranks/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod events;
 pub(crate) mod lead;
 pub(crate) mod message;
+pub(crate) mod pass;
 pub(crate) mod planner;
 pub(crate) mod process;
 pub(crate) mod rank;
--- a/papayaproxy/src/ranks/process.rs
+++ b/papayaproxy/src/ranks/process.rs
@@ -2,8 +2,8 @@
 
 use super::constants::{
     AFAR_LIMIT, COUNT_INTERVAL, FIRST_LOAD, FROZEN, HERE_ENTRIES, HERE_INTERVAL, LATE_STAND_IN,
-    LEAD_SILENCE, PASS_SPAN, PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL, STALL_LEAST,
-    STALL_PASSES, STAND_IN_INTERVAL, STATE_AGE, TELL_RANKS, TICK,
+    LEAD_SILENCE, PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL, STAND_IN_INTERVAL,
+    STATE_AGE, TELL_RANKS, TICK,
 };
 use super::demand::Popularity;
 use super::events;
@@ -11,6 +11,7 @@
 use super::message::{
     Around, Command, Directed, Here, Lists, Picture, RankMessage, RankView, State,
 };
+use super::pass::PassClock;
 use super::planner::plan;
 use super::rank::OwnRank;
 use super::settings::RankSettings;
@@ -19,7 +20,7 @@
 use crate::base::name::Name;
 use crate::catalog::ExpertFigures;
 use crate::catalog::freshness::boot_time;
-use crate::peers::message::Message;
+use crate::peers::message::{Message, send};
 use indexmap::{IndexMap, IndexSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -77,17 +78,6 @@
     stand_in: Duration,
 }
 
-/// Measures passes by the count of those begun.
-#[derive(Default)]
-struct PassClock {
-    at: Duration,
-    step: u64,
-    pass_ms: f64,
-    /// When a pass last began, or nothing was to do.
-    moved: Duration,
-    last: u64,
-}
-
 impl RankAgent {
     /// Binds the address and starts the agent. Runs on the thread's `LocalSet`.
     ///
@@ -520,44 +510,6 @@
     }
 
     async fn send(&self, message: &Message, to: &[SocketAddr]) {
-        let bytes = match postcard::to_stdvec(message) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                tracing::error!(%error, "a message cannot be encoded");
-                return;
-            }
-        };
-        for address in to {
-            if let Err(error) = self.socket.send_to(&bytes, address).await {
-                tracing::debug!(peer = %address, %error, "datagram not sent");
-            }
-        }
-    }
-}
-
-impl PassClock {
-    /// Whether there is work and no pass has begun for much longer than one takes.
-    fn is_stalled(&self, now: Duration) -> bool {
-        let usual = Duration::from_secs_f64(self.pass_ms.min(1000.0) * STALL_PASSES / 1000.0);
-        now.saturating_sub(self.moved) > usual.max(STALL_LEAST)
-    }
-
-    fn observe(&mut self, view: &RankView, now: Duration) {
-        let passed = now.saturating_sub(self.at);
-        if view.step != self.last || view.running + view.waiting == 0 || view.held.is_some() {
-            (self.last, self.moved) = (view.step, now);
-        }
-        if view.step < self.step {
-            (self.at, self.step, self.pass_ms) = (now, view.step, 0.0);
-        } else if passed >= PASS_SPAN {
-            let steps = view.step - self.step;
-            let idle = view.running + view.waiting == 0;
-            if idle {
-                self.pass_ms = 0.0;
-            } else if steps > 0 {
-                self.pass_ms = passed.as_secs_f64() * 1000.0 / steps as f64;
-            }
-            (self.at, self.step) = (now, view.step);
-        }
+        send(&self.socket, message, to).await;
     }
 }
