Lab: give no port out twice in one process

Tests of one process run beside each other and take their ports from one address; a port is let go before its process binds it, and was then given out again. Ruled out: another process (the address holds this process' id), outgoing connections (their source is 127.0.0.1). Change: ports that were given out are remembered. Test: free_addresses_never_twice failed before the change and passes after it.

--- a/papaya-lab/src/ports.rs
+++ b/papaya-lab/src/ports.rs
@@ -1,7 +1,16 @@
 //! Free addresses for processes that have to know theirs before they start.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::sync::{Mutex, PoisonError};
+
+#[cfg(test)]
+mod tests;
+
+/// Ports given out so far. A port that is free again may already be meant for another process of
+/// this one, such as a test beside.
+static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
 
 /// First byte of the loopback addresses.
 const LOOPBACK: u8 = 127;
@@ -26,7 +35,8 @@
         let listener = TcpListener::bind((own_address(), 0))?;
         let address = listener.local_addr()?;
         // A port that is taken for UDP alone is passed over.
-        if let Ok(socket) = UdpSocket::bind(address) {
+        let Ok(socket) = UdpSocket::bind(address) else { continue };
+        if GIVEN.lock().unwrap_or_else(PoisonError::into_inner).insert(address.port()) {
             held.push((listener, socket));
         }
     }
