Tell refused and kept connections that are gone from hosts that cannot be reached

Change: only connections that bring no word count for the zone; a kept connection that is gone bars nothing. Ruled out: counting by replica instead (a cut zone would be tried once for each). Test: offer_host_answers_zone_used; against the old ends it would have been barred after two. Besides: READY_PATH and STATE_INTERVAL stand where they belong.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -268,7 +268,7 @@
                     *barred = now + ZONE_TIME;
                 }
             }
-            End::Abandoned | End::Silent => {}
+            End::Abandoned | End::Silent | End::Stale => {}
             _ => (*failed, *barred) = (0, Duration::ZERO),
         }
         if let Some(service) = self.services.get_mut(&upstream.service) {
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -199,6 +199,19 @@
     assert!((1..=2).contains(&tried), "{tried} tried again");
 }
 
+/// Replicas crash, or close kept connections: that is no cut, and their zone stays in use.
+#[rstest]
+#[case::crash(End::Closed)]
+#[case::kept_connection(End::Stale)]
+fn offer_host_answers_zone_used(#[case] end: End) {
+    let (mut desk, ..) = desk(&["b"]);
+    for ticket in 0..3 {
+        let seat = go(desk.offer(ask(ticket, START), START)).unwrap();
+        desk.release(&seat, end, START);
+    }
+    assert!(go(desk.offer(ask(9, START), START)).is_some());
+}
+
 /// A slow group was left alone until it had no work; what was learned of it must not keep it idle.
 #[test]
 fn offer_slow_group_idle_tried_again() {
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -27,8 +27,12 @@
     Full,
     /// Another replica has the address.
     Foreign,
-    /// No connection.
+    /// No connection in time: the host, or the way to it, is gone.
     Unreached,
+    /// The host refuses the connection: the process is gone.
+    Closed,
+    /// A kept connection was gone before anything was sent.
+    Stale,
     /// The caller left, or the deadline came.
     Abandoned,
 }
@@ -163,14 +167,14 @@
             End::Failed | End::Lost | End::Silent => {
                 let _ = self.circuit.answered(false, probe, now);
             }
-            End::Abandoned => self.circuit.given_up(probe),
+            End::Abandoned | End::Stale => self.circuit.given_up(probe),
             End::Full if self.running() < f64::from(self.slots) * CLOSED_PART => {
                 self.closed = now + CLOSED_TIME;
                 self.bar(CLOSED_TIME, probe, now);
             }
             End::Full => self.bar(FULL_TIME, probe, now),
             End::Foreign => self.bar(FOREIGN_TIME, probe, now),
-            End::Unreached => self.bar(UNREACHED_TIME, probe, now),
+            End::Unreached | End::Closed => self.bar(UNREACHED_TIME, probe, now),
         }
         let state = self.circuit.state();
         if state != before {
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -36,6 +36,8 @@
 /// Latency target of a route that states none.
 pub(crate) const TARGET_DEFAULT: Duration = Duration::from_secs(1);
 
+/// Pause between two looks at readiness; the balancer asks once a second.
+pub(crate) const STATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause between two looks at waiting requests; freed seats are given out at once.
 pub(crate) const SEAT_TICK: Duration = Duration::from_millis(40);
 
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -182,7 +182,7 @@
                 return false;
             }
         }
-        if missed.end == End::Unreached {
+        if matches!(missed.end, End::Unreached | End::Closed | End::Stale) {
             // Nothing arrived anywhere, so that no budget is touched.
             return true;
         }
@@ -230,14 +230,17 @@
         let link = self.shared.pool.link(address, repeatable).await;
         let mut link = match link {
             Ok(link) => link,
-            Err(detail) => return Err(miss(seat, End::Unreached, false, detail)),
+            Err(error) => {
+                let end = if error.silent { End::Unreached } else { End::Closed };
+                return Err(miss(seat, end, false, error.detail));
+            }
         };
         let request = self.build(&seat, last_event);
         let upstream = seat.seat().upstream.clone();
         let response = match self.heard(&upstream, link.send(request)).await {
             Some(Ok(response)) => response,
             Some(Err(SendError::Unsent(detail))) => {
-                return Err(miss(seat, End::Unreached, false, detail));
+                return Err(miss(seat, End::Stale, false, detail));
             }
             Some(Err(SendError::Lost(detail))) => return Err(miss(seat, End::Lost, true, detail)),
             None => return Err(miss(seat, End::Silent, true, "no answer in time".into())),
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -30,6 +30,15 @@
     _task: AbortOnDropHandle<()>,
 }
 
+/// Why there is no connection.
+#[derive(Debug)]
+pub(crate) struct ConnectError {
+    /// Whether nothing was heard, not even a refusal.
+    pub(crate) silent: bool,
+    /// What the system reported.
+    pub(crate) detail: String,
+}
+
 /// Why a request brought no head of an answer.
 #[derive(Debug)]
 pub(crate) enum SendError {
@@ -61,7 +70,11 @@
     ///
     /// # Errors
     /// No connection in time.
-    pub(crate) async fn link(&self, address: SocketAddr, repeatable: bool) -> Result<Link, String> {
+    pub(crate) async fn link(
+        &self,
+        address: SocketAddr,
+        repeatable: bool,
+    ) -> Result<Link, ConnectError> {
         match self.take(address, repeatable) {
             Some(link) => Ok(link),
             None => self.open(address).await,
@@ -107,7 +120,7 @@
         None
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Link, String> {
+    async fn open(&self, address: SocketAddr) -> Result<Link, ConnectError> {
         let connect = async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
@@ -117,9 +130,13 @@
         let stream: std::io::Result<TcpStream> = timeout(CONNECT_LIMIT, connect)
             .await
             .unwrap_or(Err(std::io::ErrorKind::TimedOut.into()));
-        let stream = stream.map_err(|e| e.to_string())?;
+        let stream = stream.map_err(|error| ConnectError {
+            silent: error.kind() != std::io::ErrorKind::ConnectionRefused,
+            detail: error.to_string(),
+        })?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+            handshake.map_err(|error| ConnectError { silent: false, detail: error.to_string() })?;
         self.opened.set(self.opened.get() + 1);
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -1,6 +1,8 @@
 //! The running entry: what its parts share, its readiness and its graceful stop.
 
-use super::constants::{KEY_AGE_PART, READY_AGE, SEAT_TICK, STOP_CLOSE, STOP_END, STOP_STREAMS};
+use super::constants::{
+    KEY_AGE_PART, READY_AGE, SEAT_TICK, STATE_INTERVAL, STOP_CLOSE, STOP_END, STOP_STREAMS,
+};
 use super::edge;
 use super::events;
 use super::meters::Meters;
@@ -15,7 +17,6 @@
 use crate::limits::CircuitSettings;
 use crate::peers::{Hooks, PeerSettings, Peers};
 use crate::platform::Store;
-use crate::platform::names::READY_PATH;
 use crate::telemetry::{Metrics, Ops, Status, StatusSource};
 use indexmap::IndexMap;
 use std::cell::{Cell, OnceCell, RefCell};
@@ -284,14 +285,6 @@
     }
 }
 
-/// Pause between two looks at readiness; the balancer asks once a second.
-const STATE_INTERVAL: Duration = Duration::from_millis(250);
-
 async fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
     TcpListener::bind(address).await.map_err(|source| ProcessError::Listen { address, source })
 }
-
-/// Path of the balancer's question.
-pub(crate) const fn ready_path() -> &'static str {
-    READY_PATH
-}
--- a/papayaproxy/src/gateway/ready.rs
+++ b/papayaproxy/src/gateway/ready.rs
@@ -2,7 +2,8 @@
 
 use super::body::ReplyBody;
 use super::constants::ACCEPT_PAUSE;
-use super::process::{Shared, ready_path};
+use super::process::Shared;
+use crate::platform::names::READY_PATH;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -37,7 +38,7 @@
 }
 
 fn answer<B>(shared: &Shared, request: &Request<B>) -> Response<ReplyBody> {
-    let status = match request.uri().path() == ready_path() {
+    let status = match request.uri().path() == READY_PATH {
         true if shared.is_ready() => StatusCode::OK,
         true => StatusCode::SERVICE_UNAVAILABLE,
         false => StatusCode::NOT_FOUND,
