Doubt a missing entry no longer than from the store's return

Ruled out: a late watch (the removal was seen within 6 ms). Change: the wait counts from the store's return; it is looked at each 0.25 s, not only with the watch's answers. Test: expire_left_after_return_bounded failed before the change and passes after it.

--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -136,8 +136,8 @@
         let Some(returned) = returned else { return false };
         let before = self.rows.len();
         self.rows.retain(|id, row| {
-            let over = |at: Duration| now >= at.max(returned) + LAPSE_TIME;
-            let keep = !row.lapsed.is_some_and(over);
+            // Counted from the store's return alone: what is missing then has left.
+            let keep = row.lapsed.is_none() || now < returned + LAPSE_TIME;
             if !keep {
                 let revision = row.revision;
                 tracing::info!(
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -243,9 +243,17 @@
 
     fn confirm_list(&self, now: Duration, changed: bool) {
         self.listed.set(Some(now));
-        let returned = self.config_contact.get().returned;
-        let expired = self.directory.borrow_mut().expire(returned, now);
-        if changed || expired {
+        if changed {
+            self.changed.notify_waiters();
+        }
+        self.expire();
+    }
+
+    /// Lets go of upstreams whose entries have not come back in time.
+    pub(crate) fn expire(&self) {
+        let contact = self.config_contact.get();
+        let now = self.clock.now();
+        if contact.failing.is_none() && self.directory.borrow_mut().expire(contact.returned, now) {
             self.changed.notify_waiters();
         }
     }
--- a/papayaproxy/src/catalog/tests/directory.rs
+++ b/papayaproxy/src/catalog/tests/directory.rs
@@ -44,6 +44,17 @@
     assert!(ready(&directory).is_empty());
 }
 
+/// An upstream leaves shortly after the store is back: it is in use no longer than entries that
+/// lapsed meanwhile may take to return, counted from the store's return.
+#[test]
+fn expire_left_after_return_bounded() {
+    let mut directory = Directory::default();
+    directory.put(&"i-1".into(), entry(EntryState::Ready), 5);
+    directory.remove("i-1", 6, true, NOW + LAPSE_TIME / 2);
+    assert!(directory.expire(Some(NOW), NOW + LAPSE_TIME));
+    assert!(ready(&directory).is_empty());
+}
+
 #[test]
 fn expire_back_kept() {
     let mut directory = Directory::default();
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -240,6 +240,7 @@
     /// Judges readiness and keeps the status, as time passes.
     async fn watch_state(self: Rc<Self>) {
         loop {
+            self.catalog.expire();
             self.judge_ready();
             self.pool.sweep();
             self.meters.opened(self.pool.take_opened());
