Accept connections in one place

Cause: reading the whole change: the loop that accepts a connection, logs a failure and waits 50 ms stood four times, in gateway/edge, gateway/ready, peers/relay and, without the log line, in base/http; the pause had three constants. Change: base/accept serves all four. The one in base/http now logs its failures as well; what is accepted and how long the pause is stays as it was. Ruled out: one constructor for the HTTP server too (limits, timers and stop differ by use).

--- a/papayaproxy/src/base/http.rs
+++ b/papayaproxy/src/base/http.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1 by hyper, with a graceful stop.
 
+use super::accept::accept;
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -20,9 +21,6 @@
 /// Time in which a caller has to send the head of a request.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 
-/// Wait after a failed accept, so that a shortage of descriptors does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// A whole body.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).map_err(|never| match never {}).boxed()
@@ -44,16 +42,11 @@
     let handler = Arc::new(handler);
     let tracker = TaskTracker::new();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = accept(&listener, "caller") => stream,
             () = stop.cancelled() => break,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                tracker.spawn(serve_connection(stream, handler.clone(), stop.clone()));
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
+        tracker.spawn(serve_connection(stream, handler.clone(), stop.clone()));
     }
     drop(listener);
     tracker.close();
--- a/papayaproxy/src/base/mod.rs
+++ b/papayaproxy/src/base/mod.rs
@@ -1,5 +1,6 @@
 //! What every slice builds on: names, digests, incarnations, result codes, log events and constants.
 
+pub(crate) mod accept;
 pub(crate) mod clock;
 pub(crate) mod code;
 pub mod constants;
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -60,5 +60,3 @@
 pub(crate) const STOP_CLOSE: f64 = 0.6;
 /// Part of the time for a graceful stop after which the process ends, whatever still runs.
 pub(crate) const STOP_END: f64 = 0.96;
-/// Wait after a failed accept, so that a shortage of descriptors does not spin.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -2,15 +2,14 @@
 
 use super::body::ReplyBody;
 use super::codes;
-use super::constants::{
-    ACCEPT_PAUSE, DEADLINE_DEFAULT, READY_AGE, RETRY_UNREADY, TARGET_DEFAULT, UNACKED_LIMIT,
-};
+use super::constants::{DEADLINE_DEFAULT, READY_AGE, RETRY_UNREADY, TARGET_DEFAULT, UNACKED_LIMIT};
 use super::envelope::{Envelope, KeyHeader};
 use super::events;
 use super::exchange::{Call, History};
 use super::process::Shared;
 use super::refuse;
 use crate::balance::constants::BACK_PATIENCE;
+use crate::base::accept::accept;
 use crate::base::code::Code;
 use crate::catalog::config::KeyOwner;
 use crate::catalog::{ClientLimits, Config, Route, Workspace};
@@ -35,15 +34,8 @@
 /// Takes connections until the runtime ends.
 pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(stream, shared.clone()));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "cannot accept a client");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept(&listener, "client").await;
+        tokio::task::spawn_local(serve_connection(stream, shared.clone()));
     }
 }
 
--- a/papayaproxy/src/gateway/ready.rs
+++ b/papayaproxy/src/gateway/ready.rs
@@ -1,8 +1,8 @@
 //! Answers the balancer's question whether new connections are wanted.
 
 use super::body::ReplyBody;
-use super::constants::ACCEPT_PAUSE;
 use super::process::Shared;
+use crate::base::accept::accept;
 use crate::platform::names::READY_PATH;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -14,14 +14,7 @@
 /// Answers until the runtime ends.
 pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "cannot accept the balancer");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener, "balancer").await;
         let shared = shared.clone();
         let service = service_fn(move |request| {
             let response = answer(&shared, &request);
--- a/papayaproxy/src/peers/relay.rs
+++ b/papayaproxy/src/peers/relay.rs
@@ -2,20 +2,17 @@
 
 use super::constants::{FRAME_BYTES, PULL_LIMIT};
 use super::message::{Pull, Pulled};
+use crate::base::accept::accept;
 use crate::catalog::Catalog;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Wait after a failed accept, so that a shortage of descriptors does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     let codec = LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES).new_codec();
     Framed::new(stream, codec)
@@ -24,20 +21,13 @@
 /// Answers transfers until the runtime ends.
 pub(crate) async fn serve(listener: TcpListener, catalog: Rc<Catalog>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let answer = timeout(PULL_LIMIT, answer(stream, catalog.clone()));
-                tokio::task::spawn_local(async move {
-                    if let Ok(Err(error)) = answer.await {
-                        tracing::debug!(%error, "transfer to a peer broke off");
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "cannot accept a peer");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+        let stream = accept(&listener, "peer").await;
+        let answer = timeout(PULL_LIMIT, answer(stream, catalog.clone()));
+        tokio::task::spawn_local(async move {
+            if let Ok(Err(error)) = answer.await {
+                tracing::debug!(%error, "transfer to a peer broke off");
             }
-        }
+        });
     }
 }
 
