Spread requests over late pictures; measure passes of idle ranks

Cause, on the grown site (64 replicas, 30 entries): each entry sent to the least loaded upstream of a picture that was up to 0.5 s old. Between two pictures 120 requests of the other entries went to the same few replicas: entries saw 1.7 requests where 13 ran, others had 3. Requests waited past 1.8 s and were given up. The load is now spread by filling the least loaded upstreams up to one level with the requests that the picture cannot show; peers' load is summed as beats come, not only before the own beat.

A rank without requests of its own took its group for idle and told passes of 0 ms: the entries took the group for fast, and its lead put a switch 350 passes ahead, so that the group kept the first map for 32 s of 36.

Ruled out: lost beats (all 29 peers heard), truncated loads (64 of 160).

Tests first: choose_late_pictures_level (least loaded as before: more than 30 requests on a replica), observe_passes_of_the_group.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -3,10 +3,11 @@
 use super::budget::{Budget, BudgetRule};
 use super::constants::{
     CALLER_SILENCE, FIRST_PART, FIRST_WEIGHT, RATE_WEIGHT, RETURN_LEAST, RETURN_MOST, RETURN_PART,
-    SCORE_NOISE, SILENCE_UNKNOWN, WAIT_BACK, WAIT_BROKEN, WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN,
-    ZONE_FAILURES, ZONE_TIME,
+    SCORE_NOISE, SEND_SPAN, SILENCE_UNKNOWN, WAIT_BACK, WAIT_BROKEN, WAIT_PART, ZONE_BIAS,
+    ZONE_BIAS_PLAIN, ZONE_FAILURES, ZONE_TIME,
 };
 use super::events;
+use super::spread::{Candidate, choose};
 use super::upstream::{End, Upstream};
 use crate::base::name::Name;
 use crate::catalog::{Config, Directory, EngineFigures};
@@ -88,6 +89,22 @@
     /// Seats freed a second, by requests of this entry.
     rate: f64,
     freed: Duration,
+    /// Sends of this entry, the older ones counted less.
+    sent: f64,
+    counted: Duration,
+}
+
+impl Service {
+    fn count_send(&mut self, now: Duration) {
+        self.sent = self.send_rate(now) * SEND_SPAN.as_secs_f64() + 1.0;
+        self.counted = now;
+    }
+
+    /// Sends of this entry a second.
+    fn send_rate(&self, now: Duration) -> f64 {
+        let span = SEND_SPAN.as_secs_f64();
+        self.sent * (-now.saturating_sub(self.counted).as_secs_f64() / span).exp() / span
+    }
 }
 
 /// All upstreams, and the requests that wait for them.
@@ -102,7 +119,7 @@
     groups: IndexMap<(Name, Name), bool>,
     /// Availability zones: failed connections in a row, and until when nothing is sent there.
     zones: IndexMap<Name, (u32, Duration)>,
-    /// When the peers' load was last taken.
+    /// When the peers told their load, on average.
     picture: Duration,
 }
 
@@ -132,6 +149,8 @@
                 waiting: Vec::new(),
                 rate: 0.0,
                 freed: Duration::ZERO,
+                sent: 0.0,
+                counted: Duration::ZERO,
             });
             known.engine = service.engine.clone();
         }
@@ -156,10 +175,10 @@
         self.upstreams = next;
     }
 
-    /// Takes what the peers run, and how many entries there are.
-    pub(crate) fn observe(&mut self, running: &Running, entries: usize, now: Duration) {
+    /// Takes what the peers run, as of `told`, and how many entries there are.
+    pub(crate) fn observe(&mut self, running: &Running, entries: usize, told: Duration) {
         self.entries = entries;
-        self.picture = now;
+        self.picture = told;
         for upstream in self.upstreams.values_mut() {
             let (others, tokens) = running.get(&upstream.digest).copied().unwrap_or_default();
             (upstream.others, upstream.others_tokens) = (others, tokens);
@@ -376,13 +395,14 @@
     /// Takes a seat at the least loaded upstream that has room. With `late`, the request may be
     /// one more than keeps all in time, but not more than the upstream runs.
     fn seat(&mut self, ask: &Ask, late: bool, now: Duration) -> Option<Seat> {
-        let engine = self.services.get(&ask.service)?.engine.as_ref();
+        let service = self.services.get(&ask.service)?;
+        let engine = service.engine.as_ref();
         let noise = |u: &Upstream| {
             let mixed = (ask.draw ^ u.digest).wrapping_mul(0x9E37_79B9);
             f64::from(mixed) / f64::from(u32::MAX) * SCORE_NOISE
         };
         let bias = if engine.is_some() { ZONE_BIAS } else { ZONE_BIAS_PLAIN };
-        let mut best: Option<(f64, usize)> = None;
+        let mut open = Vec::new();
         let mut candidates = 0;
         for (index, u) in self.upstreams.values().enumerate() {
             if u.service != ask.service || ask.avoid.contains(&u.id) || !u.allows(now) {
@@ -405,13 +425,13 @@
             let away = if u.zone == self.zone { 0.0 } else { bias };
             let slow = first.as_secs_f64() / ask.target.as_secs_f64().max(0.001);
             let score = u.running() / limit.max(1.0) + slow * FIRST_WEIGHT + away + noise(u);
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, index));
-            }
+            open.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
         }
-        let (_, index) = best?;
+        let age = now.saturating_sub(self.picture);
+        let others = self.entries.saturating_sub(1) as f64;
+        let unseen = service.send_rate(now) * others * age.as_secs_f64();
+        let index = choose(open, unseen, f64::from(ask.draw) / f64::from(u32::MAX))?;
         let limit = self.upstreams[index].limit(engine, ask.gap);
-        let picture = now.saturating_sub(self.picture);
         let upstream = &mut self.upstreams[index];
         tracing::info!(
             event = events::SEAT_TAKEN,
@@ -420,7 +440,8 @@
             running = upstream.own,
             others = upstream.others,
             limit,
-            picture_ms = picture.as_millis() as u64,
+            picture_ms = age.as_millis() as u64,
+            unseen,
             waited_ms = now.saturating_sub(ask.arrived).as_millis() as u64,
             candidates,
             "send"
@@ -433,12 +454,11 @@
         }
         let probe = upstream.begin(now);
         upstream.own_tokens += ask.tokens;
-        Some(Seat {
-            upstream: upstream.id.clone(),
-            address: upstream.address,
-            probe,
-            tokens: ask.tokens,
-        })
+        let (id, address) = (upstream.id.clone(), upstream.address);
+        if let Some(service) = self.services.get_mut(&ask.service) {
+            service.count_send(now);
+        }
+        Some(Seat { upstream: id, address, probe, tokens: ask.tokens })
     }
 
     fn refuse(&self, ask: &Ask, reason: &'static str, retry: Duration) -> Step {
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod desk;
 pub(crate) mod engine;
 pub(crate) mod events;
+pub(crate) mod spread;
 pub(crate) mod upstream;
 
 #[cfg(test)]
--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -4,3 +4,4 @@
 
 mod budget;
 mod patterns;
+mod spread;
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -116,8 +116,8 @@
             clock,
             Hooks {
                 loads: Box::new(move || loads.with(|desk| desk.loads())),
-                learn: Box::new(move |running, entries| {
-                    learning.with(|desk| desk.observe(running, entries, clock.now()));
+                learn: Box::new(move |running, entries, told| {
+                    learning.with(|desk| desk.observe(running, entries, told));
                 }),
                 group: Box::new(move |picture| {
                     picturing.with(|desk| desk.observe_group(picture, clock.now()));
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -1,7 +1,9 @@
 //! The running exchange of one entry: its datagrams, questions and transfers.
 
 use super::agents::Agents;
-use super::constants::{ASK_AGE, ASK_INTERVAL, ASK_PEERS, DATAGRAM_BYTES, LOADS_MAX, NAMES_EVERY};
+use super::constants::{
+    ASK_AGE, ASK_INTERVAL, ASK_PEERS, DATAGRAM_BYTES, LEARN_INTERVAL, LOADS_MAX, NAMES_EVERY,
+};
 use super::events;
 use super::message::{Beat, Message, Pull, Pulled, Tell, Told, send};
 use super::relay;
@@ -40,6 +42,8 @@
     zone: Name,
     incarnation: Incarnation,
     sequence: Cell<u64>,
+    /// When the peers' load was last given to the balance.
+    learned: Cell<Duration>,
     /// Questions by nonce, with the time of asking.
     asked: RefCell<IndexMap<u64, Duration>>,
     pulling: Cell<bool>,
@@ -47,14 +51,14 @@
     hooks: Hooks,
 }
 
-/// Takes what the peers run and how many entries there are.
-pub(crate) type Learn = Box<dyn Fn(&Running, usize)>;
+/// Takes what the peers run, how many entries there are, and when the peers told it on average.
+pub(crate) type Learn = Box<dyn Fn(&Running, usize, Duration)>;
 
 /// Where the exchange takes what it tells, and gives what it hears.
 pub(crate) struct Hooks {
     /// What this entry runs at each upstream.
     pub(crate) loads: Box<dyn Fn() -> Vec<Told>>,
-    /// Takes what the peers run and how many entries there are.
+    /// Takes what the peers run.
     pub(crate) learn: Learn,
     /// Takes the picture of a lock-step group.
     pub(crate) group: Box<dyn Fn(&Picture)>,
@@ -81,6 +85,7 @@
             zone: settings.zone,
             incarnation: settings.incarnation,
             sequence: Cell::new(0),
+            learned: Cell::default(),
             asked: RefCell::default(),
             pulling: Cell::new(false),
             agents: RefCell::default(),
@@ -102,17 +107,19 @@
         loop {
             let now = self.clock.now();
             self.table.borrow_mut().advance(now);
-            let (running, most) = {
-                let table = self.table.borrow();
-                (table.running(), table.most())
-            };
-            (self.hooks.learn)(&running, most);
+            self.learn(now);
             self.send_beats((self.hooks.loads)()).await;
             let interval = self.table.borrow().interval();
             tokio::time::sleep(interval).await;
         }
     }
 
+    fn learn(&self, now: Duration) {
+        self.learned.set(now);
+        let table = self.table.borrow();
+        (self.hooks.learn)(&table.running(), table.most(), table.told().unwrap_or(now));
+    }
+
     /// Whether no entry of another availability zone is heard of any more.
     pub(crate) fn is_cut_off(&self) -> bool {
         self.table.borrow().is_cut_off(&self.zone, self.clock.now())
@@ -182,6 +189,9 @@
             Message::Beat(beat) => {
                 let now = self.clock.now();
                 self.table.borrow_mut().heard(from, beat, now);
+                if now >= self.learned.get() + LEARN_INTERVAL {
+                    self.learn(now);
+                }
             }
             Message::Ask { nonce } => {
                 let millis = |age: Duration| age.as_millis() as u64;
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -170,6 +170,13 @@
         sum
     }
 
+    /// When the live peers told their load, on average; `None` without live peers.
+    pub(crate) fn told(&self) -> Option<Duration> {
+        let live = self.peers.values().flatten().filter(|p| p.live).map(|p| p.heard);
+        let (sum, count) = live.fold((Duration::ZERO, 0), |(sum, n), heard| (sum + heard, n + 1));
+        sum.checked_div(count)
+    }
+
     fn learn(&mut self, address: SocketAddr) {
         if Some(address) != self.own {
             self.peers.entry(address).or_default();
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -225,7 +225,11 @@
         now: Duration,
     ) -> Vec<(u16, Command)> {
         if all.iter().all(|s| s.view.prepared == Some(version)) {
-            let ahead = (SWITCH_AHEAD.as_secs_f64() * 1000.0 / pass_ms.max(1.0)).ceil() as u64;
+            // A group without work makes no passes, however long it is given.
+            let ahead = match pass_ms > 0.0 {
+                true => (SWITCH_AHEAD.as_secs_f64() * 1000.0 / pass_ms).ceil() as u64,
+                false => 0,
+            };
             let step = all.iter().map(|s| s.view.step).max().unwrap_or_default();
             let step = step + ahead.max(SWITCH_STEPS);
             self.enter(Phase::Holding { version, step }, now, "all ranks have prepared");
--- a/papayaproxy/src/ranks/pass.rs
+++ b/papayaproxy/src/ranks/pass.rs
@@ -33,11 +33,11 @@
             (self.at, self.step, self.pass_ms) = (now, view.step, 0.0);
         } else if passed >= PASS_SPAN {
             let steps = view.step - self.step;
-            let idle = view.running + view.waiting == 0;
-            if idle {
-                self.pass_ms = 0.0;
-            } else if steps > 0 {
+            // The other ranks' requests keep the passes going while this rank has none.
+            if steps > 0 {
                 self.pass_ms = passed.as_secs_f64() * 1000.0 / steps as f64;
+            } else if view.running + view.waiting == 0 {
+                self.pass_ms = 0.0;
             }
             (self.at, self.step) = (now, view.step);
         }
--- a/papayaproxy/src/ranks/tests/mod.rs
+++ b/papayaproxy/src/ranks/tests/mod.rs
@@ -3,4 +3,5 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod agreement;
+mod pass;
 mod planner;
