Bring a map into use in half the time, and plan for the demand of now

A lead this busy was not heard of, so that others took over and undid its work; it now tells all ranks each second tick.

--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -5,13 +5,16 @@
 /// Pause between two reads of the own replica's report, which is free on its own host.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
 /// Pause between two reads of the expert counts; the popularity of experts shifts within seconds.
-pub(crate) const COUNT_INTERVAL: Duration = Duration::from_millis(400);
+pub(crate) const COUNT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between two words to the entries that introduce agents to each other.
 pub(crate) const HERE_INTERVAL: Duration = Duration::from_millis(500);
 /// Entries that an agent introduces itself to.
 pub(crate) const HERE_ENTRIES: usize = 5;
-/// Ranks up to which states are told to all at each tick; the pause grows in proportion beyond.
+/// Ranks up to which states are told to all at each tick, and not only to the lead; the pause grows in proportion beyond.
 pub(crate) const TELL_RANKS: usize = 8;
+/// Ticks after which the lead tells all ranks that it is there, at most; several within the age at
+/// which its word no longer counts.
+pub(crate) const LEAD_TICKS: u64 = 2;
 /// Time for a read of the own replica.
 pub(crate) const READ_LIMIT: Duration = Duration::from_millis(300);
 /// Time for an order to the own replica; it answers within a few milliseconds, or not at all.
@@ -40,9 +43,9 @@
 /// Time for all ranks to be armed; past it the switch is undone, since the group may stand still.
 pub(crate) const ARM_LIMIT: Duration = Duration::from_millis(900);
 /// Time by which the switch lies ahead when ranks are asked to arm.
-pub(crate) const SWITCH_AHEAD: Duration = Duration::from_millis(350);
+pub(crate) const SWITCH_AHEAD: Duration = Duration::from_millis(200);
 /// Least passes by which it lies ahead.
-pub(crate) const SWITCH_STEPS: u64 = 3;
+pub(crate) const SWITCH_STEPS: u64 = 2;
 /// Passes by which the hold that moves a rank's order count on lies ahead: never reached.
 pub(crate) const FAR_STEPS: u64 = 10_000_000;
 /// Time within which an order without answer may still be carried out, with a margin.
@@ -62,15 +65,15 @@
 /// Load that is assumed where a group has just formed: its requests are about to come back.
 pub(crate) const FIRST_LOAD: f64 = 0.6;
 /// Pause between two decisions on moves.
-pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Choices of experts that must be counted before the first plan, for each expert of a set.
 pub(crate) const COUNTS_LEAST: f64 = 20.0;
-/// Time constant of the popularity of the moment.
-pub(crate) const FAST_TIME: Duration = Duration::from_millis(1500);
+/// Time constant of the popularity of the moment; longer ones lag behind on recorded demand.
+pub(crate) const FAST_TIME: Duration = Duration::from_millis(400);
 /// Time constant of the lasting popularity.
 pub(crate) const SLOW_TIME: Duration = Duration::from_secs(12);
 /// Weight of the moment's popularity against the lasting one.
-pub(crate) const MOMENT_PART: f32 = 0.6;
+pub(crate) const MOMENT_PART: f32 = 0.7;
 /// Least gain in a set's skew for each copied expert, under full load; a copy slows passes and has
 /// its price.
 pub(crate) const GAIN_PER_COPY: f64 = 0.02;
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -239,7 +239,10 @@
             self.enter(Phase::Idle, now, "a rank does not prepare");
             return Vec::new();
         }
-        let missing = |(_, s): &(u16, &&State)| s.view.prepared != Some(version) && !s.view.busy;
+        // The map is large, so that it is only copied for a rank that is told now.
+        let missing = |(rank, s): &(u16, &&State)| {
+            s.view.prepared != Some(version) && !s.view.busy && self.is_due(*rank, now)
+        };
         let command = |(rank, _)| (rank, Command::Prepare { version, map: map.clone() });
         (0..).zip(all).filter(missing).map(command).collect()
     }
@@ -339,8 +342,7 @@
     fn unsent(&mut self, wanted: Vec<(u16, Command)>, now: Duration) -> Vec<(u16, Command)> {
         let mut due = Vec::with_capacity(wanted.len());
         for (rank, command) in wanted {
-            let waits = self.sent.get(&rank).is_some_and(|at| now < *at + RESEND);
-            if !waits {
+            if self.is_due(rank, now) {
                 self.sent.insert(rank, now);
                 due.push((rank, command));
             }
@@ -348,6 +350,10 @@
         due
     }
 
+    fn is_due(&self, rank: u16, now: Duration) -> bool {
+        self.sent.get(&rank).is_none_or(|at| now >= *at + RESEND)
+    }
+
     fn enter(&mut self, phase: Phase, now: Duration, reason: &str) {
         let (version, step) = match &phase {
             Phase::Preparing { version, .. } | Phase::Switching { version } => {
--- a/papayaproxy/src/ranks/process.rs
+++ b/papayaproxy/src/ranks/process.rs
@@ -2,8 +2,8 @@
 
 use super::constants::{
     AFAR_LIMIT, COUNT_INTERVAL, FIRST_LOAD, FROZEN, HERE_ENTRIES, HERE_INTERVAL, LATE_STAND_IN,
-    LEAD_SILENCE, PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL, STAND_IN_INTERVAL,
-    STATE_AGE, TELL_RANKS, TICK,
+    LEAD_SILENCE, LEAD_TICKS, PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL,
+    STAND_IN_INTERVAL, STATE_AGE, TELL_RANKS, TICK,
 };
 use super::demand::Popularity;
 use super::events;
@@ -195,10 +195,7 @@
             self.due.count = now + COUNT_INTERVAL;
             self.count().await;
         }
-        let every = usize::from(self.size()).div_ceil(TELL_RANKS).max(1) as u64;
-        if self.ticks.is_multiple_of(every) {
-            self.tell_state().await;
-        }
+        self.tell_state().await;
         self.judge_lead(now);
         self.stand_in(now).await;
         self.plan(now);
@@ -263,13 +260,27 @@
         })
     }
 
+    /// Tells the lead all of it. The others only need to know who is there, above all the lead.
     async fn tell_state(&mut self) {
         let Some(state) = self.state() else { return };
-        let own = state.view.rank;
+        let (own, now) = (state.view.rank, self.clock.now());
         self.take_state(state.clone());
-        let to: Vec<SocketAddr> =
-            self.agents.iter().filter(|(rank, _)| **rank != own).map(|(_, a)| *a).collect();
-        self.send(&Message::Rank(RankMessage::State(Box::new(state))), &to).await;
+        let fresh = |at: Duration| now.saturating_sub(at) <= STATE_AGE;
+        let heard = self.states.iter().filter(|(_, (_, at))| fresh(*at)).map(|(rank, _)| *rank);
+        let lead = heard.min().unwrap_or(own);
+        if let Some(address) = self.agents.get(&lead).filter(|_| lead != own).copied() {
+            let message = Message::Rank(RankMessage::State(Box::new(state.clone())));
+            self.send(&message, &[address]).await;
+        }
+        let share = usize::from(self.size()).div_ceil(TELL_RANKS).max(1) as u64;
+        let every = if lead == own { share.min(LEAD_TICKS) } else { share };
+        if !self.ticks.is_multiple_of(every) {
+            return;
+        }
+        let others = self.agents.iter().filter(|(rank, _)| **rank != own && **rank != lead);
+        let to: Vec<SocketAddr> = others.map(|(_, address)| *address).collect();
+        let brief = State { experts: (0, Vec::new()), chosen: Vec::new(), ..state };
+        self.send(&Message::Rank(RankMessage::State(Box::new(brief))), &to).await;
     }
 
     fn take_state(&mut self, mut state: State) {
@@ -283,6 +294,11 @@
             let chosen = std::mem::take(&mut state.chosen);
             self.popularity.get_or_insert_with(new).take(&chosen, now);
         }
+        if let Some((known, _)) = self.states.get(&state.view.rank)
+            && state.experts.1.is_empty()
+        {
+            state.experts = known.experts.clone();
+        }
         self.states.insert(state.view.rank, (state, now));
     }
 
