Spare slow ranks by maps and requests; age the peers' load

A lock-step group waits for its slowest rank. The agents now tell each rank's slowness with the group's picture: the slow rank gets fewer requests (its limit divided by its slowness), and the planner, which took all ranks for alike, gives it fewer of the choices. Requests that the others told are counted less the older the picture, by how long a request runs.

Tests first: offer_slow_rank_spared, plan_rank_slow_relieved (two sizes).

--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -30,8 +30,9 @@
 /// Range of the random part of a score, so that entries with the same picture spread.
 pub(crate) const SCORE_NOISE: f64 = 0.05;
 
-/// Span over which the rate of sends is learned; a burst shows within it.
-pub(crate) const SEND_SPAN: Duration = Duration::from_secs(2);
+/// Span over which the rate of sends is learned: about the age of a picture, so that a burst of this
+/// entry stands for bursts of the others that no picture shows yet.
+pub(crate) const SEND_SPAN: Duration = Duration::from_millis(250);
 
 /// Part of the gap target that a pass may take; the rest is for the way and the timers.
 pub(crate) const GAP_PART: f64 = 0.92;
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -197,16 +197,17 @@
                 "group changed"
             );
         }
-        let members = picture.members.iter();
-        let requests: u32 = members.map(|(_, r, w)| u32::from(*r) + u32::from(*w)).sum();
+        let requests: u32 = picture.members.iter().map(|m| u32::from(m.requests)).sum();
         let mean = f64::from(requests) / picture.members.len().max(1) as f64;
         for upstream in self.upstreams.values_mut() {
-            let member = picture.members.iter().any(|(a, ..)| *a == upstream.address);
+            let member = picture.members.iter().find(|m| m.address == upstream.address);
             let service = self.services.get(&upstream.service);
-            let Some(figures) = service.and_then(|s| s.engine.as_ref()).filter(|_| member) else {
+            let Some((member, figures)) = member.zip(service.and_then(|s| s.engine.as_ref()))
+            else {
                 continue;
             };
             upstream.observe_group(picture.open, now);
+            upstream.slowness = f64::from(member.pace).max(1.0);
             match picture.pass_ms > 0.0 {
                 true => upstream.pace.set(figures, mean, f64::from(picture.pass_ms)),
                 false => upstream.pace.rest(),
@@ -402,6 +403,10 @@
             f64::from(mixed) / f64::from(u32::MAX) * SCORE_NOISE
         };
         let bias = if engine.is_some() { ZONE_BIAS } else { ZONE_BIAS_PLAIN };
+        let age = now.saturating_sub(self.picture);
+        let others = self.entries.saturating_sub(1) as f64;
+        // Requests of the other entries that the picture does not show yet.
+        let unseen = service.send_rate(now) * others * age.as_secs_f64();
         let mut open = Vec::new();
         let mut candidates = 0;
         for (index, u) in self.upstreams.values().enumerate() {
@@ -415,21 +420,20 @@
             let limit = u.limit(engine, ask.gap);
             let first = engine.map(|e| u.first_event(e, ask.tokens)).unwrap_or_default();
             let whole = engine.map(|e| first + u.answer(e)).unwrap_or_default();
+            let running = if engine.is_some() { u.running_after(age, whole) } else { u.running() };
             // An upstream without work is tried, whatever was learned of it before.
             let idle = u.running() < 1.0;
             let ends = now + whole <= ask.deadline;
-            let usable = idle || (ends && fits(u, ask, late, limit, now + first));
-            if !usable {
+            let most = most(u, ask, late, limit);
+            let starts = now + first <= latest_start(ask, late);
+            if !(idle || (ends && starts && running + 1.0 <= most)) {
                 continue;
             }
             let away = if u.zone == self.zone { 0.0 } else { bias };
             let slow = first.as_secs_f64() / ask.target.as_secs_f64().max(0.001);
-            let score = u.running() / limit.max(1.0) + slow * FIRST_WEIGHT + away + noise(u);
+            let score = running / limit.max(1.0) + slow * FIRST_WEIGHT + away + noise(u);
             open.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
         }
-        let age = now.saturating_sub(self.picture);
-        let others = self.entries.saturating_sub(1) as f64;
-        let unseen = service.send_rate(now) * others * age.as_secs_f64();
         let index = choose(open, unseen, f64::from(ask.draw) / f64::from(u32::MAX))?;
         let limit = self.upstreams[index].limit(engine, ask.gap);
         let upstream = &mut self.upstreams[index];
@@ -483,13 +487,21 @@
     ask.arrived + ask.target.mul_f64(WAIT_PART)
 }
 
-/// Whether an upstream has room for the request, whose first event is expected at `first`.
-fn fits(u: &Upstream, ask: &Ask, late: bool, limit: f64, first: Duration) -> bool {
-    let running = u.running() + 1.0;
-    if late || ask.back || ask.begun {
-        return running <= f64::from(u.slots).max(limit) && first <= ask.arrived + CALLER_SILENCE;
+/// Most requests on an upstream with this one. A request that is late anyway, or would be refused
+/// otherwise, may be one more than keeps all in time.
+fn most(u: &Upstream, ask: &Ask, late: bool, limit: f64) -> f64 {
+    match late || ask.back || ask.begun {
+        true => f64::from(u.slots).max(limit),
+        false => limit,
+    }
+}
+
+/// The latest time at which the first event is of use.
+fn latest_start(ask: &Ask, late: bool) -> Duration {
+    match late || ask.back || ask.begun {
+        true => ask.arrived + CALLER_SILENCE,
+        false => ask.arrived + ask.target.mul_f64(FIRST_PART),
     }
-    running <= limit && first <= ask.arrived + ask.target.mul_f64(FIRST_PART)
 }
 
 /// The latest time after which a caller comes back.
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -8,7 +8,7 @@
 use crate::catalog::{ClientLimits, Config, ConfigParts, EngineFigures, Service};
 use crate::limits::CircuitSettings;
 use crate::peers::Running;
-use crate::ranks::message::Picture;
+use crate::ranks::message::{Member, Picture};
 use indexmap::IndexMap;
 use rstest::rstest;
 use std::net::SocketAddr;
@@ -114,7 +114,7 @@
         group: ("llm".into(), format!("g{}", members.start).into()),
         open,
         pass_ms: 0.0,
-        members: members.map(|i| (address(i), 0, 0)).collect(),
+        members: members.map(|i| Member { address: address(i), requests: 0, pace: 1.0 }).collect(),
     }
 }
 
@@ -218,11 +218,29 @@
     let (mut desk, ..) = desk(&["a"]);
     let mut slow = picture(true, 0..4);
     slow.pass_ms = 3000.0;
-    slow.members.iter_mut().for_each(|m| m.1 = 8);
+    slow.members.iter_mut().for_each(|m| m.requests = 8);
     (0..20).for_each(|_| desk.observe_group(&slow, START));
     assert!(go(desk.offer(ask(1, START), START)).is_some());
 }
 
+/// One rank of a group is four times slower: it gets at most a third of the others' requests, since
+/// all of them wait for it.
+#[test]
+fn offer_slow_rank_spared() {
+    let (mut desk, ..) = desk(&["a"]);
+    let mut slow = picture(true, 0..4);
+    slow.members[2].pace = 4.0;
+    desk.observe_group(&slow, START);
+    let mut counts = [0; 4];
+    for ticket in 0..24 {
+        let Some(mut seat) = go(desk.offer(ask(ticket, START), START)) else { continue };
+        desk.begun(&mut seat);
+        counts[seat.upstream[2..].parse::<usize>().unwrap()] += 1;
+    }
+    let others = counts.iter().sum::<i32>() - counts[2];
+    assert!(others >= 12 && counts[2] * 3 <= others / 3, "{counts:?}");
+}
+
 /// Capacity is taken: the request that can still be on time goes before the one that was refused
 /// before, and both get a seat once there is one.
 #[rstest]
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -64,6 +64,8 @@
     pub(crate) others_tokens: u32,
     /// How fast its passes are.
     pub(crate) pace: Pace,
+    /// How much slower it is than its group; 1 where it is not.
+    pub(crate) slowness: f64,
     circuit: Circuit,
     barred: Duration,
     /// When the replica's group was last seen broken.
@@ -90,6 +92,7 @@
             own_tokens: 0,
             others_tokens: 0,
             pace: Pace::default(),
+            slowness: 1.0,
             circuit: Circuit::new(circuit),
             barred: Duration::ZERO,
             broken: None,
@@ -129,10 +132,17 @@
         f64::from(self.own + self.others)
     }
 
-    /// Most requests that it is given.
+    /// Requests of all entries that still run `age` after the others told theirs, if each takes
+    /// `whole`.
+    pub(crate) fn running_after(&self, age: Duration, whole: Duration) -> f64 {
+        let ended = age.as_secs_f64() / whole.as_secs_f64().max(0.001);
+        f64::from(self.own) + f64::from(self.others) * (1.0 - ended).max(0.0)
+    }
+
+    /// Most requests that it is given. A slow rank gets fewer, since its group waits for it.
     pub(crate) fn limit(&self, engine: Option<&EngineFigures>, gap: Option<Duration>) -> f64 {
         match engine {
-            Some(figures) => self.pace.seats(figures, gap),
+            Some(figures) => self.pace.seats(figures, gap) / self.slowness,
             None => f64::from(self.slots) * PLAIN_QUEUE,
         }
     }
--- a/papayaproxy/src/peers/constants.rs
+++ b/papayaproxy/src/peers/constants.rs
@@ -6,7 +6,7 @@
 pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(150);
 /// Peers for which the usual pause holds; it grows in proportion beyond, so that the datagrams that
 /// a host takes in a second stay the same.
-pub(crate) const BEAT_PEERS: usize = 12;
+pub(crate) const BEAT_PEERS: usize = 20;
 /// Least pause between two sums of what the peers run; beats come more often in a large fleet.
 pub(crate) const LEARN_INTERVAL: Duration = Duration::from_millis(50);
 /// Silence after which a peer counts as away: several lost datagrams in a row.
--- a/papayaproxy/src/ranks/message.rs
+++ b/papayaproxy/src/ranks/message.rs
@@ -160,6 +160,17 @@
     pub(crate) open: bool,
     /// Milliseconds of a pass, lately; 0 where it runs none.
     pub(crate) pass_ms: f32,
-    /// Where the replicas listen, with their running and waiting requests.
-    pub(crate) members: Vec<(SocketAddr, u16, u16)>,
+    /// Its replicas.
+    pub(crate) members: Vec<Member>,
+}
+
+/// A replica of a lock-step group.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// Requests that run or wait there.
+    pub(crate) requests: u16,
+    /// Slowness against the published figures; 1 is usual.
+    pub(crate) pace: f32,
 }
--- a/papayaproxy/src/ranks/planner.rs
+++ b/papayaproxy/src/ranks/planner.rs
@@ -26,14 +26,22 @@
     planned: f64,
 }
 
-/// Plans from the map in use. `load` is the part of the group's slots that is taken.
-pub(crate) fn plan(popularity: &Popularity, lists: &Lists, load: f64) -> Option<Planned> {
+/// Plans from the map in use. `paces` tells how slow each rank is, `load` the part of the group's
+/// slots that is taken.
+pub(crate) fn plan(
+    popularity: &Popularity,
+    lists: &Lists,
+    paces: &[f32],
+    load: f64,
+) -> Option<Planned> {
     if !popularity.is_known() || load < LOAD_LEAST {
         return None;
     }
     let price = GAIN_PER_COPY / load.min(1.0);
-    let sets: Vec<SetPlan> =
-        (0..).zip(lists).map(|(set, ranks)| plan_set(popularity, set, ranks, price)).collect();
+    let sets: Vec<SetPlan> = (0..)
+        .zip(lists)
+        .map(|(set, ranks)| plan_set(popularity, set, ranks, paces, price))
+        .collect();
     let mean =
         |of: fn(&SetPlan) -> f64| sets.iter().map(of).sum::<f64>() / sets.len().max(1) as f64;
     let (skew, planned) = (mean(|s| s.skew), mean(|s| s.planned));
@@ -42,7 +50,13 @@
     (skew - planned >= PLAN_GAIN).then_some(Planned { map, copies, skew, planned })
 }
 
-fn plan_set(popularity: &Popularity, set: u16, ranks: &[Vec<u16>], price: f64) -> SetPlan {
+fn plan_set(
+    popularity: &Popularity,
+    set: u16,
+    ranks: &[Vec<u16>],
+    paces: &[f32],
+    price: f64,
+) -> SetPlan {
     let figures = popularity.figures();
     let (mut fast, mut slow) = popularity.shares(set);
     // An expert that nobody chooses stands for the free places.
@@ -56,8 +70,7 @@
         slots: figures.places,
     };
     let start = to_layer(ranks, free, shape);
-    let pace = vec![1.0; ranks.len()];
-    let demand = Demand { fast: &fast, slow: &slow, lasting: MOMENT_PART, pace: &pace };
+    let demand = Demand { fast: &fast, slow: &slow, lasting: MOMENT_PART, pace: paces };
     let mut search = Search::new(0, &start, demand, shape);
     let skew = f64::from(search.skew());
     let changes = search.run(SEARCH_STEPS, price / 4.0);
--- a/papayaproxy/src/ranks/process.rs
+++ b/papayaproxy/src/ranks/process.rs
@@ -9,7 +9,7 @@
 use super::events;
 use super::lead::{Lead, Phase, States};
 use super::message::{
-    Around, Command, Directed, Here, Lists, Picture, RankMessage, RankView, State,
+    Around, Command, Directed, Here, Lists, Member, Picture, RankMessage, RankView, State,
 };
 use super::pass::PassClock;
 use super::planner::plan;
@@ -378,7 +378,8 @@
         // The map that a group starts with is poor: where demand is known, it is replaced at once.
         let first = self.own.view().is_some_and(|v| v.version == 0);
         let load = if first { self.load().max(FIRST_LOAD) } else { self.load() };
-        let Some(planned) = plan(popularity, &lists, load) else { return };
+        let paces = self.paces();
+        let Some(planned) = plan(popularity, &lists, &paces, load) else { return };
         let versions = self
             .states
             .values()
@@ -414,6 +415,12 @@
         Some(lists)
     }
 
+    /// Slowness of each rank; none counts as faster than usual.
+    fn paces(&self) -> Vec<f32> {
+        let pace = |rank| self.states.get(&rank).map_or(1.0, |(s, _)| s.view.pace.max(1.0));
+        (0..self.size()).map(pace).collect()
+    }
+
     /// Part of the group's slots that is taken, the requests that wait included.
     fn load(&self) -> f64 {
         let requests = |s: &State| f64::from(s.view.running + s.view.waiting);
@@ -514,12 +521,16 @@
         if !(changed || leads || reminds) {
             return;
         }
-        let requests = |s: &State| (s.replica, s.view.running as u16, s.view.waiting as u16);
+        let member = |s: &State| Member {
+            address: s.replica,
+            requests: (s.view.running + s.view.waiting).min(u32::from(u16::MAX)) as u16,
+            pace: s.view.pace,
+        };
         let picture = Picture {
             group: (self.service.clone(), view.group.clone()),
             open: running,
             pass_ms: self.pass.pass_ms as f32,
-            members: self.states.values().map(|(s, _)| requests(s)).collect(),
+            members: self.states.values().map(|(s, _)| member(s)).collect(),
         };
         let entries: Vec<SocketAddr> = self.entries.iter().copied().collect();
         self.send(&Message::Group(picture), &entries).await;
--- a/papayaproxy/src/ranks/tests/planner.rs
+++ b/papayaproxy/src/ranks/tests/planner.rs
@@ -34,7 +34,7 @@
 #[case::grown(figures(32, 12, 128, 5))]
 fn plan_skewed_balances(#[case] (ranks, figures): (u16, ExpertFigures)) {
     let lists = first_map(ranks, figures);
-    let planned = plan(&skewed(figures), &lists, 1.0).unwrap();
+    let planned = plan(&skewed(figures), &lists, &vec![1.0; ranks.into()], 1.0).unwrap();
     assert!(planned.planned < planned.skew * 0.7, "{} to {}", planned.skew, planned.planned);
     for (set, before) in planned.map.iter().zip(&lists) {
         let mut seen: Vec<u16> = set.iter().flatten().copied().collect();
@@ -49,6 +49,29 @@
     }
 }
 
+/// One rank has turned slow: its share of the choices shrinks, since the others wait for it.
+#[rstest]
+#[case::today(figures(8, 6, 64, 11))]
+#[case::grown(figures(32, 12, 128, 5))]
+fn plan_rank_slow_relieved(#[case] (ranks, figures): (u16, ExpertFigures)) {
+    let (popularity, lists) = (skewed(figures), first_map(ranks, figures));
+    let share = |map: &Lists| -> f32 {
+        (0..).zip(map).map(|(set, lists)| rank_share(&popularity, set, lists, 3)).sum()
+    };
+    let mut paces = vec![1.0; ranks.into()];
+    let usual = share(&plan(&popularity, &lists, &paces, 1.0).unwrap().map);
+    paces[3] = 4.0;
+    let slow = share(&plan(&popularity, &lists, &paces, 1.0).unwrap().map);
+    assert!(slow < usual / 2.0, "{usual} to {slow}");
+}
+
+/// Part of a set's choices that a rank works on.
+fn rank_share(popularity: &Popularity, set: u16, lists: &[Vec<u16>], rank: usize) -> f32 {
+    let (fast, _) = popularity.shares(set);
+    let copies = |e: u16| lists.iter().filter(|l| l.contains(&e)).count() as f32;
+    lists[rank].iter().map(|e| fast[usize::from(*e)] / copies(*e)).sum()
+}
+
 #[rstest]
 #[case::balanced(1.0, 0)]
 #[case::idle(0.0, 40_000)]
@@ -58,12 +81,12 @@
     let mut popularity = Popularity::new(figures, NOW);
     let chosen = |cell: usize| 500 + step / (1 + (cell % 64) as u32);
     popularity.take(&(0..cells).map(chosen).collect::<Vec<u32>>(), NOW);
-    assert!(plan(&popularity, &first_map(ranks, figures), load).is_none());
+    assert!(plan(&popularity, &first_map(ranks, figures), &[1.0; 8], load).is_none());
 }
 
 #[test]
 fn plan_uncounted_none() {
     let (ranks, figures) = figures(8, 6, 64, 11);
     let popularity = Popularity::new(figures, NOW);
-    assert!(plan(&popularity, &first_map(ranks, figures), 1.0).is_none());
+    assert!(plan(&popularity, &first_map(ranks, figures), &[1.0; 8], 1.0).is_none());
 }
