Let one rejection speak for replicas of which nothing is known

After a power loss and after a zone cut heals, entries send before the groups have formed: agents have not told yet, or told longer ago than a broken group counts.

Tests first: release_groups_unformed_one_tried (fails without the change); release_group_unformed_other_taken keeps a group in use that is seen to run.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -280,6 +280,7 @@
         let Some(upstream) = self.upstreams.get_mut(&seat.upstream) else { return };
         upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.tokens);
         upstream.end(end, seat.probe, now);
+        let closed = (end == End::Full).then_some(upstream.closed).filter(|until| now < *until);
         let (failed, barred) = self.zones.entry(upstream.zone.clone()).or_default();
         match end {
             End::Unreached => {
@@ -291,16 +292,35 @@
             End::Abandoned | End::Silent | End::Stale => {}
             _ => (*failed, *barred) = (0, Duration::ZERO),
         }
-        if let Some(service) = self.services.get_mut(&upstream.service) {
+        let service = upstream.service.clone();
+        if let Some(until) = closed {
+            self.close_unknown(&service, until, now);
+        }
+        if let Some(service) = self.services.get_mut(&service) {
             let since = now.saturating_sub(service.freed).as_secs_f64().max(0.001);
             service.rate += RATE_WEIGHT * (1.0 / since - service.rate);
             service.freed = now;
         }
     }
 
+    /// A replica that rejects though it is idle belongs to a group that does not run. Before its
+    /// agents have told, that is taken to hold for all replicas of which nothing better is known.
+    fn close_unknown(&mut self, service: &Name, until: Duration, now: Duration) {
+        let engine = self.services.get(service).and_then(|s| s.engine.as_ref());
+        if engine.is_none_or(|e| e.experts.is_none()) {
+            return;
+        }
+        for upstream in self.upstreams.values_mut().filter(|u| u.service == *service) {
+            if !upstream.is_known(now) {
+                upstream.closed = until;
+            }
+        }
+    }
+
     /// Takes note that a request's answer has begun, so that its prompt is read.
-    pub(crate) fn begun(&mut self, seat: &mut Seat) {
+    pub(crate) fn begun(&mut self, seat: &mut Seat, now: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(&seat.upstream) {
+            upstream.answered = Some(now);
             upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.tokens);
         }
         seat.tokens = 0;
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -5,7 +5,7 @@
 use crate::balance::upstream::End;
 use crate::base::name::Name;
 use crate::catalog::directory::{Directory, Entry, EntryState};
-use crate::catalog::{ClientLimits, Config, ConfigParts, EngineFigures, Service};
+use crate::catalog::{ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Service};
 use crate::limits::CircuitSettings;
 use crate::peers::Running;
 use crate::ranks::message::{Member, Picture};
@@ -31,7 +31,7 @@
         form_ms: 600.0,
         usual_prompt: 835.0,
         usual_answer: 139.0,
-        experts: None,
+        experts: Some(ExpertFigures { sets: 6, experts: 64, places: 11, spare: 4 }),
     }
 }
 
@@ -135,7 +135,7 @@
     let mut seats: Vec<Seat> =
         (0..200).filter_map(|t| go(desk.offer(ask(t, START), START))).collect();
     let before = seats.len();
-    seats.iter_mut().for_each(|s| desk.begun(s));
+    seats.iter_mut().for_each(|s| desk.begun(s, START));
     let more = (300..500).filter_map(|t| go(desk.offer(ask(t, START), START))).count();
     assert!(more > 0 && before + more <= 4 * 12, "{before} and {more}");
 }
@@ -169,6 +169,40 @@
     assert!(matches!(desk.advance(over).as_slice(), [(1, Step::Refuse(_))]));
 }
 
+/// After a power loss the entries are back before the groups have formed, and the agents have told
+/// nothing yet: one rejection speaks for all replicas, instead of each being tried by each entry.
+/// The first picture opens them all.
+#[test]
+fn release_groups_unformed_one_tried() {
+    let (mut desk, ..) = desk(&["a", "b"]);
+    let seat = go(desk.offer(ask(1, START), START)).unwrap();
+    desk.release(&seat, End::Full, START);
+    let soon = START + Duration::from_millis(50);
+    assert!(matches!(desk.offer(ask(2, soon), soon), Step::Refuse(_)));
+    desk.observe_group(&picture(true, 0..8), soon);
+    assert!(go(desk.offer(ask(3, soon), soon)).is_some());
+}
+
+/// A replica of one group rejects while the other group is seen to run: that one stays in use.
+#[rstest]
+#[case::picture(true)]
+#[case::answers(false)]
+fn release_group_unformed_other_taken(#[case] pictured: bool) {
+    let (mut desk, ..) = desk(&["a", "b"]);
+    if pictured {
+        desk.observe_group(&picture(true, 4..8), START);
+    } else {
+        (0..8).for_each(|ticket| {
+            let mut seat = go(desk.offer(ask(ticket, START), START)).unwrap();
+            desk.begun(&mut seat, START);
+        });
+    }
+    let mut seat = go(desk.offer(ask(10, START), START)).unwrap();
+    seat.upstream = id(0);
+    desk.release(&seat, End::Full, START);
+    assert!(go(desk.offer(ask(11, START), START)).is_some());
+}
+
 /// One of two groups is broken: all work goes to the other.
 #[test]
 fn offer_one_group_broken_other_taken() {
@@ -234,7 +268,7 @@
     let mut counts = [0; 4];
     for ticket in 0..24 {
         let Some(mut seat) = go(desk.offer(ask(ticket, START), START)) else { continue };
-        desk.begun(&mut seat);
+        desk.begun(&mut seat, START);
         counts[seat.upstream[2..].parse::<usize>().unwrap()] += 1;
     }
     let others = counts.iter().sum::<i32>() - counts[2];
@@ -253,7 +287,7 @@
         let mut crowd = ask(ticket, START);
         crowd.back = true;
         if let Some(mut seat) = go(desk.offer(crowd, START)) {
-            desk.begun(&mut seat);
+            desk.begun(&mut seat, START);
             seats.push(seat);
         }
     }
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -71,7 +71,9 @@
     /// When the replica's group was last seen broken.
     broken: Option<Duration>,
     /// Until when it counts as unable to run anything.
-    closed: Duration,
+    pub(crate) closed: Duration,
+    /// When an answer last began, of those that this entry asked for.
+    pub(crate) answered: Option<Duration>,
     /// When the replica's group was last seen running passes.
     healthy: Option<Duration>,
 }
@@ -97,6 +99,7 @@
             barred: Duration::ZERO,
             broken: None,
             closed: Duration::ZERO,
+            answered: None,
             healthy: None,
         }
     }
@@ -152,9 +155,19 @@
         now >= self.barred && !self.is_broken(now) && self.circuit.allows(now)
     }
 
+    /// Whether something tells that it runs: a recent picture of its group, or a recent answer.
+    pub(crate) fn is_known(&self, now: Duration) -> bool {
+        let recent = |at: Option<Duration>| at.is_some_and(|at| now < at + PICTURE_AGE);
+        recent(self.healthy) || recent(self.answered)
+    }
+
     /// Takes note of whether the replica's group runs passes.
     pub(crate) fn observe_group(&mut self, open: bool, now: Duration) {
         self.broken = (!open).then_some(now);
+        if open && !self.is_known(now) {
+            // What was refused before the group formed says nothing any more.
+            (self.closed, self.barred) = (Duration::ZERO, Duration::ZERO);
+        }
         if open {
             self.healthy = Some(now);
         }
--- a/papayaproxy/src/gateway/seats.rs
+++ b/papayaproxy/src/gateway/seats.rs
@@ -122,7 +122,8 @@
     /// States that the answer has begun.
     pub(crate) fn begun(&mut self) {
         let seats = self.seats.clone();
-        seats.with(|desk| desk.begun(&mut self.seat));
+        let now = seats.clock.now();
+        seats.with(|desk| desk.begun(&mut self.seat, now));
     }
 
     /// States how the request has ended; without it, it counts as abandoned.
