Keep waiting requests from filling a group that has just opened

A waiting request leaves an upstream alone where the unseen requests of the other entries may have taken the room left; a request that has just come, and one whose wait is over, do not.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -81,6 +81,17 @@
     Refuse(Refusal),
 }
 
+/// Which of its chances for a seat a request has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    /// It has just come.
+    First,
+    /// It waits.
+    Waiting,
+    /// Its wait is over.
+    Last,
+}
+
 #[derive(Clone, Debug)]
 struct Service {
     engine: Option<EngineFigures>,
@@ -255,7 +266,7 @@
         if !self.upstreams.values().any(|u| u.service == ask.service) {
             return self.refuse(&ask, "no upstream", RETURN_LEAST);
         }
-        if let Some(seat) = self.seat(&ask, false, now) {
+        if let Some(seat) = self.seat(&ask, Turn::First, now) {
             return Step::Go(seat);
         }
         if !ask.back && !ask.begun && !self.may_open(&ask, now) {
@@ -380,7 +391,7 @@
     }
 
     fn decide(&mut self, ask: &Ask, now: Duration) -> Step {
-        if let Some(seat) = self.seat(ask, false, now) {
+        if let Some(seat) = self.seat(ask, Turn::Waiting, now) {
             return Step::Go(seat);
         }
         let broken = !ask.begun && !self.may_open(ask, now);
@@ -389,7 +400,7 @@
             return Step::Wait;
         }
         // Its wait is over. One more in a batch costs the others less than a refusal costs it.
-        match self.seat(ask, true, now) {
+        match self.seat(ask, Turn::Last, now) {
             Some(seat) => Step::Go(seat),
             None => self.refuse(ask, "no upstream takes it", latest_return(ask)),
         }
@@ -413,9 +424,10 @@
         self.refuse(&ask, "no seat in time", RETURN_LEAST + range.mul_f64(spread))
     }
 
-    /// Takes a seat at the least loaded upstream that has room. With `late`, the request may be
-    /// one more than keeps all in time, but not more than the upstream runs.
-    fn seat(&mut self, ask: &Ask, late: bool, now: Duration) -> Option<Seat> {
+    /// Takes a seat at an upstream that has room, one of the least loaded. In its last turn the
+    /// request may be one more than keeps all in time, but not more than the upstream runs.
+    fn seat(&mut self, ask: &Ask, turn: Turn, now: Duration) -> Option<Seat> {
+        let late = turn == Turn::Last;
         let service = self.services.get(&ask.service)?;
         let engine = service.engine.as_ref();
         let noise = |u: &Upstream| {
@@ -428,7 +440,7 @@
         // Requests of the other entries that the picture does not show yet.
         let unseen = service.send_rate(now) * others * age.as_secs_f64();
         let mut open = Vec::new();
-        let mut candidates = 0;
+        let (mut candidates, mut room) = (0, 0.0);
         for (index, u) in self.upstreams.values().enumerate() {
             if u.service != ask.service || ask.avoid.contains(&u.id) || !u.allows(now) {
                 continue;
@@ -449,11 +461,16 @@
             if !(idle || (ends && starts && running + 1.0 <= most)) {
                 continue;
             }
+            room += (most - running).max(1.0);
             let away = if u.zone == self.zone { 0.0 } else { bias };
             let slow = first.as_secs_f64() / ask.target.as_secs_f64().max(0.001);
             let score = running / limit.max(1.0) + slow * FIRST_WEIGHT + away + noise(u);
             open.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
         }
+        // What waits everywhere must not all go at once to a group that has just opened.
+        if turn == Turn::Waiting && unseen > room {
+            return None;
+        }
         let index = choose(open, unseen, f64::from(ask.draw) / f64::from(u32::MAX))?;
         let limit = self.upstreams[index].limit(engine, ask.gap);
         let upstream = &mut self.upstreams[index];
