Greet new peers at once

After a power loss entries knew each other only a second later: seeds name others in each fifth beat. In that second they took the replicas for empty (others' requests seen: 0.5 each) and sent up to 48 requests to one. Who is named, or heard of for the first time, is now sent a beat with names at once. Test: take_learned_named_once.

--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -108,7 +108,7 @@
             let now = self.clock.now();
             self.table.borrow_mut().advance(now);
             self.learn(now);
-            self.send_beats((self.hooks.loads)()).await;
+            self.send_beats().await;
             let interval = self.table.borrow().interval();
             tokio::time::sleep(interval).await;
         }
@@ -137,11 +137,22 @@
         Around { agents, entries, figures: engine.and_then(|e| e.experts) }
     }
 
-    async fn send_beats(&self, mut loads: Vec<Told>) {
+    /// Sends a beat to every peer, now and then with the names of others.
+    async fn send_beats(&self) {
+        let named = (self.sequence.get() + 1) % NAMES_EVERY == 1;
+        let to = {
+            let mut table = self.table.borrow_mut();
+            table.take_learned();
+            table.addresses()
+        };
+        self.send_beat(named, &to).await;
+    }
+
+    async fn send_beat(&self, named: bool, to: &[SocketAddr]) {
+        let mut loads = (self.hooks.loads)();
         loads.truncate(LOADS_MAX);
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
-        let named = sequence % NAMES_EVERY == 1;
         let names = named.then(|| self.table.borrow().names(sequence as usize));
         let beat = Beat {
             zone: self.zone.clone(),
@@ -151,8 +162,28 @@
             names: names.unwrap_or_default(),
             loads,
         };
-        let addresses = self.table.borrow().addresses();
-        self.send(&Message::Beat(beat), &addresses).await;
+        self.send(&Message::Beat(beat), to).await;
+    }
+
+    /// Takes a beat. Who is new gets one at once, so that all know each other soon after a start.
+    async fn take_beat(&self, from: SocketAddr, beat: Beat) {
+        let now = self.clock.now();
+        let new = {
+            let mut table = self.table.borrow_mut();
+            let was_live = table.is_live(from);
+            table.heard(from, beat, now);
+            let mut new = table.take_learned();
+            if !was_live && table.is_live(from) {
+                new.push(from);
+            }
+            new
+        };
+        if !new.is_empty() {
+            self.send_beat(true, &new).await;
+        }
+        if now >= self.learned.get() + LEARN_INTERVAL {
+            self.learn(now);
+        }
     }
 
     async fn send(&self, message: &Message, to: &[SocketAddr]) {
@@ -186,13 +217,7 @@
 
     async fn take(&self, from: SocketAddr, message: Message) {
         match message {
-            Message::Beat(beat) => {
-                let now = self.clock.now();
-                self.table.borrow_mut().heard(from, beat, now);
-                if now >= self.learned.get() + LEARN_INTERVAL {
-                    self.learn(now);
-                }
-            }
+            Message::Beat(beat) => self.take_beat(from, beat).await,
             Message::Ask { nonce } => {
                 let millis = |age: Duration| age.as_millis() as u64;
                 let tell = Tell {
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Table {
     seeds: Vec<SocketAddr>,
     peers: IndexMap<SocketAddr, Option<Peer>>,
+    /// Addresses that were named since [`Table::take_learned`] was last called.
+    learned: Vec<SocketAddr>,
     own: Option<SocketAddr>,
     /// Most entries that were live at a time, this one included.
     most: usize,
@@ -178,8 +180,19 @@
     }
 
     fn learn(&mut self, address: SocketAddr) {
-        if Some(address) != self.own {
-            self.peers.entry(address).or_default();
+        if Some(address) != self.own && !self.peers.contains_key(&address) {
+            self.peers.insert(address, None);
+            self.learned.push(address);
         }
     }
+
+    /// Peers that have become known by name, to which nothing was sent yet.
+    pub(crate) fn take_learned(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.learned)
+    }
+
+    /// Whether the peer at `address` is heard of.
+    pub(crate) fn is_live(&self, address: SocketAddr) -> bool {
+        self.peers.get(&address).and_then(Option::as_ref).is_some_and(|p| p.live)
+    }
 }
--- a/papayaproxy/src/peers/tests/mod.rs
+++ b/papayaproxy/src/peers/tests/mod.rs
@@ -36,6 +36,21 @@
     assert_eq!(table.entries(), 2, "a named entry counts only once it is heard");
 }
 
+/// After a start, who is named is greeted at once, and once; who is heard of counts as live.
+#[test]
+fn take_learned_named_once() {
+    let mut table = Table::new(address(1), vec![address(2)]);
+    assert_eq!(table.take_learned(), vec![address(2)], "seeds");
+    let mut first = beat("a", 1, 1);
+    first.names = vec![address(3), address(1), address(2)];
+    assert!(!table.is_live(address(2)));
+    table.heard(address(2), first.clone(), NOW);
+    assert!(table.is_live(address(2)) && !table.is_live(address(3)));
+    assert_eq!(table.take_learned(), vec![address(3)]);
+    table.heard(address(2), Beat { sequence: 2, ..first }, NOW);
+    assert!(table.take_learned().is_empty());
+}
+
 #[test]
 fn heard_late_beat_refused() {
     let mut table = Table::new(address(1), Vec::new());
