Reset connections to upstreams that are given up

When the host wakes, its replica reads requests whose clients left seconds ago, since a close leaves what was sent to be read. Ruled out: sends after the client had left (the log has none after 7.2 s for a request that arrived at 10.3 s).

Connections to upstreams are now closed with a reset. A whole answer has been read by then, so that nothing is cut. Test first: call_client_left_reset, where the replica read the request and a clean end.

--- a/papayaproxy/src/catalog/constants.rs
+++ b/papayaproxy/src/catalog/constants.rs
@@ -11,8 +11,9 @@
 /// Time that a connection may be idle where the configuration sets none.
 pub(crate) const IDLE_TIME: Duration = Duration::from_secs(15);
 
-/// Wait of one watch of the configuration; each answer renews the proof of freshness.
-pub(crate) const CONFIG_WAIT: Duration = Duration::from_millis(1500);
+/// Wait of one watch of the configuration; each answer renews the proof of freshness. Between two
+/// answers peers prove it.
+pub(crate) const CONFIG_WAIT: Duration = Duration::from_millis(2500);
 /// Wait of one watch of the upstreams.
 pub(crate) const UPSTREAM_WAIT: Duration = Duration::from_millis(4000);
 /// Wait of the first watch after a failure: just long enough to be a watch.
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -21,7 +21,7 @@
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// A connection to an upstream. Dropping it closes it at once, and the upstream's work with it.
+/// A connection to an upstream. Dropping it resets it, and ends the upstream's work with it.
 pub(crate) struct Link {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
@@ -124,7 +124,11 @@
         let connect = async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_LIMIT))?;
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_tcp_user_timeout(Some(UNACKED_LIMIT))?;
+            // What was given up must not wait to be read where a host is frozen. Whole answers
+            // have been read by the time of the close, so that a reset cuts nothing.
+            socket.set_linger(Some(Duration::ZERO))?;
             Ok(stream)
         };
         let stream: std::io::Result<TcpStream> = timeout(CONNECT_LIMIT, connect)
--- a/papayaproxy/src/gateway/tests/streams.rs
+++ b/papayaproxy/src/gateway/tests/streams.rs
@@ -2,7 +2,11 @@
 
 use super::stand_ins::{Act, Seen, Stage, StandIn, on_one_thread, send_to};
 use rstest::rstest;
+use std::io::ErrorKind;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 const EVENTS: u64 = 6;
 
@@ -136,3 +140,26 @@
         assert_eq!(pieces(&answer), vec![5, 6], "{answer}");
     });
 }
+
+/// The host of a replica is frozen: its system takes the connection, and nobody reads. Once the
+/// client has left, the replica finds a reset when the host wakes, and not a request that ends well.
+#[test]
+fn call_client_left_reset() {
+    on_one_thread(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let frozen = StandIn { address: listener.local_addr().unwrap(), seen: Rc::default() };
+        let stage = Stage::open(&[&frozen]).await;
+        let mut client = TcpStream::connect(stage.address()).await.unwrap();
+        let request = "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n\
+                       X-Key: k1\r\nX-Request-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n";
+        client.write_all(request.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        drop(client);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let (mut woken, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        let read = woken.read_to_end(&mut bytes).await;
+        let reset = read.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset);
+        assert!(reset, "{}", String::from_utf8_lossy(&bytes));
+    });
+}
