Keep what has left away from peers' lists; age the rate of freed seats

Ruled out: a late watch (all entries saw the removal within 5 ms). A removal seen from the store is now remembered with its revision, and a peer's list brings an entry back only at a later one. The watch is 1.5 s again. Tests first: adopt_left_stays_away (fails without), adopt_lacking_back_by_store.

A held group frees no seats; requests that came back waited 1.5 s for the rate at which seats were freed before. The rate now falls with the silence.

--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -68,6 +68,10 @@
 pub(crate) const RETURN_PART: f64 = 0.32;
 /// Weight of one interval in the rate of freed seats.
 pub(crate) const RATE_WEIGHT: f64 = 0.1;
+/// Seats that can have come free, unseen, in a silence: a batch ends within moments.
+pub(crate) const FREED_MOST: f64 = 3.0;
+/// Least rate of freed seats that is assumed, a second; before the first none is known.
+pub(crate) const FREED_LEAST: f64 = 0.2;
 /// Patience, as a part of the usual one, below which a request has been refused before.
 pub(crate) const BACK_PATIENCE: f64 = 0.97;
 /// Earliest time to come back; sooner the same batch still runs.
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -2,9 +2,9 @@
 
 use super::budget::{Budget, BudgetRule};
 use super::constants::{
-    CALLER_SILENCE, FIRST_PART, FIRST_WEIGHT, RATE_WEIGHT, RETURN_LEAST, RETURN_MOST, RETURN_PART,
-    SCORE_NOISE, SEND_SPAN, SILENCE_UNKNOWN, WAIT_BACK, WAIT_BROKEN, WAIT_PART, ZONE_BIAS,
-    ZONE_BIAS_PLAIN, ZONE_FAILURES, ZONE_TIME,
+    CALLER_SILENCE, FIRST_PART, FIRST_WEIGHT, FREED_LEAST, FREED_MOST, RATE_WEIGHT, RETURN_LEAST,
+    RETURN_MOST, RETURN_PART, SCORE_NOISE, SEND_SPAN, SILENCE_UNKNOWN, WAIT_BACK, WAIT_BROKEN,
+    WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN, ZONE_FAILURES, ZONE_TIME,
 };
 use super::events;
 use super::spread::{Candidate, choose};
@@ -106,6 +106,12 @@
 }
 
 impl Service {
+    /// Seats freed a second. The longer none was, the less the rate before counts.
+    fn free_rate(&self, now: Duration) -> f64 {
+        let silence = now.saturating_sub(self.freed).as_secs_f64().max(0.001);
+        self.rate.min(FREED_MOST / silence).max(FREED_LEAST)
+    }
+
     fn count_send(&mut self, now: Duration) {
         self.sent = self.send_rate(now) * SEND_SPAN.as_secs_f64() + 1.0;
         self.counted = now;
@@ -412,7 +418,7 @@
             return self.refuse(&ask, "service unknown", RETURN_LEAST);
         };
         let ahead = service.waiting.iter().filter(|a| a.back <= ask.back).count();
-        let expected = (ahead + 1) as f64 / service.rate.max(0.2);
+        let expected = (ahead + 1) as f64 / service.free_rate(now);
         let wait = patience(&ask).saturating_sub(now).as_secs_f64();
         // How fast seats are freed says nothing where no group runs; such a wait is short.
         if ask.begun || broken || expected <= wait {
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -305,6 +305,38 @@
     assert!(steps.iter().any(|(ticket, went)| *ticket == expected && *went), "{steps:?}");
 }
 
+/// A held group frees no seats. How fast they were freed before says nothing any more: a request
+/// that came back is told at once to return, and does not wait in vain.
+#[rstest]
+#[case::seats_freed(50, true)]
+#[case::nothing_freed(900, false)]
+fn offer_seats_freed_before(#[case] silence_ms: u64, #[case] waits: bool) {
+    let (mut desk, ..) = desk(&["a"]);
+    let mut seats = Vec::new();
+    for ticket in 0..400 {
+        if let Some(mut seat) = go(desk.offer(ask(ticket, START), START)) {
+            desk.begun(&mut seat, START);
+            seats.push(seat);
+        }
+    }
+    (0..400).for_each(|ticket| desk.withdraw(ticket));
+    let mut now = START;
+    for ticket in 400..440 {
+        now += Duration::from_millis(10);
+        desk.release(&seats.remove(0), End::Good, now);
+        let mut seat = go(desk.offer(ask(ticket, now), now)).unwrap();
+        desk.begun(&mut seat, now);
+        seats.push(seat);
+    }
+    now += Duration::from_millis(silence_ms);
+    let steps = (500..506).map(|ticket| {
+        let mut late = ask(ticket, now);
+        late.back = true;
+        desk.offer(late, now)
+    });
+    assert_eq!(matches!(steps.last(), Some(Step::Wait)), waits);
+}
+
 /// After a crash the store still has the entry of the start before: the later start is called.
 #[test]
 fn install_address_twice_later_start() {
--- a/papayaproxy/src/catalog/constants.rs
+++ b/papayaproxy/src/catalog/constants.rs
@@ -11,9 +11,8 @@
 /// Time that a connection may be idle where the configuration sets none.
 pub(crate) const IDLE_TIME: Duration = Duration::from_secs(15);
 
-/// Wait of one watch of the configuration; each answer renews the proof of freshness. Between two
-/// answers peers prove it.
-pub(crate) const CONFIG_WAIT: Duration = Duration::from_millis(2500);
+/// Wait of one watch of the configuration; each answer renews the proof of freshness.
+pub(crate) const CONFIG_WAIT: Duration = Duration::from_millis(1500);
 /// Wait of one watch of the upstreams.
 pub(crate) const UPSTREAM_WAIT: Duration = Duration::from_millis(4000);
 /// Wait of the first watch after a failure: just long enough to be a watch.
@@ -29,3 +28,5 @@
 
 /// Time after the store's return in which the entries of live replicas come back, with a margin.
 pub(crate) const LAPSE_TIME: Duration = Duration::from_millis(2300);
+/// Removed entries that are remembered: more than leave within the time that a peer may doubt one.
+pub(crate) const GONE_KEPT: usize = 512;
--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -1,6 +1,6 @@
 //! The upstreams, as their own entries in the store tell.
 
-use super::constants::LAPSE_TIME;
+use super::constants::{GONE_KEPT, LAPSE_TIME};
 use super::events;
 use crate::base::name::Name;
 use indexmap::IndexMap;
@@ -47,6 +47,9 @@
     lapsed: Option<Duration>,
 }
 
+/// Revision of a list that the store did not give: it counts as later than any entry.
+const ANY_REVISION: u64 = u64::MAX;
+
 /// An entry as read: by id, with the revision of its last change.
 pub(crate) type Listed = (Name, Entry, u64);
 
@@ -54,6 +57,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Directory {
     rows: IndexMap<Name, Row>,
+    /// Revisions at which the store was seen to have removed entries, the latest last.
+    gone: IndexMap<Name, u64>,
 }
 
 impl Directory {
@@ -108,9 +113,27 @@
             revision,
             "leaving"
         );
+        if revision != ANY_REVISION {
+            self.note_gone(id, revision);
+        }
         self.rows.shift_remove(id).is_some()
     }
 
+    /// Takes a peer's list: what it lacks is gone, and what has left here stays away, though the peer
+    /// may not know that yet.
+    pub(crate) fn adopt(&mut self, mut listed: Vec<Listed>, now: Duration) -> bool {
+        listed.retain(|(id, _, at)| self.gone.get(id).is_none_or(|gone| gone < at));
+        self.replace(listed, ANY_REVISION, false, now)
+    }
+
+    fn note_gone(&mut self, id: &str, revision: u64) {
+        self.gone.shift_remove(id);
+        self.gone.insert(id.into(), revision);
+        if self.gone.len() > GONE_KEPT {
+            self.gone.shift_remove_index(0);
+        }
+    }
+
     /// Takes a whole listing, read at `revision`: what it lacks is gone.
     pub(crate) fn replace(
         &mut self,
@@ -133,24 +156,23 @@
 
     /// Lets go of entries that have not come back in time. `returned` is when the store came back.
     pub(crate) fn expire(&mut self, returned: Option<Duration>, now: Duration) -> bool {
-        let Some(returned) = returned else { return false };
-        let before = self.rows.len();
-        self.rows.retain(|id, row| {
-            // Counted from the store's return alone: what is missing then has left.
-            let keep = row.lapsed.is_none() || now < returned + LAPSE_TIME;
-            if !keep {
-                let revision = row.revision;
-                tracing::info!(
-                    event = events::UPSTREAM_LEAVING,
-                    upstream = %id,
-                    reason = "entry did not come back",
-                    revision,
-                    "leaving"
-                );
-            }
-            keep
-        });
-        self.rows.len() != before
+        // Counted from the store's return alone: what is missing then has left.
+        let Some(returned) = returned.filter(|at| now >= *at + LAPSE_TIME) else { return false };
+        let lapsed = self.rows.iter().filter(|(_, row)| row.lapsed.is_some());
+        let lapsed: Vec<(Name, u64)> = lapsed.map(|(id, r)| (id.clone(), r.revision)).collect();
+        for (id, revision) in &lapsed {
+            tracing::info!(
+                event = events::UPSTREAM_LEAVING,
+                upstream = %id,
+                reason = "entry did not come back",
+                revision,
+                returned_ms = now.saturating_sub(returned).as_millis() as u64,
+                "leaving"
+            );
+            self.rows.shift_remove(id);
+            self.note_gone(id, *revision);
+        }
+        !lapsed.is_empty()
     }
 
     /// Whether entries are missing that may yet come back.
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -180,8 +180,7 @@
         if self.listed.get().is_some_and(|own| own >= at) {
             return;
         }
-        // A peer drops lapsed entries by itself, so what it lacks is gone.
-        let changed = self.directory.borrow_mut().replace(listed, u64::MAX, false, now);
+        let changed = self.directory.borrow_mut().adopt(listed, now);
         self.listed.set(Some(at));
         if changed {
             self.changed.notify_waiters();
--- a/papayaproxy/src/catalog/tests/directory.rs
+++ b/papayaproxy/src/catalog/tests/directory.rs
@@ -34,6 +34,30 @@
     assert_eq!(ready(&directory).len(), left);
 }
 
+/// A peer that still doubts whether an upstream has left lists it. Here it is known to have left, so
+/// that only a later entry brings it back.
+#[rstest]
+#[case::as_it_was(5, 0)]
+#[case::written_since(7, 1)]
+fn adopt_left_stays_away(#[case] revision: u64, #[case] left: usize) {
+    let mut directory = Directory::default();
+    directory.put(&"i-1".into(), entry(EntryState::Ready), 5);
+    directory.remove("i-1", 6, false, NOW);
+    directory.adopt(vec![("i-1".into(), entry(EntryState::Ready), revision)], NOW);
+    assert_eq!(ready(&directory).len(), left);
+}
+
+/// What a peer lacks is gone, until the store itself lists it.
+#[test]
+fn adopt_lacking_back_by_store() {
+    let mut directory = Directory::default();
+    directory.put(&"i-1".into(), entry(EntryState::Ready), 5);
+    directory.adopt(Vec::new(), NOW);
+    assert!(ready(&directory).is_empty());
+    directory.replace(vec![("i-1".into(), entry(EntryState::Ready), 5)], 9, false, NOW);
+    assert_eq!(ready(&directory).len(), 1);
+}
+
 #[test]
 fn expire_not_back_gone() {
     let mut directory = Directory::default();
