--- a/papayaproxy/src/ranks/mod.rs
+++ b/papayaproxy/src/ranks/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each rank's agent gives its own replica's orders; the lowest live rank leads.
 
+mod agent;
 pub(crate) mod constants;
 pub(crate) mod demand;
 pub(crate) mod events;
