--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -10,7 +10,8 @@
 pub(crate) const HERE_INTERVAL: Duration = Duration::from_millis(500);
 /// Entries that an agent introduces itself to.
 pub(crate) const HERE_ENTRIES: usize = 5;
-/// Ranks up to which states are told to all at each tick, and not only to the lead; the pause grows in proportion beyond.
+/// Ranks up to which states are told to all at each tick, and not only to the lead; the pause grows
+/// in proportion beyond.
 pub(crate) const TELL_RANKS: usize = 8;
 /// Ticks after which the lead tells all ranks that it is there, at most; several within the age at
 /// which its word no longer counts.
