Give the desk's requests and services files of their own; one look at freshness

Found when the whole change was read again; behaviour is meant to stay.

- balance/desk.rs (554 lines) held three things: a request with its times (now ask.rs), a service with its rates (service.rs) and the choice (410 lines).
Whether a request takes a seat that makes it late was worked out in two functions; it is now one method.
- Whether a rank's state still counts stood in four places of ranks/, the lowest rank heard in two: is_fresh and lowest_heard.
- A recent picture of an upstream was judged in two ways; its closing and last answer are set by methods instead of from the desk.
- Peers had two fields called learned.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -1,16 +1,17 @@
 //! The core: gives each request a seat at an upstream, lets it wait, or refuses it.
 
-use super::budget::{Budget, BudgetRule};
+use super::ask::{Ask, Refusal, Seat, Step, Turn};
+use super::budget::BudgetRule;
 use super::constants::{
-    CALLER_SILENCE, FIRST_PART, FIRST_WEIGHT, FREED_LEAST, FREED_MOST, RATE_WEIGHT, RETURN_LEAST,
-    RETURN_MOST, RETURN_PART, SCORE_NOISE, SEND_SPAN, SILENCE_UNKNOWN, WAIT_BACK, WAIT_BROKEN,
-    WAIT_PART, ZONE_BIAS, ZONE_BIAS_PLAIN, ZONE_FAILURES, ZONE_TIME,
+    FIRST_WEIGHT, RETURN_LEAST, SCORE_NOISE, SILENCE_UNKNOWN, WAIT_BROKEN, ZONE_BIAS,
+    ZONE_BIAS_PLAIN, ZONE_FAILURES, ZONE_TIME,
 };
 use super::events;
+use super::service::Service;
 use super::spread::{Candidate, choose};
 use super::upstream::{End, Upstream};
 use crate::base::name::Name;
-use crate::catalog::{Config, Directory, EngineFigures};
+use crate::catalog::{Config, Directory};
 use crate::limits::CircuitSettings;
 use crate::peers::Running;
 use crate::peers::message::{Told, digest};
@@ -19,111 +20,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A request for a seat.
-#[derive(Clone, Debug)]
-pub(crate) struct Ask {
-    /// Tells requests of this process apart.
-    pub(crate) ticket: u64,
-    /// The request's id, for the log.
-    pub(crate) request: Name,
-    /// The service.
-    pub(crate) service: Name,
-    /// Upstreams that it has been at.
-    pub(crate) avoid: Vec<Name>,
-    /// When it came.
-    pub(crate) arrived: Duration,
-    /// When its caller or its route gives up.
-    pub(crate) deadline: Duration,
-    /// Time in which an answer is on time.
-    pub(crate) target: Duration,
-    /// Longest pause between events that is on time.
-    pub(crate) gap: Option<Duration>,
-    /// Tokens of its prompt.
-    pub(crate) tokens: u32,
-    /// Whether it was refused before, so that it can no longer be on time.
-    pub(crate) back: bool,
-    /// Whether part of the answer is with the caller already.
-    pub(crate) begun: bool,
-    /// A uniform draw.
-    pub(crate) draw: u32,
-}
-
-/// A seat at an upstream. Handed back with [`Desk::release`].
-#[derive(Clone, Debug)]
-pub(crate) struct Seat {
-    /// The upstream's id.
-    pub(crate) upstream: Name,
-    /// Where it listens.
-    pub(crate) address: SocketAddr,
-    /// Whether the request probes an open circuit.
-    pub(crate) probe: bool,
-    /// Prompt tokens that the upstream reads for it.
-    pub(crate) tokens: u32,
-}
-
-/// Why a request is refused, and when to come back.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Refusal {
-    /// What binds.
-    pub(crate) reason: &'static str,
-    /// When it may find room.
-    pub(crate) retry: Duration,
-}
-
-/// What becomes of a request.
-#[derive(Clone, Debug)]
-pub(crate) enum Step {
-    /// It is sent.
-    Go(Seat),
-    /// It waits; [`Desk::advance`] tells when that is over.
-    Wait,
-    /// It is refused.
-    Refuse(Refusal),
-}
-
-/// Which of its chances for a seat a request has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Turn {
-    /// It has just come.
-    First,
-    /// It waits.
-    Waiting,
-    /// Its wait is over.
-    Last,
-}
-
-#[derive(Clone, Debug)]
-struct Service {
-    engine: Option<EngineFigures>,
-    budget: Budget,
-    waiting: Vec<Ask>,
-    /// Seats freed a second, by requests of this entry.
-    rate: f64,
-    freed: Duration,
-    /// Sends of this entry, the older ones counted less.
-    sent: f64,
-    counted: Duration,
-}
-
-impl Service {
-    /// Seats freed a second. The longer none was, the less the rate before counts.
-    fn free_rate(&self, now: Duration) -> f64 {
-        let silence = now.saturating_sub(self.freed).as_secs_f64().max(0.001);
-        self.rate.min(FREED_MOST / silence).max(FREED_LEAST)
-    }
-
-    fn count_send(&mut self, now: Duration) {
-        self.sent = self.send_rate(now) * SEND_SPAN.as_secs_f64() + 1.0;
-        self.counted = now;
-    }
-
-    /// Sends of this entry a second.
-    fn send_rate(&self, now: Duration) -> f64 {
-        let span = SEND_SPAN.as_secs_f64();
-        self.sent * (-now.saturating_sub(self.counted).as_secs_f64() / span).exp() / span
-    }
-}
-
 /// All upstreams, and the requests that wait for them.
 pub(crate) struct Desk {
     zone: Name,
@@ -160,15 +56,8 @@
     pub(crate) fn install(&mut self, config: &Config, directory: &Directory) {
         let rule = self.rule;
         for (name, service) in &config.services {
-            let known = self.services.entry(name.clone()).or_insert_with(|| Service {
-                engine: None,
-                budget: Budget::new(rule),
-                waiting: Vec::new(),
-                rate: 0.0,
-                freed: Duration::ZERO,
-                sent: 0.0,
-                counted: Duration::ZERO,
-            });
+            let new = || Service::new(rule);
+            let known = self.services.entry(name.clone()).or_insert_with(new);
             known.engine = service.engine.clone();
         }
         let mut next = IndexMap::with_capacity(directory.len());
@@ -277,7 +166,7 @@
         }
         if !ask.back && !ask.begun && !self.may_open(&ask, now) {
             // Nothing frees up soon. The later the caller returns, the likelier it is served.
-            return self.refuse(&ask, "group broken", latest_return(&ask));
+            return self.refuse(&ask, "group broken", ask.latest_return());
         }
         self.queue(ask, now)
     }
@@ -297,7 +186,7 @@
         let Some(upstream) = self.upstreams.get_mut(&seat.upstream) else { return };
         upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.tokens);
         upstream.end(end, seat.probe, now);
-        let closed = (end == End::Full).then_some(upstream.closed).filter(|until| now < *until);
+        let closed = upstream.closed_until(now).filter(|_| end == End::Full);
         let (failed, barred) = self.zones.entry(upstream.zone.clone()).or_default();
         match end {
             End::Unreached => {
@@ -314,9 +203,7 @@
             self.close_unknown(&service, until, now);
         }
         if let Some(service) = self.services.get_mut(&service) {
-            let since = now.saturating_sub(service.freed).as_secs_f64().max(0.001);
-            service.rate += RATE_WEIGHT * (1.0 / since - service.rate);
-            service.freed = now;
+            service.count_freed(now);
         }
     }
 
@@ -329,7 +216,7 @@
         }
         for upstream in self.upstreams.values_mut().filter(|u| u.service == *service) {
             if !upstream.is_known(now) {
-                upstream.closed = until;
+                upstream.close(until);
             }
         }
     }
@@ -337,7 +224,7 @@
     /// Takes note that a request's answer has begun, so that its prompt is read.
     pub(crate) fn begun(&mut self, seat: &mut Seat, now: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(&seat.upstream) {
-            upstream.answered = Some(now);
+            upstream.observe_answer(now);
             upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.tokens);
         }
         seat.tokens = 0;
@@ -401,14 +288,14 @@
             return Step::Go(seat);
         }
         let broken = !ask.begun && !self.may_open(ask, now);
-        let until = if broken { ask.arrived + WAIT_BROKEN } else { patience(ask) };
+        let until = if broken { ask.arrived + WAIT_BROKEN } else { ask.patience() };
         if now < until {
             return Step::Wait;
         }
         // Its wait is over. One more in a batch costs the others less than a refusal costs it.
         match self.seat(ask, Turn::Last, now) {
             Some(seat) => Step::Go(seat),
-            None => self.refuse(ask, "no upstream takes it", latest_return(ask)),
+            None => self.refuse(ask, "no upstream takes it", ask.latest_return()),
         }
     }
 
@@ -419,21 +306,20 @@
         };
         let ahead = service.waiting.iter().filter(|a| a.back <= ask.back).count();
         let expected = (ahead + 1) as f64 / service.free_rate(now);
-        let wait = patience(&ask).saturating_sub(now).as_secs_f64();
+        let wait = ask.patience().saturating_sub(now).as_secs_f64();
         // How fast seats are freed says nothing where no group runs; such a wait is short.
         if ask.begun || broken || expected <= wait {
             service.waiting.push(ask);
             return Step::Wait;
         }
         let spread = f64::from(ask.draw) / f64::from(u32::MAX);
-        let range = latest_return(&ask).saturating_sub(RETURN_LEAST);
+        let range = ask.latest_return().saturating_sub(RETURN_LEAST);
         self.refuse(&ask, "no seat in time", RETURN_LEAST + range.mul_f64(spread))
     }
 
     /// Takes a seat at an upstream that has room, one of the least loaded. In its last turn the
     /// request may be one more than keeps all in time, but not more than the upstream runs.
     fn seat(&mut self, ask: &Ask, turn: Turn, now: Duration) -> Option<Seat> {
-        let late = turn == Turn::Last;
         let service = self.services.get(&ask.service)?;
         let engine = service.engine.as_ref();
         let noise = |u: &Upstream| {
@@ -445,6 +331,7 @@
         let others = self.entries.saturating_sub(1) as f64;
         // Requests of the other entries that the picture does not show yet.
         let unseen = service.send_rate(now) * others * age.as_secs_f64();
+        let (takes_late, latest_start) = (ask.takes_late(turn), ask.latest_start(turn));
         let mut open = Vec::new();
         let (mut candidates, mut room) = (0, 0.0);
         for (index, u) in self.upstreams.values().enumerate() {
@@ -462,8 +349,8 @@
             // An upstream without work is tried, whatever was learned of it before.
             let idle = u.running() < 1.0;
             let ends = now + whole <= ask.deadline;
-            let most = most(u, ask, late, limit);
-            let starts = now + first <= latest_start(ask, late);
+            let most = if takes_late { f64::from(u.slots).max(limit) } else { limit };
+            let starts = now + first <= latest_start;
             if !(idle || (ends && starts && running + 1.0 <= most)) {
                 continue;
             }
@@ -521,34 +408,3 @@
         Step::Refuse(Refusal { reason, retry })
     }
 }
-
-/// Until when a request waits for a seat.
-fn patience(ask: &Ask) -> Duration {
-    if ask.back || ask.begun {
-        return ask.deadline.min(ask.arrived + WAIT_BACK);
-    }
-    ask.arrived + ask.target.mul_f64(WAIT_PART)
-}
-
-/// Most requests on an upstream with this one. A request that is late anyway, or would be refused
-/// otherwise, may be one more than keeps all in time.
-fn most(u: &Upstream, ask: &Ask, late: bool, limit: f64) -> f64 {
-    match late || ask.back || ask.begun {
-        true => f64::from(u.slots).max(limit),
-        false => limit,
-    }
-}
-
-/// The latest time at which the first event is of use.
-fn latest_start(ask: &Ask, late: bool) -> Duration {
-    match late || ask.back || ask.begun {
-        true => ask.arrived + CALLER_SILENCE,
-        false => ask.arrived + ask.target.mul_f64(FIRST_PART),
-    }
-}
-
-/// The latest time after which a caller comes back.
-fn latest_return(ask: &Ask) -> Duration {
-    let left = ask.deadline.saturating_sub(ask.arrived);
-    left.mul_f64(RETURN_PART).min(RETURN_MOST)
-}
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -2,16 +2,19 @@
 //!
 //! Without I/O, clock or randomness: each method takes `now`, and draws come with the request.
 
+pub(crate) mod ask;
 pub(crate) mod budget;
 pub(crate) mod constants;
 pub(crate) mod desk;
 pub(crate) mod engine;
 pub(crate) mod events;
+pub(crate) mod service;
 pub(crate) mod spread;
 pub(crate) mod upstream;
 
 #[cfg(test)]
 mod tests;
 
-pub(crate) use desk::{Ask, Desk, Refusal, Seat, Step};
+pub(crate) use ask::{Ask, Refusal, Seat, Step};
+pub(crate) use desk::Desk;
 pub(crate) use upstream::End;
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -1,7 +1,8 @@
 //! Patterns of load that once hurt: who is sent, who waits, who is refused.
 
+use crate::balance::ask::{Ask, Seat, Step};
 use crate::balance::budget::BudgetRule;
-use crate::balance::desk::{Ask, Desk, Seat, Step};
+use crate::balance::desk::Desk;
 use crate::balance::upstream::End;
 use crate::base::name::Name;
 use crate::catalog::directory::{Directory, Entry, EntryState};
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -71,9 +71,9 @@
     /// When the replica's group was last seen broken.
     broken: Option<Duration>,
     /// Until when it counts as unable to run anything.
-    pub(crate) closed: Duration,
+    closed: Duration,
     /// When an answer last began, of those that this entry asked for.
-    pub(crate) answered: Option<Duration>,
+    answered: Option<Duration>,
     /// When the replica's group was last seen running passes.
     healthy: Option<Duration>,
 }
@@ -112,11 +112,10 @@
 
     /// Silence after which a stream goes on elsewhere.
     pub(crate) fn silence(&self, now: Duration) -> Duration {
-        let fresh = |at: Duration| now < at + PICTURE_AGE;
-        match self.healthy {
+        match is_recent(self.healthy, now) {
             _ if self.is_broken(now) => SILENCE_BROKEN,
-            Some(at) if fresh(at) => SILENCE_HEALTHY,
-            _ => SILENCE_UNKNOWN,
+            true => SILENCE_HEALTHY,
+            false => SILENCE_UNKNOWN,
         }
     }
 
@@ -157,8 +156,22 @@
 
     /// Whether something tells that it runs: a recent picture of its group, or a recent answer.
     pub(crate) fn is_known(&self, now: Duration) -> bool {
-        let recent = |at: Option<Duration>| at.is_some_and(|at| now < at + PICTURE_AGE);
-        recent(self.healthy) || recent(self.answered)
+        is_recent(self.healthy, now) || is_recent(self.answered, now)
+    }
+
+    /// Until when it counts as unable to run anything, if it does.
+    pub(crate) fn closed_until(&self, now: Duration) -> Option<Duration> {
+        (now < self.closed).then_some(self.closed)
+    }
+
+    /// Counts it as unable to run anything.
+    pub(crate) fn close(&mut self, until: Duration) {
+        self.closed = until;
+    }
+
+    /// Takes note of an answer that has begun.
+    pub(crate) fn observe_answer(&mut self, now: Duration) {
+        self.answered = Some(now);
     }
 
     /// Takes note of whether the replica's group runs passes.
@@ -211,3 +224,7 @@
         self.barred = self.barred.max(now + time);
     }
 }
+
+fn is_recent(at: Option<Duration>, now: Duration) -> bool {
+    at.is_some_and(|at| now < at + PICTURE_AGE)
+}
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -43,7 +43,7 @@
     incarnation: Incarnation,
     sequence: Cell<u64>,
     /// When the peers' load was last given to the balance.
-    learned: Cell<Duration>,
+    summed: Cell<Duration>,
     /// Questions by nonce, with the time of asking.
     asked: RefCell<IndexMap<u64, Duration>>,
     pulling: Cell<bool>,
@@ -85,7 +85,7 @@
             zone: settings.zone,
             incarnation: settings.incarnation,
             sequence: Cell::new(0),
-            learned: Cell::default(),
+            summed: Cell::default(),
             asked: RefCell::default(),
             pulling: Cell::new(false),
             agents: RefCell::default(),
@@ -115,7 +115,7 @@
     }
 
     fn learn(&self, now: Duration) {
-        self.learned.set(now);
+        self.summed.set(now);
         let table = self.table.borrow();
         (self.hooks.learn)(&table.running(), table.most(), table.told().unwrap_or(now));
     }
@@ -181,7 +181,7 @@
         if !new.is_empty() {
             self.send_beat(true, &new).await;
         }
-        if now >= self.learned.get() + LEARN_INTERVAL {
+        if now >= self.summed.get() + LEARN_INTERVAL {
             self.learn(now);
         }
     }
--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -3,11 +3,11 @@
 use super::constants::{
     AFAR_LIMIT, COUNT_INTERVAL, FIRST_LOAD, FROZEN, HERE_ENTRIES, HERE_INTERVAL, LATE_STAND_IN,
     LEAD_SILENCE, LEAD_TICKS, PLAN_INTERVAL, QUIET_AFTER_LOSS, READ_LIMIT, SLOTS_USUAL,
-    STAND_IN_INTERVAL, STATE_AGE, TELL_RANKS, TICK,
+    STAND_IN_INTERVAL, TELL_RANKS, TICK,
 };
 use super::demand::Popularity;
 use super::events;
-use super::lead::{Lead, Phase, States};
+use super::lead::{Lead, Phase, States, is_fresh};
 use super::message::{
     Around, Command, Directed, Here, Lists, Member, Picture, RankMessage, RankView, State,
 };
@@ -221,9 +221,7 @@
         let Some(state) = self.state() else { return };
         let (own, now) = (state.view.rank, self.clock.now());
         self.take_state(state.clone());
-        let fresh = |at: Duration| now.saturating_sub(at) <= STATE_AGE;
-        let heard = self.states.iter().filter(|(_, (_, at))| fresh(*at)).map(|(rank, _)| *rank);
-        let lead = heard.min().unwrap_or(own);
+        let lead = self.lowest_heard(now).unwrap_or(own);
         if let Some(address) = self.agents.get(&lead).filter(|_| lead != own).copied() {
             let message = Message::Rank(RankMessage::State(Box::new(state.clone())));
             self.send(&message, &[address]).await;
@@ -258,13 +256,15 @@
         self.states.insert(state.view.rank, (state, now));
     }
 
+    fn lowest_heard(&self, now: Duration) -> Option<u16> {
+        self.states.iter().filter(|(_, (_, at))| is_fresh(*at, now)).map(|(rank, _)| *rank).min()
+    }
+
     /// The lowest rank that is heard of leads.
     fn judge_lead(&mut self, now: Duration) {
         let Some(view) = self.own.view().filter(|v| v.open) else { return };
         let rank = view.rank;
-        let fresh = |at: &Duration| now.saturating_sub(*at) <= STATE_AGE;
-        let lower = self.states.iter().any(|(r, (_, at))| *r < rank && fresh(at));
-        if lower {
+        if self.lowest_heard(now).is_some_and(|lowest| lowest < rank) {
             self.lowest = None;
             self.lead.stop("a lower rank is heard of", now);
             return;
@@ -289,7 +289,7 @@
             return;
         }
         self.due.stand_in = now + STAND_IN_INTERVAL;
-        let stale = |at: Duration| now.saturating_sub(at) > STATE_AGE;
+        let stale = |at: Duration| !is_fresh(at, now);
         let silent: Vec<(u16, SocketAddr)> = self
             .states
             .iter()
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -175,7 +175,7 @@
     fn all<'a>(&self, states: &'a States, now: Duration) -> Option<Vec<&'a State>> {
         let fits = |rank: u16| {
             let (state, heard) = states.get(&rank)?;
-            let fresh = now.saturating_sub(*heard) <= STATE_AGE;
+            let fresh = is_fresh(*heard, now);
             let view = &state.view;
             let ours = view.epoch == self.epoch && view.open && state.term == self.term;
             (fresh && ours).then_some(state)
@@ -377,6 +377,11 @@
     }
 }
 
+/// Whether a state heard at `heard` still counts.
+pub(crate) fn is_fresh(heard: Duration, now: Duration) -> bool {
+    now.saturating_sub(heard) <= STATE_AGE
+}
+
 fn is_armed(state: &State, version: u64, step: u64) -> bool {
     let same = |a: Armed| a.version == version && a.step.is_none_or(|s| s == step);
     state.view.armed.is_some_and(same)
