Refuse requests that a stopping entry cannot finish

Cause: a stopping entry accepted streams for a fixed 40% of its grace period.

Change: gateway/progress keeps the requests in progress and the longest recent request of each route.

Ruled out: a smaller fixed fraction, which refuses more than needed where streams are short and still cuts where they are long.

--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -58,8 +58,11 @@
 /// because their route or key is unknown.
 pub(crate) const READY_AGE_MAX: Duration = Duration::from_millis(3000);
 
-/// Fraction of the grace period during which new streams are still accepted.
-pub(crate) const STOP_STREAMS_FRACTION: f64 = 0.4;
+/// Window over which the longest request of a route is kept; a stopping entry refuses what would
+/// take longer than its rest of the grace period.
+pub(crate) const DURATION_WINDOW: Duration = Duration::from_secs(10);
+/// Margin on the longest recent request of a route, as a factor.
+pub(crate) const DURATION_MARGIN: f64 = 1.25;
 /// Fraction of the grace period after which client connections are closed as soon as their request
 /// is answered.
 pub(crate) const STOP_CLOSE_FRACTION: f64 = 0.6;
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -3,7 +3,8 @@
 use super::body::ResponseBody;
 use super::codes;
 use super::constants::{
-    DEADLINE_DEFAULT, LATENCY_TARGET_DEFAULT, READY_AGE_MAX, RETRY_AFTER_UNREADY, UNACKED_TIMEOUT,
+    DEADLINE_DEFAULT, LATENCY_TARGET_DEFAULT, READY_AGE_MAX, RETRY_AFTER_STOPPING,
+    RETRY_AFTER_UNREADY, UNACKED_TIMEOUT,
 };
 use super::envelope::{Envelope, KeyHeader};
 use super::events;
@@ -124,17 +125,16 @@
             false => reject(codes::CONFIG_STALE, Some(RETRY_AFTER_UNREADY)),
         });
     };
-    if shared.is_closed_to(&route) {
-        tracing::info!(event = events::REQUEST_ANSWERED, request = %envelope.id, status = 503, "request refused while stopping");
-        return Err(refuse::stopping());
+    let client_timeout = envelope.timeout.unwrap_or(DEADLINE_DEFAULT);
+    let time_limit = route.timeout.map_or(client_timeout, |t| t.min(client_timeout));
+    if !shared.can_finish(&route, time_limit) {
+        return Err(reject(codes::STOPPING, Some(RETRY_AFTER_STOPPING)));
     }
     let workspace = match find_workspace(shared, &config, &route, &envelope) {
         Ok(workspace) => workspace,
         Err((code, retry_after)) => return Err(reject(code, retry_after)),
     };
     let (parts, body) = request.into_parts();
-    let client_timeout = envelope.timeout.unwrap_or(DEADLINE_DEFAULT);
-    let time_limit = route.timeout.map_or(client_timeout, |t| t.min(client_timeout));
     let body = match read_body(body, config.limits.body_bytes, time_limit).await {
         Ok(body) => body,
         Err(code) => return Err(reject(code, None)),
@@ -158,7 +158,7 @@
     );
     Ok(Exchange {
         shared: shared.clone(),
-        _in_flight: shared.track_request(),
+        _in_flight: shared.track_request(&route),
         latency_target: route.latency_target.unwrap_or(LATENCY_TARGET_DEFAULT),
         envelope,
         route,
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 use super::codes;
 use super::constants::{
     ATTEMPT_TIME_MIN, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN, RESPONSE_BYTES_MAX,
-    SILENCE_CHECK_INTERVAL,
+    RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
 };
 use super::envelope::{Envelope, Verdict};
 use super::events;
@@ -94,6 +94,8 @@
     Refused(Refusal),
     /// The deadline has passed.
     DeadlinePassed,
+    /// The entry stops before the request could be expected to end.
+    Stopping,
     /// The request must not be retried, or the retry budget is used up.
     RetriesExhausted,
 }
@@ -139,6 +141,12 @@
                 Ok(Err(refusal)) => return Err(StopReason::Refused(refusal)),
                 Err(_) => return Err(StopReason::DeadlinePassed),
             };
+            // The entry may have begun to stop while the request waited. One that may have run goes
+            // on, since only its answer can end it well.
+            if self.history.maybe_run == 0 && !self.shared.can_finish(&self.route, self.time_left())
+            {
+                return Err(StopReason::Stopping);
+            }
             match self.send(seat, last_event).await {
                 Ok(head) => return Ok(head),
                 Err(failure) => {
@@ -394,6 +402,7 @@
             StopReason::DeadlinePassed if ran => (codes::ANSWER_LATE, None),
             _ if ran => (codes::ANSWER_LOST, None),
             StopReason::DeadlinePassed => (codes::NOT_OFFERED, Some(Duration::ZERO)),
+            StopReason::Stopping => (codes::STOPPING, Some(RETRY_AFTER_STOPPING)),
             StopReason::Refused(refusal) => (codes::NO_SEAT, Some(refusal.retry_after)),
             StopReason::RetriesExhausted => {
                 (codes::TURNED_DOWN, Some(crate::balance::constants::RETRY_AFTER_MAX))
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod meters;
 pub(crate) mod pool;
 pub(crate) mod process;
+pub(crate) mod progress;
 pub(crate) mod ready;
 pub(crate) mod refuse;
 pub(crate) mod relay;
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -2,12 +2,12 @@
 
 use super::constants::{
     KEY_AGE_FRACTION, READY_AGE_MAX, SEAT_INTERVAL, STATE_INTERVAL, STOP_CLOSE_FRACTION,
-    STOP_END_FRACTION, STOP_STREAMS_FRACTION,
 };
 use super::edge;
 use super::events;
 use super::meters::Meters;
 use super::pool::Pool;
+use super::progress::Progress;
 use super::seats::Seats;
 use super::settings::GatewaySettings;
 use crate::balance::Balancer;
@@ -48,8 +48,7 @@
     /// Closes client connections once their request is answered.
     pub(crate) closing: CancellationToken,
     settings: GatewaySettings,
-    stopping: Cell<Option<Duration>>,
-    requests: Cell<u64>,
+    progress: RefCell<Progress>,
     ready: Cell<bool>,
     status: Arc<Mutex<Status>>,
     /// Load exchange with the other entries; set once it runs.
@@ -61,6 +60,7 @@
 /// Counts a request as in progress until dropped.
 pub(crate) struct InFlight {
     shared: Rc<Shared>,
+    ticket: u64,
 }
 
 /// A running entry.
@@ -94,8 +94,7 @@
             pool: Pool::new(clock),
             meters,
             closing: CancellationToken::new(),
-            stopping: Cell::default(),
-            requests: Cell::new(0),
+            progress: RefCell::new(Progress::new(settings.grace)),
             ready: Cell::new(false),
             status: status.clone(),
             peers: OnceCell::new(),
@@ -170,39 +169,46 @@
     /// to finish, for at most the grace period.
     pub async fn stop(self) {
         let (shared, grace) = (&self.shared, self.shared.settings.grace);
-        let stop_began = shared.clock.now();
-        shared.stopping.set(Some(stop_began));
-        let (requests, grace_ms) = (shared.requests.get(), grace.as_millis() as u64);
+        shared.progress.borrow_mut().begin_stop(shared.clock.now());
+        let (requests, grace_ms) = (shared.requests(), grace.as_millis() as u64);
         tracing::info!(event = events::GATEWAY_STOPPING, requests, grace_ms, "stopping");
         shared.update_readiness();
         tokio::time::sleep(grace.mul_f64(STOP_CLOSE_FRACTION)).await;
         shared.closing.cancel();
-        while shared.requests.get() > 0 && shared.stopping_for() < grace.mul_f64(STOP_END_FRACTION)
-        {
+        while shared.requests() > 0 && !shared.stop_time_left().is_zero() {
             tokio::time::sleep(SEAT_INTERVAL).await;
         }
-        let requests = shared.requests.get();
+        let requests = shared.requests();
         tracing::info!(event = events::GATEWAY_STOPPED, requests, "stopped");
     }
 }
 
 impl Shared {
-    /// Counts a request as in progress until the guard is dropped.
-    pub(crate) fn track_request(self: &Rc<Self>) -> InFlight {
-        self.requests.set(self.requests.get() + 1);
-        InFlight { shared: self.clone() }
+    /// Counts a request of `route` as in progress until the guard is dropped.
+    pub(crate) fn track_request(self: &Rc<Self>, route: &Route) -> InFlight {
+        let ticket = self.progress.borrow_mut().start(&route.name, self.clock.now());
+        InFlight { shared: self.clone(), ticket }
+    }
+
+    /// Number of requests in progress.
+    fn requests(&self) -> u64 {
+        self.progress.borrow().count() as u64
     }
 
     /// Whether the graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
+        self.progress.borrow().is_stopping()
+    }
+
+    /// Whether a request of `route` that ends within `time_limit` can be expected to end before the
+    /// process exits; always true unless it is stopping.
+    pub(crate) fn can_finish(&self, route: &Route, time_limit: Duration) -> bool {
+        self.progress.borrow_mut().can_finish(&route.name, time_limit, self.clock.now())
     }
 
-    /// Whether requests of `route` are refused because they might not finish before the process
-    /// exits.
-    pub(crate) fn is_closed_to(&self, route: &Route) -> bool {
-        let cutoff = self.settings.grace.mul_f64(STOP_STREAMS_FRACTION);
-        route.kind.is_stream() && self.is_stopping() && self.stopping_for() > cutoff
+    /// Time until a stopping process exits.
+    fn stop_time_left(&self) -> Duration {
+        self.progress.borrow().time_left(self.clock.now()).unwrap_or_default()
     }
 
     /// Age of the freshness proof beyond which keys are not accepted.
@@ -230,11 +236,6 @@
         self.ready.get()
     }
 
-    fn stopping_for(&self) -> Duration {
-        let since = self.stopping.get().unwrap_or_else(|| self.clock.now());
-        self.clock.now().saturating_sub(since)
-    }
-
     /// Updates the balancer whenever the catalog changes.
     async fn follow_catalog(self: Rc<Self>) {
         loop {
@@ -284,7 +285,7 @@
             document_age: self.catalog.config_age().map_or(0.0, |a| a.as_secs_f64()),
             ready: self.is_ready(),
             leaving: self.is_stopping(),
-            calls: self.requests.get(),
+            calls: self.requests(),
             upstreams: self.seats.with_balancer(|balancer| balancer.upstream_count()) as u64,
             ..Status::default()
         }
@@ -293,7 +294,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.shared.requests.set(self.shared.requests.get().saturating_sub(1));
+        self.shared.progress.borrow_mut().end(self.ticket, self.shared.clock.now());
     }
 }
 
--- a/papayaproxy/src/gateway/refuse.rs
+++ b/papayaproxy/src/gateway/refuse.rs
@@ -30,13 +30,6 @@
     response
 }
 
-/// The response of an entry that is stopping; the client retries at another one.
-pub(crate) fn stopping() -> Response<ResponseBody> {
-    let mut response = retry_later(codes::STOPPING, super::constants::RETRY_AFTER_STOPPING);
-    close_connection(&mut response);
-    response
-}
-
 /// Announces that the connection closes after this response.
 pub(crate) fn close_connection(response: &mut Response<ResponseBody>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -4,5 +4,6 @@
 
 mod answers;
 mod mutated;
+mod progress;
 mod stand_ins;
 mod streams;
