Even out the gaps between events of a stream

Change: gateway/pacing holds events back within the new setting bounds.event_delay, as a playout buffer does, so that the reserve covers the next long passes. A stream's body ends properly only after an explicit end from its relay, so a relay that fails never looks complete; a caller that reads too slowly ends at the deadline; a request counts as in progress until its last event has left.

Ruled out: holding the first event back too (it would be seen later), more delay than the rule allows for one event.

--- a/papayaproxy/src/gateway/body.rs
+++ b/papayaproxy/src/gateway/body.rs
@@ -1,23 +1,80 @@
 //! Response bodies sent to clients.
 
+use super::pacing::Pacer;
+use super::process::InFlight;
+use crate::base::clock::Clock;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::sync::mpsc::Receiver;
+use tokio::time::{Sleep, sleep};
 use tokio_util::sync::DropGuard;
 
 pub(crate) enum ResponseBody {
     /// A complete body; `None` once it has been sent, or if it is empty.
     Full(Option<Bytes>),
-    /// Frames received from the relay of a stream. An error closes the connection without a proper
-    /// end of the body, so that the client sees that it is incomplete.
-    Relay {
-        frames: Receiver<io::Result<Bytes>>,
-        /// Cancels the relay when the body is dropped.
-        _stop: DropGuard,
-    },
+    /// The body of a stream in progress.
+    Relay(RelayBody),
+}
+
+/// Part of a stream that its relay passes on.
+#[derive(Clone, Debug)]
+pub(crate) enum RelayFrame {
+    /// Whole events, and the time on the process clock at which they arrived.
+    Events(Bytes, Duration),
+    /// The stream is complete.
+    End,
+}
+
+/// The body of a stream, fed by its relay. If the relay ends without [`RelayFrame::End`], the
+/// connection closes without a proper end of the body, so that the client sees that it is
+/// incomplete.
+pub(crate) struct RelayBody {
+    frames: Receiver<RelayFrame>,
+    pacer: Pacer,
+    clock: Clock,
+    /// The next events and the timer of their release.
+    held: Option<(Bytes, Pin<Box<Sleep>>)>,
+    /// Cancels the relay when the body is dropped.
+    _stop: DropGuard,
+    /// Counts the request as in progress until its last event has been sent.
+    _in_flight: Rc<InFlight>,
+}
+
+impl RelayBody {
+    /// A body of the events from `frames`, released as `pacer` decides.
+    pub(crate) fn new(
+        frames: Receiver<RelayFrame>,
+        pacer: Pacer,
+        clock: Clock,
+        stop: DropGuard,
+        in_flight: Rc<InFlight>,
+    ) -> Self {
+        Self { frames, pacer, clock, held: None, _stop: stop, _in_flight: in_flight }
+    }
+
+    fn poll_events(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if self.held.is_none() {
+            let (bytes, arrived) = match ready!(self.frames.poll_recv(context)) {
+                Some(RelayFrame::Events(bytes, arrived)) => (bytes, arrived),
+                Some(RelayFrame::End) => return Poll::Ready(None),
+                None => return Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into()))),
+            };
+            let wait = self.pacer.release_at(arrived).saturating_sub(self.clock.now());
+            if wait.is_zero() {
+                return Poll::Ready(Some(Ok(bytes)));
+            }
+            self.held = Some((bytes, Box::pin(sleep(wait))));
+        }
+        if let Some((_, timer)) = &mut self.held {
+            ready!(timer.as_mut().poll(context));
+        }
+        Poll::Ready(self.held.take().map(|(bytes, _)| Ok(bytes)))
+    }
 }
 
 impl ResponseBody {
@@ -37,8 +94,8 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Relay { frames, .. } => {
-                frames.poll_recv(context).map(|frame| frame.map(|f| f.map(Frame::data)))
+            Self::Relay(relay) => {
+                relay.poll_events(context).map(|events| events.map(|e| e.map(Frame::data)))
             }
         }
     }
@@ -50,7 +107,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
-            Self::Relay { .. } => SizeHint::default(),
+            Self::Relay(_) => SizeHint::default(),
         }
     }
 }
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -33,6 +33,12 @@
 pub(crate) const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(15);
 /// Frames buffered between the relay of a stream and the client connection.
 pub(crate) const RELAY_QUEUE_FRAMES: usize = 16;
+/// Fraction of a route's gap target up to which events are held back to even out the gaps; the rest
+/// covers network and timer delays.
+pub(crate) const PACE_GAP_RATIO: f64 = 0.9;
+/// Fraction of the configured delay for which an event may be held back; the rest covers the way
+/// from the replica and to the caller.
+pub(crate) const PACE_DELAY_RATIO: f64 = 0.85;
 /// Attempts per request that may end without the request having run. They do not count against the
 /// attempts of the route.
 pub(crate) const NOT_RUN_MAX: u32 = 3;
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -158,7 +158,7 @@
     );
     Ok(Exchange {
         shared: shared.clone(),
-        _in_flight: shared.track_request(&route),
+        in_flight: Rc::new(shared.track_request(&route)),
         latency_target: route.latency_target.unwrap_or(LATENCY_TARGET_DEFAULT),
         envelope,
         route,
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -33,7 +33,7 @@
 pub(crate) struct Exchange {
     pub(crate) shared: Rc<Shared>,
     /// Counts the request as in progress until its response, including a stream, has ended.
-    pub(crate) _in_flight: InFlight,
+    pub(crate) in_flight: Rc<InFlight>,
     pub(crate) envelope: Envelope,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Name,
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod exchange;
 pub(crate) mod hops;
 pub(crate) mod meters;
+pub(crate) mod pacing;
 pub(crate) mod pool;
 pub(crate) mod process;
 pub(crate) mod progress;
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -211,6 +211,11 @@
         self.progress.borrow().time_left(self.clock.now()).unwrap_or_default()
     }
 
+    /// Time within which an event of a stream must be passed on.
+    pub(crate) fn event_delay(&self) -> Duration {
+        self.settings.event_delay
+    }
+
     /// Age of the freshness proof beyond which keys are not accepted.
     pub(crate) fn key_age_max(&self) -> Duration {
         self.settings.revoke.mul_f64(KEY_AGE_FRACTION)
--- a/papayaproxy/src/gateway/refuse.rs
+++ b/papayaproxy/src/gateway/refuse.rs
@@ -1,7 +1,6 @@
 //! Responses that the entry itself produces.
 
 use super::body::ResponseBody;
-use super::codes;
 use crate::base::code::{Code, row};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -1,11 +1,12 @@
 //! Forwards the events of a stream as they arrive, and resumes an interrupted stream at another
 //! replica.
 
-use super::body::ResponseBody;
+use super::body::{RelayBody, RelayFrame, ResponseBody};
 use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
 use super::exchange::{Exchange, FailedAttempt, ResponseHead, fail_attempt};
 use super::hops::copy_end_to_end;
+use super::pacing::Pacer;
 use crate::balance::SendOutcome;
 use crate::base::name::Name;
 use crate::streams::{EventSplitter, event_id};
@@ -13,9 +14,9 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
-use std::io;
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 /// How much of a stream the caller has received.
@@ -40,12 +41,14 @@
 pub(crate) fn spawn(exchange: Exchange, head: ResponseHead) -> Response<ResponseBody> {
     let (sender, frames) = channel(RELAY_QUEUE_FRAMES);
     let stop = CancellationToken::new();
-    let body = ResponseBody::Relay { frames, _stop: stop.clone().drop_guard() };
-    let mut response = Response::new(body);
+    let shared = exchange.shared.clone();
+    let pacer = Pacer::new(exchange.route.gap_target, shared.event_delay(), exchange.deadline);
+    let in_flight = exchange.in_flight.clone();
+    let body = RelayBody::new(frames, pacer, shared.clock, stop.clone().drop_guard(), in_flight);
+    let mut response = Response::new(ResponseBody::Relay(body));
     *response.status_mut() = head.parts.status;
     copy_end_to_end(&head.parts.headers, response.headers_mut(), |n| n != CONTENT_LENGTH);
-    let (shared, id, arrived) =
-        (exchange.shared.clone(), exchange.envelope.id.clone(), exchange.arrived);
+    let (id, arrived) = (exchange.envelope.id.clone(), exchange.arrived);
     tokio::task::spawn_local(async move {
         let relayed = stop.run_until_cancelled(relay(exchange, head, sender)).await;
         if relayed.is_none() {
@@ -56,19 +59,20 @@
     response
 }
 
-async fn relay(mut exchange: Exchange, mut head: ResponseHead, sender: Sender<io::Result<Bytes>>) {
+async fn relay(mut exchange: Exchange, mut head: ResponseHead, sender: Sender<RelayFrame>) {
     let mut progress = Progress { last_event: exchange.envelope.last_event, events: 0 };
     loop {
         let upstream = head.seat.seat().upstream.clone();
         let failure = match forward_events(&exchange, head, &mut progress, &sender).await {
             RelayOutcome::Complete => {
+                // Fails if the caller has left, who needs no end then.
+                let _ = timeout(exchange.time_left(), sender.send(RelayFrame::End)).await;
                 return log_stream_end(&exchange, &upstream, &progress, "whole");
             }
             RelayOutcome::CallerLeft => {
                 return log_stream_end(&exchange, &upstream, &progress, "caller left");
             }
             RelayOutcome::DeadlinePassed => {
-                abort_body(&sender, "deadline passed").await;
                 return log_stream_end(&exchange, &upstream, &progress, "late");
             }
             RelayOutcome::Interrupted(failure) => failure,
@@ -91,7 +95,6 @@
                 head = next;
             }
             None => {
-                abort_body(&sender, "stream interrupted").await;
                 return log_stream_end(&exchange, &upstream, &progress, "cut");
             }
         }
@@ -103,7 +106,7 @@
     exchange: &Exchange,
     head: ResponseHead,
     progress: &mut Progress,
-    sender: &Sender<io::Result<Bytes>>,
+    sender: &Sender<RelayFrame>,
 ) -> RelayOutcome {
     let ResponseHead { parts, mut body, connection, mut seat, .. } = head;
     let upstream = seat.seat().upstream.clone();
@@ -175,8 +178,11 @@
             }
         }
         previous = Some(now);
-        if sender.send(Ok(bytes)).await.is_err() {
-            return RelayOutcome::CallerLeft;
+        match timeout(exchange.time_left(), sender.send(RelayFrame::Events(bytes, now))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return RelayOutcome::CallerLeft,
+            // The caller reads too slowly.
+            Err(_) => return RelayOutcome::DeadlinePassed,
         }
     }
 }
@@ -200,11 +206,6 @@
     Ok(bytes.freeze())
 }
 
-async fn abort_body(sender: &Sender<io::Result<Bytes>>, reason: &str) {
-    // Fails if the caller has left; nobody needs the error then.
-    let _ = sender.send(Err(io::Error::other(reason.to_owned()))).await;
-}
-
 fn log_stream_end(exchange: &Exchange, upstream: &Name, progress: &Progress, outcome: &str) {
     let took = exchange.elapsed();
     exchange.shared.meters.record_response(200, took);
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -66,6 +66,12 @@
         default: Some("8s"),
         meaning: "duration within which the process must exit after SIGTERM",
     },
+    SettingRow {
+        section: "bounds",
+        key: "event_delay",
+        default: Some("0s"),
+        meaning: "duration within which an event of a stream must be passed on; part of it is used to even out the gaps between events, 0s passes each on at once",
+    },
     SettingRow {
         section: "budget",
         key: "ratio",
@@ -112,6 +118,8 @@
     pub revoke: Duration,
     /// Time within which the process must exit after SIGTERM.
     pub grace: Duration,
+    /// Time within which an event of a stream must be passed on.
+    pub event_delay: Duration,
     /// Retry budget.
     pub(crate) budget: BudgetRule,
     /// Log settings.
@@ -140,6 +148,7 @@
         let store = read_address(reader, "store");
         let revoke = reader.value("bounds", "revoke", parse_duration);
         let grace = reader.value("bounds", "grace", parse_duration);
+        let event_delay = reader.value("bounds", "event_delay", parse_duration);
         let ratio = reader.value("budget", "ratio", parse_amount);
         let slack = reader.value("budget", "slack", parse_amount);
         let window = reader.value("budget", "window", parse_duration);
@@ -155,6 +164,7 @@
             store: store?,
             revoke: revoke?,
             grace: grace?,
+            event_delay: event_delay?,
             budget: BudgetRule { ratio: ratio?, slack: slack?, window: window? },
             log: log?,
         })
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod mutated;
+mod pacing;
 mod progress;
 mod stand_ins;
 mod streams;
