--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -111,8 +111,7 @@
                 "group changed"
             );
         }
-        let requests: u32 = status.members.iter().map(|m| u32::from(m.requests)).sum();
-        let mean = f64::from(requests) / status.members.len().max(1) as f64;
+        let mean = f64::from(status.requests);
         for upstream in self.upstreams.values_mut() {
             let member = status.members.iter().find(|m| m.address == upstream.address);
             let service = self.services.get(&upstream.service);
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -32,7 +32,14 @@
         form_ms: 600.0,
         mean_prompt: 835.0,
         mean_answer: 139.0,
-        experts: Some(ExpertFigures { sets: 6, experts: 64, rank_slots: 11, spare_slots: 4 }),
+        experts: Some(ExpertFigures {
+            sets: 6,
+            experts: 64,
+            rank_slots: 11,
+            spare_slots: 4,
+            copy_us: 50_000,
+            rank_requests: 12,
+        }),
     }
 }
 
@@ -115,8 +122,9 @@
         group: ("llm".into(), format!("g{}", members.start).into()),
         open,
         pass_ms: 0.0,
+        requests: 0.0,
         members: members
-            .map(|i| GroupMember { address: address(i), requests: 0, slowdown: 1.0 })
+            .map(|i| GroupMember { address: address(i), slowdown: 1.0 })
             .collect(),
     }
 }
@@ -257,7 +265,7 @@
     let (mut balancer, ..) = balancer(&["a"]);
     let mut slow = group_status(true, 0..4);
     slow.pass_ms = 3000.0;
-    slow.members.iter_mut().for_each(|m| m.requests = 8);
+    slow.requests = 8.0;
     (0..20).for_each(|_| balancer.observe_group(&slow, START));
     assert!(granted(balancer.offer(request(1, START), START)).is_some());
 }
--- a/papayaproxy/src/catalog/config.rs
+++ b/papayaproxy/src/catalog/config.rs
@@ -111,6 +111,22 @@
     pub(crate) rank_slots: u16,
     /// Experts of a set that one rank can copy at a time.
     pub(crate) spare_slots: u16,
+    /// Time in which a rank copies one expert, in microseconds.
+    pub(crate) copy_us: u32,
+    /// Requests that one rank runs at a time.
+    pub(crate) rank_requests: u32,
+}
+
+impl ExpertFigures {
+    /// Time in which a rank copies one expert.
+    pub(crate) fn copy_time(&self) -> Duration {
+        Duration::from_micros(self.copy_us.into())
+    }
+
+    /// Whether maps of these sizes can be planned: every count is above 0.
+    pub(crate) fn is_valid(&self) -> bool {
+        self.sets > 0 && self.experts > 0 && self.rank_slots > 0 && self.rank_requests > 0
+    }
 }
 
 /// A service that routes refer to.
--- a/papayaproxy/src/experts/constants.rs
+++ b/papayaproxy/src/experts/constants.rs
@@ -65,6 +65,9 @@
 /// Number of squarings that compute the power of the search's potential: 2^4 = 16.
 pub const POTENTIAL_SQUARINGS: u32 = 4;
 
+/// Increase of a load's cost for each load that its rank has above the mean, as a fraction.
+pub const RANK_COST_WEIGHT: f64 = 0.5;
+
 /// Least reduction of the search's potential per load.
 pub const SEARCH_GAIN_MIN: f64 = 1e-4;
 
--- a/papayaproxy/src/experts/search.rs
+++ b/papayaproxy/src/experts/search.rs
@@ -1,8 +1,8 @@
 //! Local search for changes to the placement of one layer, by gain per load.
 
 use super::constants::{
-    POTENTIAL_SQUARINGS, SEARCH_GAIN_MIN, SEARCH_PATIENCE, SOURCE_RANKS, TARGET_RANKS_MIN,
-    TARGET_SLOTS,
+    POTENTIAL_SQUARINGS, RANK_COST_WEIGHT, SEARCH_GAIN_MIN, SEARCH_PATIENCE, SOURCE_RANKS,
+    TARGET_RANKS_MIN, TARGET_SLOTS,
 };
 use super::map::{LayerMap, Move, Shape};
 
@@ -34,15 +34,6 @@
     Swap { rank: usize, slot: usize, other: usize, other_slot: usize },
 }
 
-impl Candidate {
-    fn load_count(self) -> f64 {
-        match self {
-            Self::Replace { .. } => 1.0,
-            Self::Swap { .. } => 2.0,
-        }
-    }
-}
-
 /// Change of one rank's load by a candidate.
 #[derive(Clone, Copy, Debug)]
 struct LoadShift {
@@ -64,6 +55,8 @@
     time_scale: Vec<f32>,
     shifts: Vec<LoadShift>,
     shift_index: Vec<u16>,
+    /// Cost of a load on each rank; 1 is usual.
+    load_costs: Vec<f64>,
 }
 
 impl<'a> Search<'a> {
@@ -88,11 +81,21 @@
             time_scale: demand.slowdowns.iter().map(|p| p * even).collect(),
             shifts: Vec::new(),
             shift_index: vec![0; ranks],
+            load_costs: vec![1.0; ranks],
         };
         search.compute_loads();
         search
     }
 
+    /// Makes loads on a rank the more expensive, the more it has to do already: `counts` has the
+    /// number of loads of each rank.
+    pub fn set_rank_costs(&mut self, counts: &[u32]) {
+        let mean = counts.iter().sum::<u32>() as f64 / counts.len().max(1) as f64;
+        for (cost, count) in self.load_costs.iter_mut().zip(counts) {
+            *cost = 1.0 + RANK_COST_WEIGHT * (f64::from(*count) - mean).max(0.0);
+        }
+    }
+
     /// Expected skew of the layer over the horizon: time of the slowest rank relative to an even
     /// distribution.
     pub fn skew(&self) -> f32 {
@@ -152,7 +155,7 @@
         let mut score = SEARCH_GAIN_MIN;
         for &rank in hot.iter().take(if hot[0] == hot[1] { 1 } else { 2 }) {
             for candidate in self.candidates(rank, targets, &sources) {
-                let found = -self.potential_change(candidate) / candidate.load_count();
+                let found = -self.potential_change(candidate) / self.load_cost(candidate);
                 if found > score {
                     score = found;
                     best = Some(candidate);
@@ -162,6 +165,13 @@
         best
     }
 
+    fn load_cost(&self, candidate: Candidate) -> f64 {
+        match candidate {
+            Candidate::Replace { rank, .. } => self.load_costs[rank],
+            Candidate::Swap { rank, other, .. } => self.load_costs[rank] + self.load_costs[other],
+        }
+    }
+
     /// The slowest rank by current load and the slowest by load over the horizon.
     fn hottest_ranks(&self) -> [usize; 2] {
         let top = |loads: &[f32]| {
--- a/papayaproxy/src/peers/constants.rs
+++ b/papayaproxy/src/peers/constants.rs
@@ -25,8 +25,14 @@
 pub(crate) const KNOWN_PEERS_MAX: usize = 48;
 /// Upstream loads in one heartbeat, so that it fits one datagram.
 pub(crate) const LOADS_MAX: usize = 160;
-/// Largest datagram, in bytes; below the usual path MTU.
-pub(crate) const DATAGRAM_BYTES: usize = 1400;
+/// Agents in one answer to a hello, so that it fits one datagram.
+pub(crate) const CONTACTS_MAX: usize = 64;
+/// Least interval between two queries for the members of one group.
+pub(crate) const MEMBERS_QUERY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without a message after which a group is forgotten.
+pub(crate) const GROUP_RETENTION: Duration = Duration::from_secs(30);
+/// Size of the receive buffer in bytes: the members of the largest group.
+pub(crate) const DATAGRAM_BYTES: usize = 8 << 10;
 
 /// Age of the configuration from which peers are queried. The store confirms it more often, so that
 /// peers are queried only if the store does not answer.
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -3,7 +3,9 @@
 
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::directory::ListedUpstream;
-use crate::ranks::message::{AgentHello, GroupContacts, GroupStatus, RankMessage};
+use crate::ranks::message::{
+    AgentHello, GroupContacts, GroupPulse, GroupStatus, MembersQuery, RankMessage,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
@@ -28,6 +30,10 @@
     Group(GroupStatus),
     /// Sent between agents only; entries ignore it.
     Rank(RankMessage),
+    /// Status of a lock-step group without its members, sent by its agents.
+    Pulse(GroupPulse),
+    /// Asks an agent for a [`Message::Group`].
+    Members(MembersQuery),
 }
 
 /// State and load of an entry.
--- a/papayaproxy/src/peers/mod.rs
+++ b/papayaproxy/src/peers/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod agents;
 pub(crate) mod constants;
 pub(crate) mod events;
+mod groups;
 pub(crate) mod message;
 pub(crate) mod node;
 pub(crate) mod relay;
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -2,10 +2,11 @@
 
 use super::agents::Agents;
 use super::constants::{
-    DATAGRAM_BYTES, KNOWN_PEERS_EVERY, LOADS_INTERVAL, LOADS_MAX, QUERY_AGE, QUERY_INTERVAL,
+    CONTACTS_MAX, DATAGRAM_BYTES, KNOWN_PEERS_EVERY, LOADS_INTERVAL, LOADS_MAX, QUERY_AGE, QUERY_INTERVAL,
     QUERY_PEERS,
 };
 use super::events;
+use super::groups::{Groups, PulseOutcome};
 use super::message::{FetchReply, FetchRequest, Freshness, Heartbeat, Message, UpstreamLoad, send};
 use super::relay;
 use super::table::{PeerLoads, Table};
@@ -13,7 +14,7 @@
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::Catalog;
 use crate::catalog::freshness::boot_time;
-use crate::ranks::message::{AgentHello, GroupContacts, GroupStatus};
+use crate::ranks::message::{AgentHello, GroupContacts, GroupPulse, GroupStatus, MembersQuery};
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -49,6 +50,9 @@
     queries: RefCell<IndexMap<u64, Duration>>,
     is_fetching: Cell<bool>,
     agents: RefCell<Agents>,
+    groups: RefCell<Groups>,
+    /// Position in the list of a large group's agents from which the next hello is answered.
+    contact_offset: Cell<usize>,
     hooks: Hooks,
 }
 
@@ -91,6 +95,8 @@
             queries: RefCell::default(),
             is_fetching: Cell::new(false),
             agents: RefCell::default(),
+            groups: RefCell::default(),
+            contact_offset: Cell::default(),
             hooks,
         });
         tokio::task::spawn_local(relay::serve(listener, catalog));
@@ -139,7 +145,14 @@
         let config = self.catalog.config();
         let engine = config.as_ref().and_then(|c| c.services.get(&service)?.engine.as_ref());
         let now = self.clock.now();
-        let agents = self.agents.borrow_mut().register(from, hello, now);
+        let mut agents = self.agents.borrow_mut().register(from, hello, now);
+        // A datagram holds some of the agents of a large group; the hellos that follow get others.
+        if agents.len() > CONTACTS_MAX {
+            let offset = self.contact_offset.get() % agents.len();
+            self.contact_offset.set(offset + CONTACTS_MAX);
+            agents.rotate_left(offset);
+            agents.truncate(CONTACTS_MAX);
+        }
         GroupContacts { agents, entries, figures: engine.and_then(|e| e.experts) }
     }
 
@@ -240,8 +253,27 @@
                 let contacts = self.register_agent(from, hello);
                 self.send(&Message::Contacts(contacts), &[from]).await;
             }
-            Message::Group(status) => (self.hooks.observe_group)(&status),
-            Message::Freshness(_) | Message::Contacts(_) | Message::Rank(_) => {}
+            Message::Group(status) => {
+                self.groups.borrow_mut().apply_status(&status, self.clock.now());
+                (self.hooks.observe_group)(&status);
+            }
+            Message::Pulse(pulse) => self.handle_pulse(from, pulse).await,
+            Message::Freshness(_)
+            | Message::Contacts(_)
+            | Message::Rank(_)
+            | Message::Members(_) => {}
+        }
+    }
+
+    async fn handle_pulse(&self, from: SocketAddr, pulse: GroupPulse) {
+        let group = pulse.group.clone();
+        let outcome = self.groups.borrow_mut().apply_pulse(pulse, self.clock.now());
+        match outcome {
+            PulseOutcome::Status(status) => (self.hooks.observe_group)(&status),
+            PulseOutcome::AskMembers => {
+                self.send(&Message::Members(MembersQuery { group }), &[from]).await;
+            }
+            PulseOutcome::Wait => {}
         }
     }
 
--- a/papayaproxy/src/platform/config.rs
+++ b/papayaproxy/src/platform/config.rs
@@ -96,6 +96,12 @@
     placements: u16,
     #[serde(default, rename = "spareSlots")]
     spare_slots: u16,
+    /// Size of one expert of one set.
+    #[serde(default, rename = "expertMb")]
+    expert_mb: f64,
+    /// Bandwidth for copies between ranks.
+    #[serde(default, rename = "linkMbps")]
+    link_mbps: f64,
 }
 
 #[derive(Deserialize)]
@@ -187,16 +193,25 @@
         form_ms: e.form_ms,
         mean_prompt: e.usual.as_ref().map_or(0.0, |u| u.prompt),
         mean_answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
-        experts: (e.sets > 0 && e.experts > 0).then_some(ExpertFigures {
-            sets: e.sets,
-            experts: e.experts,
-            rank_slots: e.placements,
-            spare_slots: e.spare_slots,
-        }),
+        experts: Some(decode_experts(&e)).filter(ExpertFigures::is_valid),
     });
     (wire.name.into(), Service { connections: wire.max_conns, engine })
 }
 
+fn decode_experts(wire: &WireEngine) -> ExpertFigures {
+    // 8 bits a byte, and 1,000,000 microseconds a second.
+    let copy_us = wire.expert_mb * 8.0 / wire.link_mbps.max(1.0) * 1_000_000.0;
+    ExpertFigures {
+        sets: wire.sets,
+        experts: wire.experts,
+        rank_slots: wire.placements,
+        spare_slots: wire.spare_slots,
+        // A conversion from a float saturates.
+        copy_us: copy_us as u32,
+        rank_requests: wire.slots,
+    }
+}
+
 fn decode_limits(wire: WireLimits) -> ClientLimits {
     let default = ClientLimits::default();
     ClientLimits {
--- a/papayaproxy/src/platform/rank.rs
+++ b/papayaproxy/src/platform/rank.rs
@@ -199,7 +199,9 @@
         limit: Duration,
     ) -> Result<OrderReply, CallError> {
         let (operation, version, step, mapping) = match order {
-            Order::Prepare { version, map } => ("prepare", Some(*version), None, Some(map)),
+            Order::Prepare { version, map } => {
+                ("prepare", Some(*version), None, Some(map.as_ref()))
+            }
             Order::Arm { version, step } => ("arm", Some(*version), Some(*step), None),
             Order::Disarm { version } => ("disarm", Some(*version), None, None),
             Order::Hold { step } => ("hold", None, Some(*step), None),
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -4,15 +4,37 @@
 
 /// Interval between two reads of the local replica's status, which cost nothing on its own host.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
-/// Interval between two reads of the expert counts; popularity shifts within seconds.
-pub(crate) const COUNT_INTERVAL: Duration = Duration::from_millis(200);
+/// The same while the rank copies experts or a switch is in progress.
+pub(crate) const FAST_TICK: Duration = Duration::from_millis(30);
+/// Bytes of expert counts that a lead receives per tick; each count takes one.
+pub(crate) const COUNT_BYTES_PER_TICK: u64 = 12_000;
+/// Least number of ranks that report their counts at a tick.
+pub(crate) const COUNT_RANKS_MIN: u64 = 2;
+/// Largest number of ranks that report their counts at a tick; all requests choose alike.
+pub(crate) const COUNT_RANKS_MAX: u64 = 8;
 /// Interval between two hellos to the entries, which pass on the contacts of the group.
 pub(crate) const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+/// The same once all agents of the group are known.
+pub(crate) const HELLO_INTERVAL_SETTLED: Duration = Duration::from_secs(3);
+/// Time after which an entry that is no longer named counts as gone.
+pub(crate) const CONTACT_TTL: Duration = Duration::from_secs(30);
 /// Number of entries that an agent sends its hello to.
 pub(crate) const HELLO_ENTRIES: usize = 5;
 /// Group size up to which an agent sends its report to all ranks at every tick. In larger groups
 /// only the lead gets it at every tick, and the interval for the others grows with the size.
-pub(crate) const FULL_RATE_RANKS: usize = 8;
+pub(crate) const FULL_RATE_RANKS: u64 = 8;
+/// Group size up to which a rank sends its status to the lead at every tick.
+pub(crate) const STATUS_RANKS: u64 = 32;
+/// Most ticks between two reports of an unchanged status; several fit into [`REPORT_MAX_AGE`].
+pub(crate) const STATUS_TICKS_MAX: u64 = 3;
+/// Ticks between two reports of a rank's unchanged lists.
+pub(crate) const LISTS_TICKS: u64 = 20;
+/// Maps that an agent remembers: the one in use, the one being prepared and one before.
+pub(crate) const KNOWN_MAPS: usize = 3;
+/// Most changed lists that are sent as changes; above, the whole map is shorter.
+pub(crate) const CHANGES_MAX: usize = 1200;
+/// Whole maps that a lead sends per tick, so that its link has room for reports.
+pub(crate) const MAPS_PER_TICK: usize = 4;
 /// Most ticks between two reports of the lead to all ranks; several fit into [`REPORT_MAX_AGE`].
 pub(crate) const LEAD_REPORT_TICKS: u64 = 2;
 /// Timeout of a read from the local replica.
@@ -26,6 +48,12 @@
 pub(crate) const REPORT_MAX_AGE: Duration = Duration::from_millis(700);
 /// Time that a rank waits after the reports of all lower ranks have expired before it leads.
 pub(crate) const TAKEOVER_DELAY: Duration = Duration::from_millis(400);
+/// Additional wait of a rank for each lower rank that was heard of lately, which may lead as well.
+pub(crate) const TAKEOVER_STAGGER: Duration = Duration::from_millis(50);
+/// Most lower ranks that a rank waits for.
+pub(crate) const TAKEOVER_RANKS_MAX: u32 = 16;
+/// Time without a report after which a lower rank is not waited for.
+pub(crate) const RANK_GONE: Duration = Duration::from_secs(5);
 /// Interval between two reads of a remote replica whose agent does not respond; each read has a
 /// cost.
 pub(crate) const REMOTE_READ_INTERVAL: Duration = Duration::from_millis(300);
@@ -44,8 +72,14 @@
 pub(crate) const HOLD_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for all ranks to be armed; past it the switch is undone, since the group may be blocked.
 pub(crate) const ARM_TIMEOUT: Duration = Duration::from_millis(900);
-/// Time from the end of preparation to the pass at which the ranks switch.
-pub(crate) const SWITCH_DELAY: Duration = Duration::from_millis(200);
+/// Longest time from the end of preparation to the pass at which the ranks switch.
+pub(crate) const SWITCH_DELAY: Duration = Duration::from_millis(250);
+/// Shortest time of the same.
+pub(crate) const SWITCH_DELAY_MIN: Duration = Duration::from_millis(60);
+/// The same as a multiple of the usual time until all ranks are armed.
+pub(crate) const SWITCH_DELAY_FACTOR: f64 = 2.0;
+/// Weight of one switch in the usual time until all ranks are armed.
+pub(crate) const SWITCH_DELAY_WEIGHT: f64 = 0.3;
 /// Minimum of the same in passes.
 pub(crate) const SWITCH_MIN_STEPS: u64 = 2;
 /// Distance in passes of the hold that only advances a replica's order sequence: never reached.
@@ -55,6 +89,8 @@
 /// Time without new plans after an unanswered order.
 pub(crate) const LOST_ORDER_COOLDOWN: Duration = Duration::from_millis(2500);
 
+/// Ranks of a group that tell the entries when it starts or stops running.
+pub(crate) const REMINDING_RANKS: u64 = 8;
 /// Window over which the duration of passes is measured.
 pub(crate) const PASS_WINDOW: Duration = Duration::from_millis(400);
 /// Minimum time without a pass, with requests present, after which a group counts as stalled.
@@ -62,26 +98,39 @@
 /// The same in recent pass durations; the longer of the two applies.
 pub(crate) const STALL_PASSES: f64 = 4.0;
 
-/// Number of requests at which a replica counts as fully loaded.
-pub(crate) const FULL_LOAD_REQUESTS: f64 = 10.0;
 /// Minimum load assumed for a group that has just formed: its requests are about to return.
 pub(crate) const INITIAL_LOAD: f64 = 0.6;
-/// Interval between two planning runs.
-pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(200);
-/// Choices that must be counted before the first plan, on average for each expert of each set.
+/// Choices that a window must count, on average for each expert of each set.
 pub(crate) const MIN_COUNTS_PER_EXPERT: f64 = 20.0;
-/// Time constant of the short-term popularity; longer ones lag behind on recorded demand.
-pub(crate) const FAST_TIME_CONSTANT: Duration = Duration::from_millis(400);
-/// Time constant of the long-term popularity.
-pub(crate) const SLOW_TIME_CONSTANT: Duration = Duration::from_secs(12);
-/// Weight of the short-term popularity, from 0 to 1; the long-term one has the rest.
-pub(crate) const FAST_WEIGHT: f32 = 0.7;
-/// Minimum reduction of a set's skew for each copied expert under full load; a copy slows passes
-/// and has a cost.
-pub(crate) const MIN_GAIN_PER_COPY: f64 = 0.02;
+/// Shortest window in which choices are counted: about a pass.
+pub(crate) const WINDOW_LENGTH: Duration = Duration::from_millis(100);
+/// Total variation distance, from 0 to 1, up to which demand counts as unchanged.
+pub(crate) const CHANGE_DISTANCE_MIN: f32 = 0.1;
+/// The same as a multiple of the usual distance between windows.
+pub(crate) const CHANGE_NOISE_FACTOR: f32 = 2.5;
+/// Assumed distance between windows before the first two.
+pub(crate) const NOISE_INITIAL: f32 = 0.08;
+/// Weight of a window in the usual distance.
+pub(crate) const NOISE_WEIGHT: f32 = 0.1;
+/// Assumed time between two shifts of demand before one has been seen.
+pub(crate) const INITIAL_LIFE: Duration = Duration::from_secs(4);
+/// Shortest time between two shifts that counts; the windows of one shift lie closer.
+pub(crate) const LIFE_MIN: Duration = Duration::from_millis(600);
+/// Longest time between two shifts that counts.
+pub(crate) const LIFE_MAX: Duration = Duration::from_secs(60);
+/// Weight of one time between shifts in their mean.
+pub(crate) const LIFE_WEIGHT: f64 = 0.3;
 /// Load, as a fraction of the slots, below which passes are short enough without a new map.
 pub(crate) const MIN_PLAN_LOAD: f64 = 0.1;
-/// Minimum reduction of the mean skew over all sets by a whole plan; a switch involves all ranks.
-pub(crate) const MIN_PLAN_GAIN: f64 = 0.06;
+/// Ratio of the longest sequence of copies on one rank to the mean over all ranks.
+pub(crate) const COPY_IMBALANCE: f64 = 1.5;
+/// Fraction by which passes take longer while experts are copied.
+pub(crate) const COPY_SLOWDOWN: f64 = 0.15;
+/// Time from a plan to its use, besides the copies.
+pub(crate) const SWITCH_TIME: Duration = Duration::from_millis(350);
+/// Time of the whole group that a switch costs: its orders may hold the group for a moment.
+pub(crate) const SWITCH_COST: Duration = Duration::from_millis(50);
 /// Most changes that the search makes in one set.
 pub(crate) const SEARCH_STEPS: usize = 96;
+/// Interval between two planning runs.
+pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(100);
--- a/papayaproxy/src/ranks/demand.rs
+++ b/papayaproxy/src/ranks/demand.rs
@@ -1,17 +1,35 @@
-//! Short-term and long-term popularity of experts, from the counts of all ranks.
+//! Popularity of experts, from the counts of some ranks. Without I/O or clock.
+//!
+//! Demand stays the same for seconds and then shifts at once for all requests. So counts are
+//! compared in short windows: one that differs from all counts since the last shift by more than
+//! windows usually do begins a new estimate, without any older counts.
 
-use super::constants::{FAST_TIME_CONSTANT, MIN_COUNTS_PER_EXPERT, SLOW_TIME_CONSTANT};
+use super::constants::{
+    CHANGE_DISTANCE_MIN, CHANGE_NOISE_FACTOR, INITIAL_LIFE, LIFE_MAX, LIFE_MIN, LIFE_WEIGHT,
+    MIN_COUNTS_PER_EXPERT, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
+};
+use super::events;
 use crate::catalog::ExpertFigures;
 use std::time::Duration;
 
-/// Exponentially decayed counts of each expert of each set.
+/// Estimated share of each expert of each set since the last shift of demand.
 #[derive(Clone, Debug)]
 pub(crate) struct Popularity {
     figures: ExpertFigures,
-    fast: Vec<f32>,
-    slow: Vec<f32>,
-    total_count: f64,
-    decayed_at: Duration,
+    /// Counts since the last shift.
+    estimate: Vec<f32>,
+    /// Counts of the window in progress.
+    window: Vec<f32>,
+    window_count: f64,
+    window_start: Duration,
+    /// Usual distance between a window and the estimate.
+    noise: f32,
+    /// When the last shift was noticed; `None` before the first.
+    changed_at: Option<Duration>,
+    /// Mean time between shifts.
+    mean_life: Duration,
+    /// Whether the last window agreed with the estimate.
+    is_settled: bool,
 }
 
 impl Popularity {
@@ -20,10 +38,14 @@
         let cells = usize::from(figures.sets) * usize::from(figures.experts);
         Self {
             figures,
-            fast: vec![0.0; cells],
-            slow: vec![0.0; cells],
-            total_count: 0.0,
-            decayed_at: now,
+            estimate: vec![0.0; cells],
+            window: vec![0.0; cells],
+            window_count: 0.0,
+            window_start: now,
+            noise: NOISE_INITIAL,
+            changed_at: None,
+            mean_life: INITIAL_LIFE,
+            is_settled: false,
         }
     }
 
@@ -34,37 +56,88 @@
 
     /// Adds one rank's counts, one set after the other. Lists of another length are ignored.
     pub(crate) fn record(&mut self, counts: &[u32], now: Duration) {
-        if counts.len() != self.fast.len() {
+        if counts.len() != self.window.len() {
             return;
         }
-        self.decay(now);
-        for (cell, count) in counts.iter().enumerate() {
-            let count = *count as f32;
-            self.fast[cell] += count;
-            self.slow[cell] += count;
-            self.total_count += f64::from(count);
+        for (cell, count) in self.window.iter_mut().zip(counts) {
+            *cell += *count as f32;
+            self.window_count += f64::from(*count);
         }
+        let enough = self.window_count >= MIN_COUNTS_PER_EXPERT * self.window.len() as f64;
+        if enough && now >= self.window_start + WINDOW_LENGTH {
+            self.close_window(now);
+        }
+    }
+
+    /// Whether the estimate is known and the last window agreed with it: a plan for the mixture
+    /// that is counted during a shift would fit neither demand.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.is_settled
     }
 
-    /// Whether enough choices were counted for a plan.
-    pub(crate) fn is_known(&self) -> bool {
-        self.total_count >= MIN_COUNTS_PER_EXPERT * self.fast.len() as f64
+    /// When the last shift of demand was noticed; `None` before the first counts.
+    pub(crate) fn changed_at(&self) -> Option<Duration> {
+        self.changed_at
     }
 
-    /// Short-term and long-term shares of a set's experts; each list sums to 1.
-    pub(crate) fn shares(&self, set: u16) -> (Vec<f32>, Vec<f32>) {
+    /// Time for which demand is expected to stay as it is: the usual time between two shifts, or as
+    /// long as it has already lasted.
+    pub(crate) fn expected_life(&self, now: Duration) -> Duration {
+        let lasted = self.changed_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        self.mean_life.max(lasted)
+    }
+
+    /// Share of each of a set's experts; they sum to 1.
+    pub(crate) fn shares(&self, set: u16) -> Vec<f32> {
         let experts = usize::from(self.figures.experts);
         let cells = usize::from(set) * experts..(usize::from(set) + 1) * experts;
-        (normalize(&self.fast[cells.clone()]), normalize(&self.slow[cells]))
+        normalize(&self.estimate[cells])
+    }
+
+    fn close_window(&mut self, now: Duration) {
+        let known = self.changed_at.is_some();
+        let distance = if known { self.window_distance() } else { 1.0 };
+        let limit = CHANGE_DISTANCE_MIN.max(self.noise * CHANGE_NOISE_FACTOR);
+        self.is_settled = distance <= limit;
+        if self.is_settled {
+            self.noise += NOISE_WEIGHT * (distance - self.noise);
+            self.estimate.iter_mut().zip(&self.window).for_each(|(sum, count)| *sum += count);
+        } else {
+            self.begin_estimate(distance, limit, now);
+        }
+        self.window.fill(0.0);
+        (self.window_count, self.window_start) = (0.0, now);
+    }
+
+    fn begin_estimate(&mut self, distance: f32, limit: f32, now: Duration) {
+        std::mem::swap(&mut self.estimate, &mut self.window);
+        let lasted = self.changed_at.map(|at| now.saturating_sub(at));
+        // The window in which a shift falls differs from the one before and from the one after.
+        if let Some(lasted) = lasted.filter(|l| *l >= LIFE_MIN) {
+            let old = self.mean_life.as_secs_f64();
+            let life = old + LIFE_WEIGHT * (lasted.min(LIFE_MAX).as_secs_f64() - old);
+            self.mean_life = Duration::from_secs_f64(life);
+        }
+        self.changed_at = Some(now);
+        tracing::info!(
+            event = events::DEMAND_SHIFTED,
+            distance,
+            limit,
+            lasted_ms = lasted.map(|l| l.as_millis() as u64),
+            life_ms = self.mean_life.as_millis() as u64,
+            "demand for experts has shifted"
+        );
     }
 
-    fn decay(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.decayed_at).as_secs_f32();
-        self.decayed_at = now;
-        let factor = |time: Duration| (-passed / time.as_secs_f32()).exp();
-        let (fast, slow) = (factor(FAST_TIME_CONSTANT), factor(SLOW_TIME_CONSTANT));
-        self.fast.iter_mut().for_each(|c| *c *= fast);
-        self.slow.iter_mut().for_each(|c| *c *= slow);
+    /// Total variation distance between the window and the estimate, as the mean over all sets.
+    fn window_distance(&self) -> f32 {
+        let experts = usize::from(self.figures.experts);
+        let sets = self.estimate.chunks(experts).zip(self.window.chunks(experts));
+        let distance = |(old, new): (&[f32], &[f32])| {
+            let (old, new) = (normalize(old), normalize(new));
+            old.iter().zip(&new).map(|(a, b)| (a - b).abs()).sum::<f32>() / 2.0
+        };
+        sets.map(distance).sum::<f32>() / f32::from(self.figures.sets.max(1))
     }
 }
 
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -7,15 +7,19 @@
 
 use super::constants::{
     ARM_TIMEOUT, HOLD_TIMEOUT, PREPARE_TIMEOUT, REPORT_MAX_AGE, RESEND_INTERVAL, SWITCH_DELAY,
-    SWITCH_MIN_STEPS,
+    SWITCH_DELAY_FACTOR, SWITCH_DELAY_MIN, SWITCH_DELAY_WEIGHT, SWITCH_MIN_STEPS,
 };
 use super::events;
 use super::message::{AgentReport, ArmedMap, Command, ExpertLists};
 use indexmap::IndexMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Low bits of a term that hold the lead's rank.
 const TERM_RANK_BITS: u32 = 16;
+/// Low bits of a version that count the plans of one term, so that two leads never propose two maps
+/// under one version.
+const VERSION_PLAN_BITS: u32 = 20;
 
 /// Progress of the agreement on a map.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,7 +35,7 @@
         /// The map's version.
         version: u64,
         /// The map.
-        map: ExpertLists,
+        map: Arc<ExpertLists>,
     },
     /// The lead's own rank is asked to hold back a pass.
     Holding {
@@ -84,6 +88,11 @@
     phase: Phase,
     entered_at: Duration,
     sent_at: IndexMap<u16, Duration>,
+    /// Highest version proposed.
+    last_version: u64,
+    /// Usual time from the order to hold until all ranks are armed.
+    arm_time: Duration,
+    hold_at: Duration,
 }
 
 /// The next term above `seen` for a lead at `rank`.
@@ -102,6 +111,9 @@
             phase: Phase::Following,
             entered_at: Duration::ZERO,
             sent_at: IndexMap::new(),
+            last_version: 0,
+            arm_time: SWITCH_DELAY.div_f64(SWITCH_DELAY_FACTOR),
+            hold_at: Duration::ZERO,
         }
     }
 
@@ -140,13 +152,33 @@
         }
     }
 
-    /// Starts the switch to a map; returns `false` unless idle.
-    pub(crate) fn propose(&mut self, version: u64, map: ExpertLists, now: Duration) -> bool {
+    /// Starts the switch to a map, and returns its version; `None` unless idle. `seen` is the highest
+    /// version that any rank has had.
+    pub(crate) fn propose(
+        &mut self,
+        seen: u64,
+        map: Arc<ExpertLists>,
+        now: Duration,
+    ) -> Option<u64> {
         if self.phase != Phase::Idle {
-            return false;
+            return None;
         }
+        let version = (seen.max(self.last_version) + 1).max(self.term << VERSION_PLAN_BITS);
+        self.last_version = version;
         self.enter(Phase::Preparing { version, map }, now, "a plan pays");
-        true
+        Some(version)
+    }
+
+    /// Gives up a map that is being prepared.
+    pub(crate) fn abandon(&mut self, reason: &str, now: Duration) {
+        if matches!(self.phase, Phase::Preparing { .. }) {
+            self.enter(Phase::Idle, now, reason);
+        }
+    }
+
+    /// Time from the end of preparation to the pass at which the ranks switch.
+    fn switch_delay(&self) -> Duration {
+        self.arm_time.mul_f64(SWITCH_DELAY_FACTOR).clamp(SWITCH_DELAY_MIN, SWITCH_DELAY)
     }
 
     /// Advances the phase and returns the commands to send, with the rank that each is for.
@@ -233,18 +265,19 @@
         &mut self,
         reports: &[&AgentReport],
         version: u64,
-        map: ExpertLists,
+        map: Arc<ExpertLists>,
         pass_ms: f64,
         now: Duration,
     ) -> Vec<(u16, Command)> {
         if reports.iter().all(|r| r.status.prepared == Some(version)) {
             // A group without requests runs no passes, so the minimum distance applies.
             let ahead = match pass_ms > 0.0 {
-                true => (SWITCH_DELAY.as_secs_f64() * 1000.0 / pass_ms).ceil() as u64,
+                true => (self.switch_delay().as_secs_f64() * 1000.0 / pass_ms).ceil() as u64,
                 false => 0,
             };
             let step = reports.iter().map(|r| r.status.step).max().unwrap_or_default();
             let step = step + ahead.max(SWITCH_MIN_STEPS);
+            self.hold_at = now;
             self.enter(Phase::Holding { version, step }, now, "all ranks have prepared");
             return vec![(self.rank, Command::Hold { step })];
         }
@@ -252,7 +285,6 @@
             self.enter(Phase::Idle, now, "a rank does not prepare");
             return Vec::new();
         }
-        // The map is large, so it is cloned only for ranks whose command is due.
         let missing = |(rank, r): &(u16, &&AgentReport)| {
             r.status.prepared != Some(version) && !r.status.busy && self.is_due(*rank, now)
         };
@@ -290,6 +322,9 @@
             return Vec::new();
         }
         if reports.iter().all(|r| is_armed(r, version, step)) {
+            let took = now.saturating_sub(self.hold_at);
+            self.arm_time = self.arm_time.mul_f64(1.0 - SWITCH_DELAY_WEIGHT)
+                + took.mul_f64(SWITCH_DELAY_WEIGHT);
             self.enter(Phase::Switching { version }, now, "all ranks are armed");
             return vec![(self.rank, Command::Go { step })];
         }
--- /dev/null
+++ b/papayaproxy/src/ranks/leading.rs
@@ -0,0 +1,272 @@
+//! An agent's work as the lead of its group: takes over, plans, sends commands, and tells the
+//! entries how the group does.
+
+use super::agent::Agent;
+use super::constants::{
+    CHANGES_MAX, INITIAL_LOAD, LOST_ORDER_COOLDOWN, MAPS_PER_TICK, PLAN_INTERVAL, RANK_GONE,
+    REMINDING_RANKS, REMOTE_READ_INTERVAL, REMOTE_RETRY_DELAY, REMOTE_TIMEOUT, TAKEOVER_DELAY,
+    TAKEOVER_RANKS_MAX, TAKEOVER_STAGGER,
+};
+use super::events;
+use super::lead::{Phase, is_fresh};
+use super::maps::{changes, is_well_formed};
+use super::message::{
+    AgentReport, Command, ExpertLists, GroupMember, GroupPulse, GroupStatus, LeadCommand,
+    RankMessage, members_digest,
+};
+use super::planner::{PlanInput, plan};
+use super::rank::RankClient;
+use crate::peers::message::Message;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+impl Agent {
+    /// Leads while this is the lowest rank with a fresh report.
+    pub(super) async fn update_lead(&mut self, now: Duration) {
+        let Some(status) = self.local.status().filter(|s| s.open) else { return };
+        let rank = status.rank;
+        if self.lowest_live_rank(now).is_some_and(|lowest| lowest < rank) {
+            self.lowest_since = None;
+            self.lead.stop("a lower rank is heard of", now);
+            return;
+        }
+        let since = *self.lowest_since.get_or_insert(now);
+        // Rank 0 has no lower rank to wait for.
+        let waited = rank == 0 || now > since + self.takeover_delay(rank, now);
+        if waited && *self.lead.phase() == Phase::Following {
+            let seen = self.reports.values().map(|(r, _)| r.term).max();
+            self.lead.begin(seen.unwrap_or_default().max(self.local.tracker().term), now);
+        }
+    }
+
+    /// Ranks take over one after the other, so that the first one is heard before the next begins.
+    fn takeover_delay(&self, rank: u16, now: Duration) -> Duration {
+        let lower = self.reports.iter().filter(|(r, (_, at))| **r < rank && now < *at + RANK_GONE);
+        let count = (lower.count() as u32).min(TAKEOVER_RANKS_MAX);
+        TAKEOVER_DELAY + TAKEOVER_STAGGER * count
+    }
+
+    /// Reads the replicas of agents that do not respond while the lead gathers or switches ranks, so
+    /// that a missing agent cannot keep the group held.
+    pub(super) async fn control_silent_ranks(&mut self, now: Duration) {
+        if matches!(self.lead.phase(), Phase::Following | Phase::Idle | Phase::Preparing { .. }) {
+            self.remotes.clear();
+            return;
+        }
+        if now < self.remote_read_at {
+            return;
+        }
+        self.remote_read_at = now + REMOTE_READ_INTERVAL;
+        let stale = |at: Duration| !is_fresh(at, now);
+        let silent: Vec<(u16, SocketAddr)> = self
+            .reports
+            .iter()
+            .filter(|(rank, (_, at))| stale(*at) || self.remotes.contains_key(*rank))
+            .map(|(rank, (report, _))| (*rank, report.replica))
+            .collect();
+        for (rank, replica) in silent {
+            self.remotes.entry(rank).or_insert_with(|| {
+                tracing::warn!(event = events::STAND_IN, rank, %replica, "agent does not respond");
+                RankClient::new(replica, REMOTE_TIMEOUT)
+            });
+            self.refresh_remote(rank).await;
+        }
+    }
+
+    async fn refresh_remote(&mut self, rank: u16) {
+        let now = self.clock.now();
+        let Some(remote) = self.remotes.get_mut(&rank) else { return };
+        remote.refresh(now).await;
+        if remote.status().is_none() {
+            // Its host is frozen or cut off too, so the state of the rank is unknown.
+            self.remotes.shift_remove(&rank);
+            self.remote_read_at = now + REMOTE_RETRY_DELAY;
+            return;
+        }
+        let Some(status) = remote.status().filter(|s| s.epoch == self.lead.epoch()) else { return };
+        let tracker = remote.tracker();
+        if let Some((report, at)) = self.reports.get_mut(&rank) {
+            report.status = status.clone();
+            (report.term, report.order_uncertain, *at) =
+                (tracker.term, tracker.has_uncertain_order(), now);
+        }
+    }
+
+    /// Plans a map for the present demand. A map in preparation for earlier demand is given up.
+    pub(super) fn propose_plan(&mut self, now: Duration) {
+        let Some(popularity) = self.popularity.as_ref().filter(|p| p.is_settled()) else { return };
+        if popularity.changed_at() != self.planned_for {
+            self.lead.abandon("demand has shifted", now);
+        }
+        let quiet = self.local.tracker().lost_at.is_some_and(|at| now < at + LOST_ORDER_COOLDOWN);
+        if *self.lead.phase() != Phase::Idle || now < self.plan_at || quiet {
+            return;
+        }
+        self.plan_at = now + PLAN_INTERVAL;
+        let Some(lists) = self.current_map() else { return };
+        // A group starts with a map that ignores demand; it is replaced once demand is known, even
+        // under low load.
+        let first = self.local.status().is_some_and(|s| s.version == 0);
+        let load = if first { self.load().max(INITIAL_LOAD) } else { self.load() };
+        let slowdowns = self.slowdowns();
+        let life = popularity.expected_life(now);
+        let input = PlanInput { popularity, lists: &lists, slowdowns: &slowdowns, load, life };
+        let Some(new_plan) = plan(input) else { return };
+        self.planned_for = popularity.changed_at();
+        let epoch = self.lead.epoch();
+        let base = self.local.status().map_or(0, |s| s.version);
+        self.maps.insert(epoch, base, Arc::new(lists));
+        let seen = |r: &AgentReport| r.status.version.max(r.status.prepared.unwrap_or_default());
+        let seen = self.reports.values().map(|(r, _)| seen(r)).max().unwrap_or_default();
+        let (map, copy_ms) = (Arc::new(new_plan.map), new_plan.copy_time.as_millis() as u64);
+        let Some(version) = self.lead.propose(seen, map.clone(), now) else { return };
+        self.prepare_changes(base, version, &map);
+        self.maps.insert(epoch, version, map);
+        tracing::info!(
+            event = events::PLAN_MADE,
+            version,
+            copies = new_plan.copies,
+            copy_ms,
+            skew = new_plan.skew,
+            planned = new_plan.planned_skew,
+            load,
+            life_ms = life.as_millis() as u64,
+            "new expert map planned"
+        );
+    }
+
+    /// Computes the changes from the map in use to the planned one.
+    fn prepare_changes(&mut self, base: u64, version: u64, map: &ExpertLists) {
+        let epoch = self.lead.epoch();
+        let changes = self.maps.get(epoch, base).map(|old| changes(base, &old, map));
+        self.map_changes =
+            changes.filter(|c| c.lists.len() <= CHANGES_MAX).map(|c| (version, Arc::new(c)));
+    }
+
+    /// The map in use; `None` unless all ranks report their experts of the same version.
+    fn current_map(&self) -> Option<ExpertLists> {
+        let version = self.local.status()?.version;
+        let figures = self.figures?;
+        let sets = usize::from(figures.sets);
+        let mut lists: ExpertLists = vec![Vec::new(); sets];
+        for rank in 0..self.size() {
+            let (report, _) = self.reports.get(&rank)?;
+            let (map_version, experts) = &report.experts;
+            if *map_version != version || report.status.version != version || experts.len() != sets
+            {
+                return None;
+            }
+            for (set, experts) in lists.iter_mut().zip(experts) {
+                set.push(experts.clone());
+            }
+        }
+        is_well_formed(&lists, self.size(), &figures).then_some(lists)
+    }
+
+    /// Slowdown of each rank; at least 1, also for a rank without a report.
+    fn slowdowns(&self) -> Vec<f32> {
+        let slowdown =
+            |rank| self.reports.get(&rank).map_or(1.0, |(r, _)| r.status.slowdown.max(1.0));
+        (0..self.size()).map(slowdown).collect()
+    }
+
+    /// Running and waiting requests as a fraction of the group's slots; may exceed 1.
+    fn load(&self) -> f64 {
+        let requests = |r: &AgentReport| f64::from(r.status.running + r.status.waiting);
+        let sum: f64 = self.reports.values().map(|(r, _)| requests(r)).sum();
+        let slots = self.figures.map_or(1, |f| f.rank_requests.max(1));
+        sum / (f64::from(self.size().max(1)) * f64::from(slots))
+    }
+
+    /// Advances the lead, and carries out or sends its commands.
+    pub(super) async fn run_lead(&mut self, now: Duration) {
+        let commands = self.lead.advance(&self.reports, self.pass_clock.pass_ms, now);
+        let (term, epoch) = (self.lead.term(), self.lead.epoch());
+        let own_rank = self.local.status().map(|s| s.rank);
+        let mut whole_maps = 0;
+        for (rank, command) in commands {
+            let lead_command = LeadCommand { term, epoch, command };
+            if Some(rank) == own_rank {
+                self.execute(lead_command).await;
+            } else if let Some(remote) = self.remotes.get_mut(&rank) {
+                remote.execute(&lead_command, now).await;
+                self.refresh_remote(rank).await;
+            } else if let Some(address) = self.contacts.agent(rank) {
+                let lead_command = self.compact_command(rank, lead_command);
+                if matches!(lead_command.command, Command::Prepare { .. }) {
+                    // The others are due again after the resend interval.
+                    whole_maps += 1;
+                    if whole_maps > MAPS_PER_TICK {
+                        continue;
+                    }
+                }
+                let message = Message::Rank(RankMessage::Command(Box::new(lead_command)));
+                self.send(&message, &[address]).await;
+            }
+        }
+    }
+
+    /// Replaces a whole map by its changes, unless the rank lacks the map they refer to.
+    fn compact_command(&self, rank: u16, mut lead_command: LeadCommand) -> LeadCommand {
+        let wants_map = self.reports.get(&rank).is_some_and(|(r, _)| r.wants_map);
+        if let (Command::Prepare { version, .. }, Some((of, changes))) =
+            (&lead_command.command, &self.map_changes)
+            && version == of
+            && !wants_map
+        {
+            let (version, changes) = (*version, changes.clone());
+            lead_command.command = Command::PrepareChanges { version, changes };
+        }
+        lead_command
+    }
+
+    /// Status of the group with all members that this rank has heard of.
+    pub(super) fn group_status(&self) -> Option<GroupStatus> {
+        let status = self.local.status()?;
+        let member =
+            |r: &AgentReport| GroupMember { address: r.replica, slowdown: r.status.slowdown };
+        let reports = (0..status.size).filter_map(|rank| self.reports.get(&rank));
+        let members: Vec<GroupMember> = reports.map(|(r, _)| member(r)).collect();
+        let requests = |r: &AgentReport| f64::from(r.status.running + r.status.waiting);
+        let sum: f64 = self.reports.values().map(|(r, _)| requests(r)).sum();
+        Some(GroupStatus {
+            group: (self.service.clone(), status.group.clone()),
+            open: status.open && !self.pass_clock.is_stalled(self.clock.now()),
+            pass_ms: self.pass_clock.pass_ms as f32,
+            requests: (sum / members.len().max(1) as f64) as f32,
+            members,
+        })
+    }
+
+    /// Tells all entries how the group does: regularly from the lead; when it starts or stops
+    /// running and repeatedly while it does not run, also from some other ranks, since the lead may
+    /// be cut off.
+    pub(super) async fn send_group_status(&mut self, now: Duration) {
+        let Some(status) = self.local.status().cloned() else { return };
+        let running = status.open && !self.pass_clock.is_stalled(now);
+        let changed = self.was_running != running;
+        self.was_running = running;
+        let is_lead = *self.lead.phase() != Phase::Following;
+        let leads = is_lead && self.tick_count.is_multiple_of(2);
+        let share = u64::from(status.size).div_ceil(REMINDING_RANKS).max(1);
+        let stands_in = u64::from(status.rank).is_multiple_of(share);
+        let reminds = !running && self.tick_count.is_multiple_of(3);
+        if !(leads || (stands_in && (changed || reminds))) {
+            return;
+        }
+        let Some(group) = self.group_status() else { return };
+        let is_slow = |m: &GroupMember| m.slowdown > 1.0;
+        let slow = (0..).zip(&group.members).filter(|(_, m)| is_slow(m));
+        let pulse = GroupPulse {
+            // Only the lead hears of all members.
+            members: if is_lead { members_digest(&group.members) } else { 0 },
+            slow: if is_lead { slow.map(|(i, m)| (i, m.slowdown)).collect() } else { Vec::new() },
+            group: group.group,
+            open: running,
+            pass_ms: group.pass_ms,
+            requests: group.requests,
+        };
+        self.send(&Message::Pulse(pulse), &self.contacts.entries()).await;
+    }
+}
--- a/papayaproxy/src/ranks/message.rs
+++ b/papayaproxy/src/ranks/message.rs
@@ -4,6 +4,7 @@
 use crate::catalog::ExpertFigures;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// An expert map that a rank switches to at the start of a pass.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,11 +66,43 @@
     pub(crate) term: u64,
     /// Whether an unanswered order may still take effect.
     pub(crate) order_uncertain: bool,
-    /// The map version and the rank's experts of that version by set; no sets in a short report.
+    /// The map version and the rank's experts of that version by set; no sets in most reports.
     pub(crate) experts: (u64, Vec<Vec<u16>>),
-    /// How often each expert was chosen since the previous report, one set after the other; empty
-    /// in most reports.
-    pub(crate) expert_counts: Vec<u32>,
+    /// How often each expert was chosen in the last moments; empty in most reports.
+    pub(crate) expert_counts: CountSample,
+    /// Whether the rank lacks the map that the lead's changes refer to.
+    pub(crate) wants_map: bool,
+}
+
+/// How often each expert was chosen, one set after the other, scaled to one byte each.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CountSample {
+    /// Number of low bits left out of each count.
+    pub(crate) shift: u8,
+    /// The counts without these bits.
+    pub(crate) counts: Vec<u8>,
+}
+
+/// The new list of one rank in one set.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ListChange {
+    /// The set of layers.
+    pub(crate) set: u16,
+    /// The rank.
+    pub(crate) rank: u16,
+    /// The rank's experts in that set.
+    pub(crate) experts: Vec<u16>,
+}
+
+/// A map as its differences from another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MapChanges {
+    /// Version of the map that the changes refer to.
+    pub(crate) base: u64,
+    /// Digest of the whole new map.
+    pub(crate) digest: u64,
+    /// The lists that differ.
+    pub(crate) lists: Vec<ListChange>,
 }
 
 /// What the lead requests from a rank.
@@ -82,7 +115,14 @@
         /// The map's version.
         version: u64,
         /// The map, by set and rank.
-        map: ExpertLists,
+        map: Arc<ExpertLists>,
+    },
+    /// The same, for a rank that knows the map that the changes refer to.
+    PrepareChanges {
+        /// The map's version.
+        version: u64,
+        /// The changes.
+        changes: Arc<MapChanges>,
     },
     /// Hold back a pass.
     Hold {
@@ -161,17 +201,49 @@
     pub(crate) open: bool,
     /// Recent duration of a pass in milliseconds; 0 while none runs.
     pub(crate) pass_ms: f32,
+    /// Requests that run or wait, as the mean over all replicas.
+    pub(crate) requests: f32,
     /// The group's replicas.
     pub(crate) members: Vec<GroupMember>,
 }
 
+/// Asks an agent for the [`GroupStatus`] of its group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct MembersQuery {
+    /// The group's service and name.
+    pub(crate) group: (Name, Name),
+}
+
+/// Status of a lock-step group without its members, sent to all entries at a short interval.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct GroupPulse {
+    /// The group's service and name.
+    pub(crate) group: (Name, Name),
+    /// Digest of the members' addresses, in the order of the last [`GroupStatus`].
+    pub(crate) members: u64,
+    /// Whether the group runs passes.
+    pub(crate) open: bool,
+    /// Recent duration of a pass in milliseconds; 0 while none runs.
+    pub(crate) pass_ms: f32,
+    /// Requests that run or wait, as the mean over all members.
+    pub(crate) requests: f32,
+    /// Members slower than usual: position among the members, and pass time relative to the
+    /// published figures.
+    pub(crate) slow: Vec<(u16, f32)>,
+}
+
+/// Digest of members' addresses.
+pub(crate) fn members_digest(members: &[GroupMember]) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    members.iter().for_each(|m| hasher.update(m.address.to_string().as_bytes()));
+    hasher.digest()
+}
+
 /// A replica of a lock-step group.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct GroupMember {
     /// Address of the replica.
     pub(crate) address: SocketAddr,
-    /// Requests that run or wait at the replica.
-    pub(crate) requests: u16,
     /// Pass time relative to the published figures; 1 is usual, more is slower.
     pub(crate) slowdown: f32,
 }
--- a/papayaproxy/src/ranks/mod.rs
+++ b/papayaproxy/src/ranks/mod.rs
@@ -6,14 +6,18 @@
 
 mod agent;
 pub(crate) mod constants;
+mod contacts;
 pub(crate) mod demand;
 pub(crate) mod events;
 pub(crate) mod lead;
+mod leading;
+pub(crate) mod maps;
 pub(crate) mod message;
 pub(crate) mod pass;
 pub(crate) mod planner;
 pub(crate) mod process;
 pub(crate) mod rank;
+pub(crate) mod report;
 pub(crate) mod settings;
 
 #[cfg(test)]
--- a/papayaproxy/src/ranks/planner.rs
+++ b/papayaproxy/src/ranks/planner.rs
@@ -1,11 +1,14 @@
-//! Plans which experts to copy to which ranks, weighing saved pass time against the cost of copies.
+//! Plans which experts to copy to which ranks, weighing saved pass time against the time and the
+//! cost of the copies.
 
 use super::constants::{
-    FAST_WEIGHT, MIN_GAIN_PER_COPY, MIN_PLAN_GAIN, MIN_PLAN_LOAD, SEARCH_STEPS,
+    COPY_IMBALANCE, COPY_SLOWDOWN, MIN_PLAN_LOAD, SEARCH_STEPS, SWITCH_COST, SWITCH_TIME,
 };
 use super::demand::Popularity;
 use super::message::ExpertLists;
+use crate::catalog::ExpertFigures;
 use crate::experts::{Demand, LayerMap, Search, Shape};
+use std::time::Duration;
 
 /// An expert map whose gain exceeds its cost.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,6 +22,22 @@
     pub(crate) skew: f64,
     /// The same with the planned map.
     pub(crate) planned_skew: f64,
+    /// Time until all copies are made.
+    pub(crate) copy_time: Duration,
+}
+
+/// Circumstances of a plan.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlanInput<'a> {
+    pub(crate) popularity: &'a Popularity,
+    /// The map in use.
+    pub(crate) lists: &'a ExpertLists,
+    /// Slowdown of each rank; 1 is usual.
+    pub(crate) slowdowns: &'a [f32],
+    /// Used fraction of the group's slots.
+    pub(crate) load: f64,
+    /// Time for which demand is expected to stay as it is.
+    pub(crate) life: Duration,
 }
 
 /// The plan for one set of layers.
@@ -29,43 +48,58 @@
     planned_skew: f64,
 }
 
-/// Plans a new map from the one in use; `None` if no map is worth a switch. `slowdowns` has one
-/// factor for each rank, `load` is the used fraction of the group's slots.
-pub(crate) fn plan(
-    popularity: &Popularity,
-    lists: &ExpertLists,
-    slowdowns: &[f32],
-    load: f64,
-) -> Option<Plan> {
-    if !popularity.is_known() || load < MIN_PLAN_LOAD {
+/// Plans a new map from the one in use; `None` if no map is worth a switch.
+pub(crate) fn plan(input: PlanInput<'_>) -> Option<Plan> {
+    let PlanInput { popularity, lists, slowdowns, load, life } = input;
+    if !popularity.is_settled() || load < MIN_PLAN_LOAD {
         return None;
     }
-    let copy_cost = MIN_GAIN_PER_COPY / load.min(1.0);
+    let figures = popularity.figures();
+    let ranks = slowdowns.len().max(1);
+    let load = load.min(1.0);
+    let copy_cost = copy_cost(figures, ranks, life, load);
+    // Copies of all sets run one after the other on a rank, so they are spread over the ranks.
+    let mut rank_copies = vec![0u32; ranks];
     let sets: Vec<SetPlan> = (0..)
         .zip(lists)
-        .map(|(set, ranks)| plan_set(popularity, set, ranks, slowdowns, copy_cost))
+        .map(|(set, lists)| {
+            let shares = popularity.shares(set);
+            plan_set(figures, shares, lists, slowdowns, copy_cost, &mut rank_copies)
+        })
         .collect();
     let mean =
         |field: fn(&SetPlan) -> f64| sets.iter().map(field).sum::<f64>() / sets.len().max(1) as f64;
     let (skew, planned_skew) = (mean(|s| s.skew), mean(|s| s.planned_skew));
     let copies = sets.iter().map(|s| s.copies).sum();
+    let most = rank_copies.iter().copied().max().unwrap_or_default();
+    let copy_time = figures.copy_time() * most;
+    let (life, copying) = (life.as_secs_f64(), copy_time.as_secs_f64());
+    let used = (life - copying - SWITCH_TIME.as_secs_f64()).max(0.0);
+    let gain = (skew - planned_skew) * load * used;
+    let cost = skew * (COPY_SLOWDOWN * copying + SWITCH_COST.as_secs_f64());
     let map = sets.into_iter().map(|s| s.lists).collect();
-    (skew - planned_skew >= MIN_PLAN_GAIN).then_some(Plan { map, copies, skew, planned_skew })
+    (copies > 0 && gain > cost).then_some(Plan { map, copies, skew, planned_skew, copy_time })
+}
+
+/// Reduction of one set's skew that is worth a copy. Each copy delays the switch of the whole map,
+/// and passes are slower meanwhile.
+fn copy_cost(figures: ExpertFigures, ranks: usize, life: Duration, load: f64) -> f64 {
+    let delay = figures.copy_time().as_secs_f64() * COPY_IMBALANCE / ranks as f64;
+    let sets = f64::from(figures.sets);
+    sets * delay * (1.0 + COPY_SLOWDOWN) / life.as_secs_f64().max(0.1) / load
 }
 
 fn plan_set(
-    popularity: &Popularity,
-    set: u16,
+    figures: ExpertFigures,
+    mut shares: Vec<f32>,
     ranks: &[Vec<u16>],
     slowdowns: &[f32],
     copy_cost: f64,
+    rank_copies: &mut [u32],
 ) -> SetPlan {
-    let figures = popularity.figures();
-    let (mut fast, mut slow) = popularity.shares(set);
     // A placeholder expert without demand fills the empty slots.
     let empty = figures.experts;
-    fast.push(0.0);
-    slow.push(0.0);
+    shares.push(0.0);
     let shape = Shape {
         ranks: ranks.len() as u16,
         layers: 1,
@@ -73,48 +107,42 @@
         slots: figures.rank_slots,
     };
     let current = to_layer(ranks, empty, shape);
-    let demand = Demand { fast: &fast, slow: &slow, persistence: FAST_WEIGHT, slowdowns };
+    let demand = Demand { fast: &shares, slow: &shares, persistence: 1.0, slowdowns };
     let mut search = Search::new(0, &current, demand, shape);
+    search.set_rank_costs(rank_copies);
     let skew = f64::from(search.skew());
     let changes = search.run(SEARCH_STEPS, copy_cost / 4.0);
     let mut layer = current.clone();
-    let mut best = (0.0, current.clone(), 0, skew);
+    let mut best = (0.0, current.clone(), Vec::new(), skew);
     for change in changes {
         for step in &change.moves {
             let index = usize::from(step.rank) * usize::from(shape.slots) + usize::from(step.slot);
             layer.slots[index] = step.expert;
         }
-        let Some(copies) = count_copies(&current, &layer, shape, empty, figures.spare_slots) else {
+        let copies = count_copies(&current, &layer, shape, empty);
+        if copies.iter().any(|count| *count > u32::from(figures.spare_slots)) {
             continue;
-        };
+        }
         let planned_skew = f64::from(change.skew);
-        let gain = skew - planned_skew - copy_cost * copies as f64;
+        let gain = skew - planned_skew - copy_cost * copies.iter().sum::<u32>() as f64;
         if gain > best.0 {
             best = (gain, layer.clone(), copies, planned_skew);
         }
     }
     let (_, layer, copies, planned_skew) = best;
+    rank_copies.iter_mut().zip(&copies).for_each(|(sum, count)| *sum += count);
+    let copies = copies.iter().sum::<u32>() as usize;
     SetPlan { lists: to_lists(&layer, shape, empty), copies, skew, planned_skew }
 }
 
-/// Number of experts to copy over all ranks; `None` if one rank would copy more than `spare`.
-fn count_copies(
-    old: &LayerMap,
-    new: &LayerMap,
-    shape: Shape,
-    empty: u16,
-    spare: u16,
-) -> Option<usize> {
+/// Number of experts that each rank has to copy.
+fn count_copies(old: &LayerMap, new: &LayerMap, shape: Shape, empty: u16) -> Vec<u32> {
     let slots = usize::from(shape.slots);
-    let mut total = 0;
-    for (old_rank, new_rank) in old.slots.chunks(slots).zip(new.slots.chunks(slots)) {
-        let copied = new_rank.iter().filter(|e| **e != empty && !old_rank.contains(e)).count();
-        if copied > usize::from(spare) {
-            return None;
-        }
-        total += copied;
-    }
-    Some(total)
+    let pairs = old.slots.chunks(slots).zip(new.slots.chunks(slots));
+    let copied = |(old, new): (&[u16], &[u16])| {
+        new.iter().filter(|e| **e != empty && !old.contains(e)).count() as u32
+    };
+    pairs.map(copied).collect()
 }
 
 fn to_layer(ranks: &[Vec<u16>], empty: u16, shape: Shape) -> LayerMap {
--- a/papayaproxy/src/ranks/rank.rs
+++ b/papayaproxy/src/ranks/rank.rs
@@ -5,6 +5,7 @@
 use super::message::{ArmedMap, Command, ExpertLists, LeadCommand, RankStatus};
 use crate::platform::rank::{RankError, ReplicaClient};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// An order to a replica.
@@ -15,7 +16,7 @@
         /// The map's version.
         version: u64,
         /// The map, by set and rank.
-        map: ExpertLists,
+        map: Arc<ExpertLists>,
     },
     /// Arm a map: switch to it at the start of a pass.
     Arm {
