Expert maps: keep a plan within the lead's link

Cause: on the large fleet a plan had 1,210 copies, more than fit into changes; the lead then read the replicas of silent ranks one after the other, 80 ms each, and heard nothing meanwhile.

Change: a plan's changes take at most 120 KB to all ranks together; a lead reads at most three silent replicas at a time.

--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -3,9 +3,9 @@
 
 use super::config::Config;
 use super::constants::{
-    CONFIG_WAIT, CONFIG_WAIT_SHARED, LAPSE_GRACE, PAUSE_FRACTION, PROBE_WAIT, RELY_AGE, RETRY_FIRST, RETRY_LONGEST,
-    TURN_INTERVAL, UPSTREAM_PAUSE_MAX, UPSTREAM_PAUSE_MIN, UPSTREAM_WAIT, UPSTREAM_WAIT_SHARED,
-    WATCH_LAG,
+    CONFIG_WAIT, CONFIG_WAIT_SHARED, LAPSE_GRACE, PAUSE_FRACTION, PROBE_WAIT, RELY_AGE,
+    RETRY_FIRST, RETRY_LONGEST, TURN_INTERVAL, UPSTREAM_PAUSE_MAX, UPSTREAM_PAUSE_MIN,
+    UPSTREAM_WAIT, UPSTREAM_WAIT_SHARED, WATCH_LAG,
 };
 use super::directory::{Directory, ListedUpstream};
 use super::events;
@@ -157,8 +157,7 @@
 
     /// Digest of the directory.
     pub(crate) fn list_digest(&self) -> u64 {
-        let digest =
-            self.list_digest.get().unwrap_or_else(|| self.directory.borrow().digest());
+        let digest = self.list_digest.get().unwrap_or_else(|| self.directory.borrow().digest());
         self.list_digest.set(Some(digest));
         digest
     }
@@ -180,7 +179,8 @@
     fn needs_store(&self) -> bool {
         let is_old = |age: Option<Duration>| age.is_none_or(|age| age > RELY_AGE);
         self.role() != StoreRole::Relying
-            || is_old(self.config_age()) || is_old(self.directory_age())
+            || is_old(self.config_age())
+            || is_old(self.directory_age())
     }
 
     /// Waits until this process is to call the store.
@@ -282,12 +282,7 @@
 
     /// Replaces the directory with a peer's list, which was complete at the time `at`, in
     /// [`boot_time`], and as of `revision`. Ignored if the own directory is a later one.
-    pub(crate) fn apply_peer_list(
-        &self,
-        listed: Vec<ListedUpstream>,
-        revision: u64,
-        at: Duration,
-    ) {
+    pub(crate) fn apply_peer_list(&self, listed: Vec<ListedUpstream>, revision: u64, at: Duration) {
         if revision < self.list_revision.get() || self.listed_at.get().is_some_and(|own| own >= at)
         {
             return;
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -31,8 +31,6 @@
 pub(crate) const LISTS_TICKS: u64 = 20;
 /// Maps that an agent remembers: the one in use, the one being prepared and one before.
 pub(crate) const KNOWN_MAPS: usize = 3;
-/// Most changed lists that are sent as changes; above, the whole map is shorter.
-pub(crate) const CHANGES_MAX: usize = 1200;
 /// Whole maps that a lead sends per tick, so that its link has room for reports.
 pub(crate) const MAPS_PER_TICK: usize = 4;
 /// Most ticks between two reports of the lead to all ranks; several fit into [`REPORT_MAX_AGE`].
@@ -45,7 +43,7 @@
 pub(crate) const ORDER_ATTEMPTS: u32 = 4;
 
 /// Age past which a rank's report no longer counts; several ticks.
-pub(crate) const REPORT_MAX_AGE: Duration = Duration::from_millis(700);
+pub(crate) const REPORT_MAX_AGE: Duration = Duration::from_millis(1000);
 /// Time that a rank waits after the reports of all lower ranks have expired before it leads.
 pub(crate) const TAKEOVER_DELAY: Duration = Duration::from_millis(400);
 /// Additional wait of a rank for each lower rank that was heard of lately, which may lead as well.
@@ -57,6 +55,8 @@
 /// Interval between two reads of a remote replica whose agent does not respond; each read has a
 /// cost.
 pub(crate) const REMOTE_READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Remote replicas read at a time.
+pub(crate) const REMOTE_READS_MAX: usize = 3;
 /// Delay before a remote replica that did not answer is read again.
 pub(crate) const REMOTE_RETRY_DELAY: Duration = Duration::from_millis(1000);
 /// Timeout of a read from a replica on another host: a round trip with a margin.
@@ -122,6 +122,10 @@
 pub(crate) const LIFE_WEIGHT: f64 = 0.3;
 /// Load, as a fraction of the slots, below which passes are short enough without a new map.
 pub(crate) const MIN_PLAN_LOAD: f64 = 0.1;
+/// Bytes that a plan may take to all ranks together; the lead's reports share its link.
+pub(crate) const PLAN_BYTES_MAX: u64 = 120_000;
+/// Bytes of one changed list of a map.
+pub(crate) const LIST_BYTES: u64 = 8;
 /// Least reduction of a set's skew that is worth a copy, whose bytes have a cost too.
 pub(crate) const MIN_GAIN_PER_COPY: f64 = 0.015;
 /// Least reduction of the mean skew that is worth a plan.
--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -3,8 +3,8 @@
 
 use super::agent::Agent;
 use super::constants::{
-    CHANGES_MAX, INITIAL_LOAD, LOST_ORDER_COOLDOWN, MAPS_PER_TICK, PLAN_INTERVAL, RANK_GONE,
-    REMINDING_RANKS, REMOTE_READ_INTERVAL, REMOTE_RETRY_DELAY, REMOTE_TIMEOUT, TAKEOVER_DELAY,
+    INITIAL_LOAD, LOST_ORDER_COOLDOWN, MAPS_PER_TICK, PLAN_INTERVAL, RANK_GONE, REMINDING_RANKS,
+    REMOTE_READ_INTERVAL, REMOTE_READS_MAX, REMOTE_RETRY_DELAY, REMOTE_TIMEOUT, TAKEOVER_DELAY,
     TAKEOVER_RANKS_MAX, TAKEOVER_STAGGER,
 };
 use super::events;
@@ -58,14 +58,15 @@
             return;
         }
         self.remote_read_at = now + REMOTE_READ_INTERVAL;
-        let stale = |at: Duration| !is_fresh(at, now);
-        let silent: Vec<(u16, SocketAddr)> = self
-            .reports
-            .iter()
-            .filter(|(rank, (_, at))| stale(*at) || self.remotes.contains_key(*rank))
-            .map(|(rank, (report, _))| (*rank, report.replica))
-            .collect();
-        for (rank, replica) in silent {
+        let reports = self.reports.iter();
+        let silent = reports
+            .filter(|(rank, (_, at))| !is_fresh(*at, now) || self.remotes.contains_key(*rank));
+        let mut silent: Vec<(u16, SocketAddr)> =
+            silent.map(|(rank, (report, _))| (*rank, report.replica)).collect();
+        // Each read may take its whole timeout, in which this agent does nothing else.
+        let offset = self.tick_count as usize % silent.len().max(1);
+        silent.rotate_left(offset);
+        for (rank, replica) in silent.into_iter().take(REMOTE_READS_MAX) {
             self.remotes.entry(rank).or_insert_with(|| {
                 tracing::warn!(event = events::STAND_IN, rank, %replica, "agent does not respond");
                 RankClient::new(replica, REMOTE_TIMEOUT)
@@ -140,8 +141,7 @@
     fn prepare_changes(&mut self, base: u64, version: u64, map: &ExpertLists) {
         let epoch = self.lead.epoch();
         let changes = self.maps.get(epoch, base).map(|old| changes(base, &old, map));
-        self.map_changes =
-            changes.filter(|c| c.lists.len() <= CHANGES_MAX).map(|c| (version, Arc::new(c)));
+        self.map_changes = changes.map(|c| (version, Arc::new(c)));
     }
 
     /// The map in use; `None` unless all ranks report their experts of the same version.
--- a/papayaproxy/src/ranks/planner.rs
+++ b/papayaproxy/src/ranks/planner.rs
@@ -2,8 +2,8 @@
 //! cost of the copies.
 
 use super::constants::{
-    COPY_IMBALANCE, COPY_SLOWDOWN, MIN_GAIN_PER_COPY, MIN_PLAN_GAIN, MIN_PLAN_LOAD,
-    QUICK_COPY_TIME, QUICK_GAIN, SEARCH_STEPS, SWITCH_COST, SWITCH_TIME,
+    COPY_IMBALANCE, COPY_SLOWDOWN, LIST_BYTES, MIN_GAIN_PER_COPY, MIN_PLAN_GAIN, MIN_PLAN_LOAD,
+    PLAN_BYTES_MAX, QUICK_COPY_TIME, QUICK_GAIN, SEARCH_STEPS, SWITCH_COST, SWITCH_TIME,
 };
 use super::demand::Popularity;
 use super::message::ExpertLists;
@@ -87,10 +87,12 @@
     let figures = popularity.figures();
     let ranks = slowdowns.len().max(1);
     let load = load.min(1.0);
+    let copies =
+        (u64::from(copies_max) * ranks as u64).min(PLAN_BYTES_MAX / LIST_BYTES / ranks as u64);
     let limits = CopyLimits {
         cost: copy_cost(figures, ranks, life, load),
         rank: copies_max,
-        set: u64::from(copies_max) * ranks as u64 / u64::from(figures.sets.max(1)),
+        set: (copies / u64::from(figures.sets.max(1))).max(1),
     };
     // Copies of all sets run one after the other on a rank, so they are spread over the ranks.
     let mut rank_copies = vec![0u32; ranks];
--- a/papayaproxy/src/ranks/report.rs
+++ b/papayaproxy/src/ranks/report.rs
@@ -89,9 +89,8 @@
         let changed = self.sent.as_ref() != Some(&current);
         let counts = is_turn(count_interval(size, state.cells));
         let key = (state.lead, status.epoch, status.version);
-        let lists = self
-            .lists_sent
-            .is_none_or(|(sent, at)| sent != key || state.tick >= at + LISTS_TICKS);
+        let lists =
+            self.lists_sent.is_none_or(|(sent, at)| sent != key || state.tick >= at + LISTS_TICKS);
         let repeats = is_turn(size.div_ceil(STATUS_RANKS).min(STATUS_TICKS_MAX));
         let beat_interval = match state.is_lead {
             true => LEAD_REPORT_TICKS.min(size.div_ceil(FULL_RATE_RANKS)),
