Bound answers that never end, and trust no copy of another answer

Cause: found by reading, shown by the new tests. A refusal was believed before its id was compared: a late second copy of one, on a connection in use again, made a booking count as not run, and it was sent again. Streams whose replica sends without end passed their deadline, since data was always at hand; a byte now and then kept a stalled stream alive until its deadline. Whole bodies of 8 MB each were buffered without a common limit on hosts with 160 MB. A stop could end the process between the end of a request and the writing of its answer. A skipped event was passed on as if nothing lacked. The tokens that a client states could overflow a sum.

Change: the id is compared first, and a reused connection's answer must have one; the deadline is checked at each piece; silence counts from the last whole event; gateway/buffer limits all bodies together; a stop waits for connections; skipped events end the attempt; sums saturate. Shifts of demand are told by the usual deviation of windows, which samples of few requests need.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -415,7 +415,7 @@
             *backoff_until = now + ZONE_BACKOFF;
         }
         let is_probe = upstream.record_start(now);
-        upstream.own_tokens += request.prompt_tokens;
+        upstream.own_tokens = upstream.own_tokens.saturating_add(request.prompt_tokens);
         let (id, address) = (upstream.id.clone(), upstream.address);
         if let Some(service) = self.services.get_mut(&request.service) {
             service.record_send(now);
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -134,7 +134,7 @@
 
     /// Requests of all entries in progress.
     pub(crate) fn running(&self) -> f64 {
-        f64::from(self.own_requests + self.peer_requests)
+        f64::from(self.own_requests) + f64::from(self.peer_requests)
     }
 
     /// Requests of all entries still in progress `age` after the peers' load reports, if each takes
--- /dev/null
+++ b/papayaproxy/src/gateway/buffer.rs
@@ -0,0 +1,93 @@
+//! Bodies that are buffered whole, within a limit on all of them together.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use snafu::Snafu;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Why a body was not read to its end.
+#[derive(Debug, Snafu)]
+pub(crate) enum BufferError {
+    /// The body alone is too large.
+    #[snafu(display("body exceeds {limit} bytes"))]
+    Oversized { limit: usize },
+    /// All bodies together are too large.
+    #[snafu(display("buffered bodies exceed {limit} bytes"))]
+    Exhausted { limit: usize },
+    #[snafu(display("body interrupted: {source}"), context(false))]
+    Interrupted { source: hyper::Error },
+}
+
+/// Counts the bytes of all buffered bodies.
+#[derive(Clone, Debug)]
+pub(crate) struct BufferBudget {
+    limit: usize,
+    used: Rc<Cell<usize>>,
+}
+
+/// A buffered body, which counts until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Buffered {
+    pub(crate) bytes: Bytes,
+    _charge: Charge,
+}
+
+#[derive(Debug)]
+struct Charge {
+    used: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl BufferBudget {
+    /// Allows `limit` bytes in total.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self { limit, used: Rc::default() }
+    }
+
+    /// Reads a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// The body ends early, or is larger than `limit` or than what is left for all bodies.
+    pub(crate) async fn collect(
+        &self,
+        mut body: Incoming,
+        limit: usize,
+    ) -> Result<Buffered, BufferError> {
+        if body.size_hint().lower() > limit as u64 {
+            return Err(BufferError::Oversized { limit });
+        }
+        let mut charge = Charge { used: self.used.clone(), bytes: 0 };
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            if bytes.len() + data.len() > limit {
+                return Err(BufferError::Oversized { limit });
+            }
+            if !charge.add(data.len(), self.limit) {
+                return Err(BufferError::Exhausted { limit: self.limit });
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(Buffered { bytes: bytes.freeze(), _charge: charge })
+    }
+}
+
+impl Charge {
+    fn add(&mut self, bytes: usize, limit: usize) -> bool {
+        let used = self.used.get() + bytes;
+        if used > limit {
+            return false;
+        }
+        self.used.set(used);
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.used.set(self.used.get().saturating_sub(self.bytes));
+    }
+}
--- a/papayaproxy/src/gateway/codes.rs
+++ b/papayaproxy/src/gateway/codes.rs
@@ -16,4 +16,6 @@
     ANSWER_LOST = 3010, Unknown, 502, "The upstream's response was lost or invalid; the request may have run.";
     ANSWER_LATE = 3011, Unknown, 504, "The upstream did not respond in time; the request may have run.";
     STREAM_CUT = 3012, Unknown, 502, "A stream ended before its last event and could not be resumed at another upstream.";
+    BUFFERS_FULL = 3013, NotRun, 503, "The bodies that the entry holds reach its limit; retry later.";
+    EVENT_MISSING = 3014, Unknown, 502, "A stream skipped an event; it is resumed at another upstream if the route allows it.";
 }
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -22,6 +22,13 @@
 /// Largest plain response in bytes. It is buffered until it is complete, so that a truncated one is
 /// never forwarded.
 pub(crate) const RESPONSE_BYTES_MAX: usize = 8 << 20;
+/// Limit of all buffered bodies of requests and responses together, in bytes; the smallest hosts
+/// have 160 MB.
+pub(crate) const BUFFER_BYTES_MAX: usize = 48 << 20;
+/// Largest body of a refusal that is read so that its connection can be reused, in bytes.
+pub(crate) const REFUSAL_BYTES_MAX: usize = 64 << 10;
+/// Time within which the body of a refusal must be complete; the request waits for it.
+pub(crate) const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval between checks on a silent upstream.
 pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Silence after which a repeatable plain request is retried at another upstream, as a multiple of
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -1,6 +1,7 @@
 //! Client connections, and the checks made before a request is forwarded.
 
 use super::body::ResponseBody;
+use super::buffer::{BufferError, Buffered};
 use super::codes;
 use super::constants::{
     DEADLINE_DEFAULT, LATENCY_TARGET_DEFAULT, READY_AGE_MAX, RETRY_AFTER_STOPPING,
@@ -17,8 +18,6 @@
 use crate::catalog::config::KeyOwner;
 use crate::catalog::{ClientLimits, Config, Route, Workspace};
 use crate::platform::request;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::service::service_fn;
@@ -49,6 +48,7 @@
     if let Err(error) = options {
         tracing::debug!(%error, "cannot set socket options of a client connection");
     }
+    let _open = shared.track_connection();
     let limits = shared.catalog.config().map_or_else(ClientLimits::default, |c| c.limits);
     let closing = shared.closing.clone();
     let service = service_fn(move |request| {
@@ -135,9 +135,9 @@
         Err((code, retry_after)) => return Err(reject(code, retry_after)),
     };
     let (parts, body) = request.into_parts();
-    let body = match read_body(body, config.limits.body_bytes, time_limit).await {
+    let body = match read_body(shared, body, config.limits.body_bytes, time_limit).await {
         Ok(body) => body,
-        Err(code) => return Err(reject(code, None)),
+        Err((code, retry_after)) => return Err(reject(code, retry_after)),
     };
     let service = route.service(rand::random());
     let Some(service) = service.cloned() else {
@@ -210,14 +210,23 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, limit: Duration) -> Result<Bytes, Code> {
-    match timeout(limit, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(codes::BODY_LARGE),
+async fn read_body(
+    shared: &Shared,
+    body: Incoming,
+    max_bytes: usize,
+    limit: Duration,
+) -> Result<Buffered, Rejection> {
+    match timeout(limit, shared.buffers.collect(body, max_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BufferError::Oversized { .. })) => Err((codes::BODY_LARGE, None)),
+        Ok(Err(error @ BufferError::Exhausted { .. })) => {
+            tracing::warn!(event = events::BUFFERS_FULL, %error, "request body refused");
+            Err((codes::BUFFERS_FULL, Some(RETRY_AFTER_UNREADY)))
+        }
         Ok(Err(error)) => {
             tracing::debug!(%error, "cannot read a request body");
-            Err(codes::BODY_CUT)
+            Err((codes::BODY_CUT, None))
         }
-        Err(_) => Err(codes::BODY_CUT),
+        Err(_) => Err((codes::BODY_CUT, None)),
     }
 }
--- a/papayaproxy/src/gateway/events.rs
+++ b/papayaproxy/src/gateway/events.rs
@@ -15,4 +15,5 @@
     GATEWAY_RELOADED = 3009, "The settings were reloaded. Fields: seeds, outcome.";
     GATEWAY_STOPPING = 3010, "The graceful stop began. Fields: requests, grace_ms.";
     GATEWAY_STOPPED = 3011, "The entry stopped. Fields: requests.";
+    BUFFERS_FULL = 3012, "A request was refused because the buffered bodies reach their limit. Fields: error.";
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -1,10 +1,11 @@
 //! Forwards one request: attempts at upstreams, retry decisions and the final response.
 
 use super::body::ResponseBody;
+use super::buffer::Buffered;
 use super::codes;
 use super::constants::{
-    ATTEMPT_TIME_MIN, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN, RESPONSE_BYTES_MAX,
-    RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
+    ATTEMPT_TIME_MIN, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN, REFUSAL_BYTES_MAX,
+    REFUSAL_TIMEOUT, RESPONSE_BYTES_MAX, RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
 };
 use super::envelope::{Envelope, Verdict};
 use super::events;
@@ -19,7 +20,7 @@
 use crate::catalog::{Route, Workspace};
 use crate::platform::{replica, request};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
@@ -42,7 +43,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Buffered,
     /// Time on the process clock at which the request arrived.
     pub(crate) arrived: Duration,
     /// Time on the process clock at which the client or the route gives up.
@@ -246,7 +247,8 @@
         };
         let request = self.build_request(&seat, last_event);
         let upstream = seat.seat().upstream.clone();
-        let response = match self.next_from(&upstream, connection.send(request)).await {
+        let sent_at = self.shared.clock.now();
+        let response = match self.next_from(&upstream, sent_at, connection.send(request)).await {
             Some(Ok(response)) => response,
             Some(Err(SendError::Unsent(detail))) => {
                 return Err(fail_attempt(seat, SendOutcome::Stale, false, detail));
@@ -264,7 +266,8 @@
             }
         };
         let (parts, body) = response.into_parts();
-        match replica::verdict(&self.envelope.id, parts.status, &parts.headers) {
+        let is_reused = connection.is_reused();
+        match replica::verdict(&self.envelope.id, parts.status, &parts.headers, is_reused) {
             Verdict::NotRun { misdirected } => {
                 let outcome = if misdirected { SendOutcome::Foreign } else { SendOutcome::Full };
                 let detail = format!("{} without running the request", parts.status);
@@ -285,8 +288,8 @@
 
     /// Reads the short body of a refusal, so that its connection can be reused.
     async fn drain_body(&self, body: Incoming, connection: Connection, headers: &HeaderMap) {
-        let read = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-        if let Ok(Ok(_)) = timeout(PLAIN_SILENCE_MIN, read).await {
+        let read = self.shared.buffers.collect(body, REFUSAL_BYTES_MAX);
+        if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, read).await {
             self.shared.pool.put_back(connection, headers);
         }
     }
@@ -298,7 +301,7 @@
             time_left: Some(self.time_left()),
             last_event,
         };
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = request::replica_headers(&self.headers, &attempt);
@@ -306,15 +309,19 @@
     }
 
     /// Waits for `next`, which yields the next data from `upstream`. Returns `None` if the deadline
-    /// passes, or if the upstream is silent for so long that a repeatable request should move to
-    /// another one.
+    /// has passed, or if the upstream has brought nothing useful since `since`, for so long that a
+    /// repeatable request should move to another one.
     pub(crate) async fn next_from<T>(
         &self,
         upstream: &Name,
+        since: Duration,
         next: impl Future<Output = T>,
     ) -> Option<T> {
         let mut next = std::pin::pin!(next);
-        let since = self.shared.clock.now();
+        // Data that never ends is always at hand, so the deadline is checked first.
+        if self.time_left().is_zero() {
+            return None;
+        }
         let has_attempts = self.history.maybe_run + 1 < self.route.max_attempts;
         let may_move = has_attempts && self.route.kind.is_repeatable();
         loop {
@@ -350,24 +357,24 @@
         head: ResponseHead,
     ) -> Result<Response<ResponseBody>, FailedAttempt> {
         let ResponseHead { parts, body, connection, seat, verdict } = head;
-        let read = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-        let bytes = match timeout(self.time_left(), read).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => {
+        let upstream = seat.seat().upstream.clone();
+        let read = self.shared.buffers.collect(body, RESPONSE_BYTES_MAX);
+        let bytes = match self.next_from(&upstream, self.shared.clock.now(), read).await {
+            Some(Ok(buffered)) => buffered.bytes,
+            Some(Err(error)) => {
                 return Err(fail_attempt(seat, SendOutcome::Lost, true, error.to_string()));
             }
-            Err(_) => {
+            None => {
                 return Err(fail_attempt(
                     seat,
                     SendOutcome::Silent,
                     true,
-                    "response body incomplete at the deadline".into(),
+                    "response body incomplete in time".into(),
                 ));
             }
         };
         self.shared.pool.put_back(connection, &parts.headers);
         let failed = verdict == Verdict::Failed;
-        let upstream = seat.seat().upstream.clone();
         seat.finish(if failed { SendOutcome::Failed } else { SendOutcome::Good });
         let status = parts.status;
         let response = self.client_response(parts, bytes);
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! It runs on a single thread, since a host has a quarter of a core.
 
 pub(crate) mod body;
+pub(crate) mod buffer;
 pub(crate) mod codes;
 pub(crate) mod constants;
 pub(crate) mod edge;
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -29,6 +29,7 @@
     sender: SendRequest<Full<Bytes>>,
     idle_timeout: Duration,
     idle_since: Duration,
+    is_reused: bool,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -90,6 +91,7 @@
         if closes.flat_map(|v| v.split(',')).any(|t| t.trim().eq_ignore_ascii_case("close")) {
             return;
         }
+        connection.is_reused = true;
         connection.idle_since = self.clock.now();
         connection.idle_timeout = keep_alive_timeout(headers).unwrap_or(IDLE_TIMEOUT);
         let mut idle = self.idle.borrow_mut();
@@ -160,12 +162,18 @@
             sender,
             idle_timeout: IDLE_TIMEOUT,
             idle_since: Duration::ZERO,
+            is_reused: false,
             _task: task,
         })
     }
 }
 
 impl Connection {
+    /// Whether it has served a request before.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -1,7 +1,9 @@
 //! The running entry: shared state, readiness and graceful stop.
 
+use super::buffer::BufferBudget;
 use super::constants::{
-    KEY_AGE_FRACTION, READY_AGE_MAX, SEAT_INTERVAL, STATE_INTERVAL, STOP_CLOSE_FRACTION,
+    BUFFER_BYTES_MAX, KEY_AGE_FRACTION, READY_AGE_MAX, SEAT_INTERVAL, STATE_INTERVAL,
+    STOP_CLOSE_FRACTION,
 };
 use super::edge;
 use super::events;
@@ -49,6 +51,10 @@
     pub(crate) closing: CancellationToken,
     settings: GatewaySettings,
     progress: RefCell<Progress>,
+    /// Open client connections: each holds a clone besides this one.
+    connections: Rc<()>,
+    /// Bodies that are buffered whole.
+    pub(crate) buffers: BufferBudget,
     ready: Cell<bool>,
     status: Arc<Mutex<Status>>,
     /// Load exchange with the other entries; set once it runs.
@@ -95,6 +101,8 @@
             meters,
             closing: CancellationToken::new(),
             progress: RefCell::new(Progress::new(settings.grace)),
+            connections: Rc::default(),
+            buffers: BufferBudget::new(BUFFER_BYTES_MAX),
             ready: Cell::new(false),
             status: status.clone(),
             peers: OnceCell::new(),
@@ -175,7 +183,10 @@
         shared.update_readiness();
         tokio::time::sleep(grace.mul_f64(STOP_CLOSE_FRACTION)).await;
         shared.closing.cancel();
-        while shared.requests() > 0 && !shared.stop_time_left().is_zero() {
+        // A connection ends once its last response is written, which is later than the end of the
+        // request.
+        let is_busy = || shared.requests() > 0 || shared.connections() > 0;
+        while is_busy() && !shared.stop_time_left().is_zero() {
             tokio::time::sleep(SEAT_INTERVAL).await;
         }
         let requests = shared.requests();
@@ -190,6 +201,15 @@
         InFlight { shared: self.clone(), ticket }
     }
 
+    /// Counts a client connection as open until the guard is dropped.
+    pub(crate) fn track_connection(&self) -> Rc<()> {
+        self.connections.clone()
+    }
+
+    fn connections(&self) -> usize {
+        Rc::strong_count(&self.connections) - 1
+    }
+
     /// Number of requests in progress.
     fn requests(&self) -> u64 {
         self.progress.borrow().count() as u64
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 //! replica.
 
 use super::body::{RelayBody, RelayFrame, ResponseBody};
+use super::codes;
 use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
 use super::exchange::{Exchange, FailedAttempt, ResponseHead, fail_attempt};
@@ -112,8 +113,10 @@
     let upstream = seat.seat().upstream.clone();
     let mut splitter = EventSplitter::default();
     let mut previous: Option<Duration> = None;
+    // Bytes that complete no event do not count: a stalled replica may send one now and then.
+    let mut progress_at = exchange.shared.clock.now();
     loop {
-        let frame = match exchange.next_from(&upstream, body.frame()).await {
+        let frame = match exchange.next_from(&upstream, progress_at, body.frame()).await {
             Some(Some(Ok(frame))) => frame,
             Some(Some(Err(error))) => {
                 return RelayOutcome::Interrupted(fail_attempt(
@@ -178,6 +181,7 @@
             }
         }
         previous = Some(now);
+        progress_at = now;
         match timeout(exchange.time_left(), sender.send(RelayFrame::Events(bytes, now))).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return RelayOutcome::CallerLeft,
@@ -198,6 +202,9 @@
             if progress.last_event.is_some_and(|last| id <= last) {
                 continue;
             }
+            if progress.last_event.is_some_and(|last| id > last + 1) {
+                return Err(codes::EVENT_MISSING);
+            }
             progress.last_event = Some(id);
         }
         progress.events += 1;
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Action {
     Send(String),
+    /// Sends the text again and again, with a pause, until the connection closes.
+    Repeat(String, Duration),
     Wait(Duration),
     Close,
 }
@@ -77,6 +79,12 @@
                         return;
                     }
                 }
+                Action::Repeat(text, pause) => {
+                    while stream.write_all(text.as_bytes()).await.is_ok() {
+                        tokio::time::sleep(pause).await;
+                    }
+                    return;
+                }
                 Action::Wait(time) => tokio::time::sleep(time).await,
                 Action::Close => return,
             }
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -210,8 +210,8 @@
         let mut sum = PeerLoads::new();
         for load in self.peers.values().flatten().flat_map(|p| &p.loads) {
             let (running, tokens) = sum.entry(load.upstream).or_default();
-            *running += u32::from(load.running);
-            *tokens += load.tokens;
+            *running = running.saturating_add(load.running.into());
+            *tokens = tokens.saturating_add(load.tokens);
         }
         sum
     }
--- a/papayaproxy/src/platform/rank.rs
+++ b/papayaproxy/src/platform/rank.rs
@@ -135,7 +135,8 @@
     /// The replica does not respond, refuses the read, or its response is malformed.
     pub(crate) async fn report(&self, limit: Duration) -> Result<Option<RankStatus>, RankError> {
         let wire: WireReport = self.get_json(REPORT_PATH, limit).await?;
-        let Some(group) = wire.group else { return Ok(None) };
+        // A rank that its group does not have names no place in any map.
+        let Some(group) = wire.group.filter(|g| g.rank < wire.size) else { return Ok(None) };
         let version = |w: WireVersion| match w {
             WireVersion::Plain(version) | WireVersion::Full { version, .. } => version,
         };
--- a/papayaproxy/src/platform/replica.rs
+++ b/papayaproxy/src/platform/replica.rs
@@ -5,15 +5,22 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, StatusCode};
 
-/// Decides what the head of a response proves about the request `id`.
-pub(crate) fn verdict(id: &str, status: StatusCode, headers: &HeaderMap) -> Verdict {
-    let echoed = headers.get(REQUEST_ID).and_then(|v| v.to_str().ok());
+/// Decides what the head of a response proves about the request `id`. On a connection that has served
+/// requests before (`is_reused`), a late second copy of an earlier answer may arrive, so that an
+/// answer without an id proves nothing there.
+pub(crate) fn verdict(
+    id: &str,
+    status: StatusCode,
+    headers: &HeaderMap,
+    is_reused: bool,
+) -> Verdict {
+    let echoed = headers.get(REQUEST_ID).map(|v| v.to_str().unwrap_or_default());
+    if echoed.is_some_and(|e| e != id) || (echoed.is_none() && is_reused) {
+        return Verdict::Foreign;
+    }
     if headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST {
         return Verdict::NotRun { misdirected: status == StatusCode::MISDIRECTED_REQUEST };
     }
-    if echoed.is_some_and(|e| e != id) {
-        return Verdict::Foreign;
-    }
     if status.is_informational() || headers.contains_key(CONTENT_ENCODING) {
         return Verdict::Foreign;
     }
--- a/papayaproxy/src/platform/tests/mod.rs
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -101,7 +101,24 @@
     #[case] expected: Verdict,
 ) {
     let status = StatusCode::from_u16(status).unwrap();
-    assert_eq!(replica::verdict("r1", status, &headers(pairs)), expected);
+    assert_eq!(replica::verdict("r1", status, &headers(pairs), false), expected);
+}
+
+/// A late second copy of an earlier refusal arrives where the answer to a booking is expected. Taken
+/// for its refusal, the booking would be sent again, although it runs.
+#[rstest]
+#[case::of_another(503, &[("x-request-id", "r0"), ("x-not-executed", "1")], Verdict::Foreign)]
+#[case::misdirected_of_another(421, &[("x-request-id", "r0")], Verdict::Foreign)]
+#[case::unnamed(503, &[("x-not-executed", "1")], Verdict::Foreign)]
+#[case::unnamed_failure(500, &[STAMP], Verdict::Foreign)]
+#[case::own(503, &[ID, ("x-not-executed", "1")], Verdict::NotRun { misdirected: false })]
+fn replica_verdict_connection_reused(
+    #[case] status: u16,
+    #[case] pairs: &[(&'static str, &str)],
+    #[case] expected: Verdict,
+) {
+    let status = StatusCode::from_u16(status).unwrap();
+    assert_eq!(replica::verdict("r1", status, &headers(pairs), true), expected);
 }
 
 proptest! {
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -104,12 +104,14 @@
 pub(crate) const MIN_COUNTS_PER_EXPERT: f64 = 20.0;
 /// Shortest window in which choices are counted: about a pass.
 pub(crate) const WINDOW_LENGTH: Duration = Duration::from_millis(100);
-/// Total variation distance, from 0 to 1, up to which demand counts as unchanged.
-pub(crate) const CHANGE_DISTANCE_MIN: f32 = 0.1;
-/// The same as a multiple of the usual distance between windows.
-pub(crate) const CHANGE_NOISE_FACTOR: f32 = 2.5;
+/// Total variation distance, from 0 to 1, by which a window may always exceed the usual distance.
+pub(crate) const CHANGE_MARGIN: f32 = 0.02;
+/// The same in usual deviations from the usual distance.
+pub(crate) const DEVIATION_FACTOR: f32 = 5.0;
 /// Assumed distance between windows before the first two.
 pub(crate) const NOISE_INITIAL: f32 = 0.08;
+/// Assumed deviation of that distance before the first two windows.
+pub(crate) const DEVIATION_INITIAL: f32 = 0.025;
 /// Weight of a window in the usual distance.
 pub(crate) const NOISE_WEIGHT: f32 = 0.1;
 /// Assumed time between two shifts of demand before one has been seen.
--- a/papayaproxy/src/ranks/demand.rs
+++ b/papayaproxy/src/ranks/demand.rs
@@ -5,8 +5,8 @@
 //! windows usually do begins a new estimate, without any older counts.
 
 use super::constants::{
-    CHANGE_DISTANCE_MIN, CHANGE_NOISE_FACTOR, INITIAL_LIFE, LIFE_MAX, LIFE_MIN, LIFE_WEIGHT,
-    MIN_COUNTS_PER_EXPERT, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
+    CHANGE_MARGIN, DEVIATION_FACTOR, DEVIATION_INITIAL, INITIAL_LIFE, LIFE_MAX, LIFE_MIN,
+    LIFE_WEIGHT, MIN_COUNTS_PER_EXPERT, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
 };
 use super::events;
 use crate::catalog::ExpertFigures;
@@ -22,8 +22,10 @@
     window: Vec<f32>,
     window_count: f64,
     window_start: Duration,
-    /// Usual distance between a window and the estimate.
+    /// Usual distance between a window and the estimate, and its usual deviation. Samples of few
+    /// requests lie far from the estimate, but all about as far.
     noise: f32,
+    deviation: f32,
     /// When the last shift was noticed; `None` before the first.
     changed_at: Option<Duration>,
     /// Mean time between shifts.
@@ -43,6 +45,7 @@
             window_count: 0.0,
             window_start: now,
             noise: NOISE_INITIAL,
+            deviation: DEVIATION_INITIAL,
             changed_at: None,
             mean_life: INITIAL_LIFE,
             is_settled: false,
@@ -97,9 +100,11 @@
     fn close_window(&mut self, now: Duration) {
         let known = self.changed_at.is_some();
         let distance = if known { self.window_distance() } else { 1.0 };
-        let limit = CHANGE_DISTANCE_MIN.max(self.noise * CHANGE_NOISE_FACTOR);
+        let limit = self.noise + DEVIATION_FACTOR * self.deviation + CHANGE_MARGIN;
         self.is_settled = distance <= limit;
         if self.is_settled {
+            let deviation = (distance - self.noise).abs();
+            self.deviation += NOISE_WEIGHT * (deviation - self.deviation);
             self.noise += NOISE_WEIGHT * (distance - self.noise);
             self.estimate.iter_mut().zip(&self.window).for_each(|(sum, count)| *sum += count);
         } else {
--- a/papayaproxy/src/ranks/tests/demand.rs
+++ b/papayaproxy/src/ranks/tests/demand.rs
@@ -152,3 +152,24 @@
     popularity.record(&[u32::MAX; 7], WINDOW_LENGTH);
     assert_eq!(popularity.changed_at(), None);
 }
+
+/// A lead of a large group hears of few requests in a window, so that windows differ a lot without a
+/// shift; one is noticed all the same.
+#[test]
+fn record_small_samples_shift_noticed() {
+    let mut demand = Demand::new(11, 192);
+    let mut popularity = Popularity::new(figures(192, 3), Duration::ZERO);
+    let mut sample = |demand: &mut Demand, seed: u64| -> Vec<u32> {
+        // Each window misses the requests that like some of the experts.
+        let mut rng = StdRng::seed_from_u64(seed);
+        let counts = demand.counts().into_iter();
+        counts.map(|c| if rng.random_bool(0.25) { c / 6 } else { c }).collect()
+    };
+    for window in 1..=40 {
+        popularity.record(&sample(&mut demand, window), WINDOW_LENGTH * window as u32);
+    }
+    assert_eq!(popularity.changed_at(), Some(WINDOW_LENGTH));
+    demand.shift();
+    popularity.record(&sample(&mut demand, 41), WINDOW_LENGTH * 41);
+    assert_eq!(popularity.changed_at(), Some(WINDOW_LENGTH * 41));
+}
