--- a/papayaproxy/src/ranks/report.rs
+++ b/papayaproxy/src/ranks/report.rs
@@ -26,13 +26,21 @@
     wants_map: bool,
 }
 
+/// The lists that a lead has of a rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ListsKey {
+    lead: Option<SocketAddr>,
+    epoch: u64,
+    version: u64,
+}
+
 /// Decides when which parts of a report are due.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReportSchedule {
     /// The state last sent to the lead.
     sent: Option<LeadState>,
-    /// Lead, epoch and version for which the rank's lists were last sent, and at which tick.
-    lists_sent: Option<((Option<SocketAddr>, u64, u64), u64)>,
+    /// The lists last sent, and at which tick.
+    lists_sent: Option<(ListsKey, u64)>,
 }
 
 /// Parts of a report that are due.
@@ -88,7 +96,7 @@
             |interval: u64| state.is_regular && (state.tick + rank).is_multiple_of(interval.max(1));
         let changed = self.sent.as_ref() != Some(&current);
         let counts = is_turn(count_interval(size, state.cells));
-        let key = (state.lead, status.epoch, status.version);
+        let key = ListsKey { lead: state.lead, epoch: status.epoch, version: status.version };
         let lists =
             self.lists_sent.is_none_or(|(sent, at)| sent != key || state.tick >= at + LISTS_TICKS);
         let repeats = is_turn(size.div_ceil(STATUS_RANKS).min(STATUS_TICKS_MAX));
