--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -22,6 +22,13 @@
 /// Largest plain response in bytes. It is buffered until it is complete, so that a truncated one is
 /// never forwarded.
 pub(crate) const RESPONSE_BYTES_MAX: usize = 8 << 20;
+/// Limit of all buffered bodies of requests and responses together, in bytes; the smallest hosts
+/// have 160 MB.
+pub(crate) const BUFFER_BYTES_MAX: usize = 48 << 20;
+/// Largest body of a refusal that is read so that its connection can be reused, in bytes.
+pub(crate) const REFUSAL_BYTES_MAX: usize = 64 << 10;
+/// Time within which the body of a refusal must be complete; the request waits for it.
+pub(crate) const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval between checks on a silent upstream.
 pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Silence after which a repeatable plain request is retried at another upstream, as a multiple of
@@ -33,6 +40,12 @@
 pub(crate) const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(15);
 /// Frames buffered between the relay of a stream and the client connection.
 pub(crate) const RELAY_QUEUE_FRAMES: usize = 16;
+/// Fraction of a route's gap target up to which events are held back to even out the gaps; the rest
+/// covers network and timer delays.
+pub(crate) const PACE_GAP_RATIO: f64 = 0.9;
+/// Fraction of the configured delay for which an event may be held back; the rest covers the way
+/// from the replica and to the caller.
+pub(crate) const PACE_DELAY_RATIO: f64 = 0.85;
 /// Attempts per request that may end without the request having run. They do not count against the
 /// attempts of the route.
 pub(crate) const NOT_RUN_MAX: u32 = 3;
@@ -58,8 +71,11 @@
 /// because their route or key is unknown.
 pub(crate) const READY_AGE_MAX: Duration = Duration::from_millis(3000);
 
-/// Fraction of the grace period during which new streams are still accepted.
-pub(crate) const STOP_STREAMS_FRACTION: f64 = 0.4;
+/// Window over which the longest request of a route is kept; a stopping entry refuses what would
+/// take longer than its rest of the grace period.
+pub(crate) const DURATION_WINDOW: Duration = Duration::from_secs(10);
+/// Margin on the longest recent request of a route, as a factor.
+pub(crate) const DURATION_MARGIN: f64 = 1.25;
 /// Fraction of the grace period after which client connections are closed as soon as their request
 /// is answered.
 pub(crate) const STOP_CLOSE_FRACTION: f64 = 0.6;
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! It runs on a single thread, since a host has a quarter of a core.
 
 pub(crate) mod body;
+pub(crate) mod buffer;
 pub(crate) mod codes;
 pub(crate) mod constants;
 pub(crate) mod edge;
@@ -11,8 +12,10 @@
 pub(crate) mod exchange;
 pub(crate) mod hops;
 pub(crate) mod meters;
+pub(crate) mod pacing;
 pub(crate) mod pool;
 pub(crate) mod process;
+pub(crate) mod progress;
 pub(crate) mod ready;
 pub(crate) mod refuse;
 pub(crate) mod relay;
--- a/papayaproxy/src/gateway/refuse.rs
+++ b/papayaproxy/src/gateway/refuse.rs
@@ -1,7 +1,6 @@
 //! Responses that the entry itself produces.
 
 use super::body::ResponseBody;
-use super::codes;
 use crate::base::code::{Code, row};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -30,13 +29,6 @@
     response
 }
 
-/// The response of an entry that is stopping; the client retries at another one.
-pub(crate) fn stopping() -> Response<ResponseBody> {
-    let mut response = retry_later(codes::STOPPING, super::constants::RETRY_AFTER_STOPPING);
-    close_connection(&mut response);
-    response
-}
-
 /// Announces that the connection closes after this response.
 pub(crate) fn close_connection(response: &mut Response<ResponseBody>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -3,6 +3,9 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod answers;
+mod endless;
 mod mutated;
+mod pacing;
+mod progress;
 mod stand_ins;
 mod streams;
--- a/papayaproxy/src/peers/constants.rs
+++ b/papayaproxy/src/peers/constants.rs
@@ -25,9 +25,27 @@
 pub(crate) const KNOWN_PEERS_MAX: usize = 48;
 /// Upstream loads in one heartbeat, so that it fits one datagram.
 pub(crate) const LOADS_MAX: usize = 160;
-/// Largest datagram, in bytes; below the usual path MTU.
-pub(crate) const DATAGRAM_BYTES: usize = 1400;
+/// Agents in one answer to a hello, so that it fits one datagram.
+pub(crate) const CONTACTS_MAX: usize = 64;
+/// Least interval between two queries for the members of one group.
+pub(crate) const MEMBERS_QUERY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without a message after which a group is forgotten.
+pub(crate) const GROUP_RETENTION: Duration = Duration::from_secs(30);
+/// Size of the receive buffer in bytes: the members of the largest group.
+pub(crate) const DATAGRAM_BYTES: usize = 8 << 10;
 
+/// Entries from which on some read the store for the others.
+pub(crate) const RELY_ENTRIES_MIN: usize = 16;
+/// Least number of readers of the store in the whole fleet; each availability zone has at least one.
+pub(crate) const READERS_MIN: usize = 3;
+/// Checks of [`QUERY_INTERVAL`] between two queries of a relying entry to its reader.
+pub(crate) const RELY_CHECKS: u64 = 2;
+/// Age of the configuration or the upstream list from which a relying entry also queries readers of
+/// other availability zones.
+pub(crate) const RELY_DOUBT_AGE: Duration = Duration::from_millis(2000);
+/// Longest delay of a query after a reader has announced a change, so that queries do not arrive at
+/// once.
+pub(crate) const CHANGE_DELAY_MAX: Duration = Duration::from_millis(60);
 /// Age of the configuration from which peers are queried. The store confirms it more often, so that
 /// peers are queried only if the store does not answer.
 pub(crate) const QUERY_AGE: Duration = Duration::from_millis(2800);
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -3,7 +3,9 @@
 
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::directory::ListedUpstream;
-use crate::ranks::message::{AgentHello, GroupContacts, GroupStatus, RankMessage};
+use crate::ranks::message::{
+    AgentHello, GroupContacts, GroupPulse, GroupStatus, MembersQuery, RankMessage,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
@@ -28,6 +30,17 @@
     Group(GroupStatus),
     /// Sent between agents only; entries ignore it.
     Rank(RankMessage),
+    /// Status of a lock-step group without its members, sent by its agents.
+    Pulse(GroupPulse),
+    /// Sent by a reader of the store to those that rely on it, when something has changed.
+    Changed {
+        /// Version of the configuration in force.
+        version: u64,
+        /// Digest of the upstream list.
+        list_digest: u64,
+    },
+    /// Asks an agent for a [`Message::Group`].
+    Members(MembersQuery),
 }
 
 /// State and load of an entry.
@@ -69,6 +82,10 @@
     pub(crate) config_age_ms: Option<u64>,
     /// Time since the upstream list was last known to be complete; `None` before the first time.
     pub(crate) list_age_ms: Option<u64>,
+    /// Store revision as of which the list is complete.
+    pub(crate) list_revision: u64,
+    /// Digest of the list.
+    pub(crate) list_digest: u64,
 }
 
 /// What an entry fetches from a peer over TCP.
@@ -94,6 +111,8 @@
     List {
         /// The upstreams' records.
         listed: Vec<ListedUpstream>,
+        /// Store revision as of which the list is complete.
+        revision: u64,
         /// Time since the list was last known to be complete.
         age_ms: u64,
     },
--- a/papayaproxy/src/platform/rank.rs
+++ b/papayaproxy/src/platform/rank.rs
@@ -135,7 +135,8 @@
     /// The replica does not respond, refuses the read, or its response is malformed.
     pub(crate) async fn report(&self, limit: Duration) -> Result<Option<RankStatus>, RankError> {
         let wire: WireReport = self.get_json(REPORT_PATH, limit).await?;
-        let Some(group) = wire.group else { return Ok(None) };
+        // A rank that its group does not have names no place in any map.
+        let Some(group) = wire.group.filter(|g| g.rank < wire.size) else { return Ok(None) };
         let version = |w: WireVersion| match w {
             WireVersion::Plain(version) | WireVersion::Full { version, .. } => version,
         };
@@ -199,7 +200,9 @@
         limit: Duration,
     ) -> Result<OrderReply, CallError> {
         let (operation, version, step, mapping) = match order {
-            Order::Prepare { version, map } => ("prepare", Some(*version), None, Some(map)),
+            Order::Prepare { version, map } => {
+                ("prepare", Some(*version), None, Some(map.as_ref()))
+            }
             Order::Arm { version, step } => ("arm", Some(*version), Some(*step), None),
             Order::Disarm { version } => ("disarm", Some(*version), None, None),
             Order::Hold { step } => ("hold", None, Some(*step), None),
