Restart tasks that fail, and mutate the datagrams of entries and agents

Cause: a panic in one of the tasks that run as long as the process does ended its work silently; the process ran on without it.

Change: base/supervise logs the failure (event 1000) and starts the task again: peers' datagrams, heartbeats, queries, announcements, both watches of the store, waiting requests, process state, and the agent. catalog/calls has the watches, moved as they were. Tests of readers, pulses and mutated datagrams.

--- a/papayaproxy/src/base/mod.rs
+++ b/papayaproxy/src/base/mod.rs
@@ -8,8 +8,10 @@
 pub(crate) mod digest;
 pub(crate) mod error;
 pub(crate) mod event;
+pub(crate) mod events;
 pub(crate) mod http;
 pub(crate) mod name;
+pub(crate) mod supervise;
 
 #[cfg(test)]
 mod tests;
--- a/papayaproxy/src/base/tests.rs
+++ b/papayaproxy/src/base/tests.rs
@@ -39,3 +39,18 @@
         assert!(seen.insert(row.id), "the id of {} is declared twice", row.name);
     }
 }
+
+/// One unexpected message must not end the work of a process that runs on.
+#[tokio::test(start_paused = true)]
+async fn restart_on_panic_started_again() {
+    let starts = std::rc::Rc::new(std::cell::Cell::new(0));
+    let counted = starts.clone();
+    let start = move || {
+        counted.set(counted.get() + 1);
+        let number = counted.get();
+        async move { assert!(number > 2, "unexpected message") }
+    };
+    let local = tokio::task::LocalSet::new();
+    local.run_until(super::supervise::restart_on_panic("test", start)).await;
+    assert_eq!(starts.get(), 3);
+}
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -1,19 +1,19 @@
 //! Keeps the configuration and the directory of upstreams up to date, from the store or, where the
 //! store does not answer, from peers.
 
+use super::calls::{follow_config, follow_upstreams};
 use super::config::Config;
 use super::constants::{
-    CONFIG_WAIT, CONFIG_WAIT_SHARED, LAPSE_GRACE, PAUSE_FRACTION, PROBE_WAIT, RELY_AGE,
-    RETRY_FIRST, RETRY_LONGEST, TURN_INTERVAL, UPSTREAM_PAUSE_MAX, UPSTREAM_PAUSE_MIN,
-    UPSTREAM_WAIT, UPSTREAM_WAIT_SHARED, WATCH_LAG,
+    LAPSE_GRACE, PAUSE_FRACTION, RELY_AGE, TURN_INTERVAL, UPSTREAM_PAUSE_MAX, UPSTREAM_PAUSE_MIN,
 };
 use super::directory::{Directory, ListedUpstream};
 use super::events;
 use super::freshness::{Freshness, boot_time};
 use crate::base::clock::Clock;
 use crate::base::name::Name;
+use crate::base::supervise::restart_on_panic;
 use crate::platform::store::Item;
-use crate::platform::{Store, StoreError, StoreUpdate, config, upstream};
+use crate::platform::{Store, StoreUpdate, config, upstream};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -56,24 +56,24 @@
 
 /// Whether calls to the store succeed.
 #[derive(Clone, Copy, Debug, Default)]
-struct StoreHealth {
+pub(super) struct StoreHealth {
     /// When calls began to fail; `None` while they succeed.
-    failing_since: Option<Duration>,
+    pub(super) failing_since: Option<Duration>,
     /// When calls last began to succeed again; `None` before the first outage.
-    recovered_at: Option<Duration>,
+    pub(super) recovered_at: Option<Duration>,
 }
 
 /// The configuration in force and the known upstreams.
 pub(crate) struct Catalog {
-    store: Store,
-    clock: Clock,
+    pub(super) store: Store,
+    pub(super) clock: Clock,
     active: RefCell<Option<ActiveConfig>>,
-    directory: RefCell<Directory>,
+    pub(super) directory: RefCell<Directory>,
     freshness: Cell<Freshness>,
     /// Calls that read the configuration.
-    config_health: Cell<StoreHealth>,
+    pub(super) config_health: Cell<StoreHealth>,
     /// Calls that read the upstreams.
-    upstream_health: Cell<StoreHealth>,
+    pub(super) upstream_health: Cell<StoreHealth>,
     /// When the directory was last known to be complete, in [`boot_time`].
     listed_at: Cell<Option<Duration>>,
     /// Store revision as of which the directory is complete; 0 before the first listing.
@@ -83,7 +83,7 @@
     /// Whether this process follows the store for others, or relies on those that do.
     role: Cell<StoreRole>,
     /// Longest pause between two watches of the upstreams.
-    pause: Duration,
+    pub(super) pause: Duration,
     /// Notified at every change of the configuration or the upstreams.
     changed: Notify,
 }
@@ -109,8 +109,10 @@
             pause: drain.mul_f64(PAUSE_FRACTION).clamp(UPSTREAM_PAUSE_MIN, UPSTREAM_PAUSE_MAX),
             changed: Notify::new(),
         });
-        tokio::task::spawn_local(follow_config(catalog.clone()));
-        tokio::task::spawn_local(follow_upstreams(catalog.clone()));
+        let (own, task) = (catalog.clone(), "configuration");
+        tokio::task::spawn_local(restart_on_panic(task, move || follow_config(own.clone())));
+        let (own, task) = (catalog.clone(), "upstreams");
+        tokio::task::spawn_local(restart_on_panic(task, move || follow_upstreams(own.clone())));
         catalog
     }
 
@@ -184,7 +186,7 @@
     }
 
     /// Waits until this process is to call the store.
-    async fn wait_for_turn(&self) {
+    pub(super) async fn wait_for_turn(&self) {
         if self.needs_store() {
             return;
         }
@@ -293,7 +295,7 @@
         self.confirm_list(at, changed);
     }
 
-    fn apply_watched_config(&self, watched: &StoreUpdate) {
+    pub(super) fn apply_watched_config(&self, watched: &StoreUpdate) {
         let Some(newest) = watched.items.iter().rev().find_map(|i| i.value.clone()) else {
             let mut active = self.active.borrow_mut();
             if let Some(active) = active.as_mut() {
@@ -312,7 +314,7 @@
         health.failing_since.is_some() || health.recovered_at.is_some_and(is_recent)
     }
 
-    fn apply_changes(&self, watched: StoreUpdate, at: Duration) {
+    pub(super) fn apply_changes(&self, watched: StoreUpdate, at: Duration) {
         let now = self.clock.now();
         let may_return = self.may_lack_records(now);
         let mut directory = self.directory.borrow_mut();
@@ -332,7 +334,7 @@
         self.confirm_list(at, changed);
     }
 
-    fn apply_listing(&self, watched: StoreUpdate, at: Duration) {
+    pub(super) fn apply_listing(&self, watched: StoreUpdate, at: Duration) {
         let now = self.clock.now();
         let may_return = self.may_lack_records(now);
         let mut listed = Vec::with_capacity(watched.items.len());
@@ -381,128 +383,3 @@
         }
     }
 }
-
-/// Records the result of a call to the store. Returns the delay to wait after the next failed call.
-fn record_result(
-    health: &Cell<StoreHealth>,
-    what: &str,
-    error: Option<&StoreError>,
-    pause: Duration,
-    now: Duration,
-) -> Duration {
-    let mut state = health.get();
-    match (error, state.failing_since) {
-        (None, Some(since)) => {
-            let away_ms = now.saturating_sub(since).as_millis() as u64;
-            tracing::info!(
-                event = events::STORE_BACK,
-                what,
-                away_ms,
-                "calls to the store succeed again"
-            );
-            state = StoreHealth { failing_since: None, recovered_at: Some(now) };
-        }
-        (Some(error), None) => {
-            tracing::warn!(event = events::STORE_LOST, what, %error, "calls to the store fail");
-            state.failing_since = Some(now);
-        }
-        _ => {}
-    }
-    health.set(state);
-    match error {
-        None => RETRY_FIRST,
-        Some(_) => (pause * 2).min(RETRY_LONGEST),
-    }
-}
-
-async fn follow_config(catalog: Rc<Catalog>) {
-    let mut pause = RETRY_FIRST;
-    let mut reread = true;
-    let mut failed = false;
-    loop {
-        catalog.wait_for_turn().await;
-        let wait = match catalog.role() {
-            _ if failed => PROBE_WAIT,
-            StoreRole::Independent => CONFIG_WAIT,
-            StoreRole::Reader | StoreRole::Relying => CONFIG_WAIT_SHARED,
-        };
-        let sent = boot_time();
-        let revision = catalog.active().map(|a| a.revision);
-        let answer = match revision.filter(|_| !reread) {
-            Some(revision) => catalog.store.watch_config(revision, wait).await,
-            None => catalog.store.read_config().await,
-        };
-        // A read is current as of its sending; a watch may lag behind the store.
-        let confirmed_at = if reread { sent } else { boot_time().saturating_sub(WATCH_LAG) };
-        let now = catalog.clock.now();
-        if let Err(StoreError::HistoryGone) = answer {
-            reread = true;
-            continue;
-        }
-        let health = &catalog.config_health;
-        match answer {
-            Ok(watched) => {
-                pause = record_result(health, "configuration", None, pause, now);
-                let empty = watched.items.is_empty() && reread;
-                catalog.apply_watched_config(&watched);
-                catalog.confirm_version(catalog.version(), confirmed_at);
-                (reread, failed) = (empty, false);
-                if empty {
-                    tokio::time::sleep(RETRY_FIRST).await;
-                }
-            }
-            Err(error) => {
-                let delay = pause;
-                pause = record_result(health, "configuration", Some(&error), pause, now);
-                failed = true;
-                tokio::time::sleep(delay).await;
-            }
-        }
-    }
-}
-
-async fn follow_upstreams(catalog: Rc<Catalog>) {
-    let mut pause = RETRY_FIRST;
-    let mut reread = true;
-    let mut failed = false;
-    loop {
-        catalog.wait_for_turn().await;
-        // Lapsed records have to expire in time even if no change ends the watch.
-        let has_lapsed = catalog.directory.borrow().has_lapsed();
-        let wait = match has_lapsed {
-            _ if failed => PROBE_WAIT,
-            true => catalog.pause,
-            false if catalog.role() == StoreRole::Independent => UPSTREAM_WAIT,
-            false => UPSTREAM_WAIT_SHARED,
-        };
-        // A list from peers is as good a start as an own one.
-        let revision = Some(catalog.list_revision()).filter(|r| *r > 0 && !reread);
-        let answer = match revision {
-            Some(after) => catalog.store.watch_upstreams(after, wait).await,
-            None => catalog.store.read_upstreams().await,
-        };
-        let (now, confirmed_at) = (catalog.clock.now(), boot_time());
-        if let Err(StoreError::HistoryGone) = answer {
-            reread = true;
-            continue;
-        }
-        let health = &catalog.upstream_health;
-        failed = answer.is_err();
-        match answer {
-            Ok(watched) => {
-                pause = record_result(health, "upstreams", None, pause, now);
-                match revision {
-                    Some(_) => catalog.apply_changes(watched, confirmed_at),
-                    None => catalog.apply_listing(watched, confirmed_at),
-                }
-                reread = false;
-                tokio::time::sleep(catalog.pause).await;
-            }
-            Err(error) => {
-                let delay = pause;
-                pause = record_result(health, "upstreams", Some(&error), pause, now);
-                tokio::time::sleep(delay).await;
-            }
-        }
-    }
-}
--- a/papayaproxy/src/catalog/mod.rs
+++ b/papayaproxy/src/catalog/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, the directory of upstreams, and the age of both.
 
+mod calls;
 pub(crate) mod config;
 pub(crate) mod constants;
 pub(crate) mod directory;
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -16,6 +16,7 @@
 use crate::base::clock::Clock;
 use crate::base::error::ProcessError;
 use crate::base::name::{Incarnation, Name};
+use crate::base::supervise::restart_on_panic;
 use crate::catalog::{Catalog, Route};
 use crate::limits::CircuitSettings;
 use crate::peers::{Hooks, PeerSettings, Peers};
@@ -142,8 +143,10 @@
         let ready = bind(settings.ready).await?;
         tokio::task::spawn_local(edge::serve(listener, shared.clone()));
         tokio::task::spawn_local(super::ready::serve(ready, shared.clone()));
-        tokio::task::spawn_local(shared.clone().follow_catalog());
-        tokio::task::spawn_local(shared.clone().refresh_state());
+        let (own, task) = (shared.clone(), "catalog changes");
+        tokio::task::spawn_local(restart_on_panic(task, move || own.clone().follow_catalog()));
+        let (own, task) = (shared.clone(), "process state");
+        tokio::task::spawn_local(restart_on_panic(task, move || own.clone().refresh_state()));
         tracing::info!(
             event = events::GATEWAY_STARTED,
             name = %settings.name,
--- a/papayaproxy/src/gateway/seats.rs
+++ b/papayaproxy/src/gateway/seats.rs
@@ -3,6 +3,7 @@
 use super::constants::SEAT_INTERVAL;
 use crate::balance::{Balancer, Refusal, Seat, SeatDecision, SeatRequest, SendOutcome};
 use crate::base::clock::Clock;
+use crate::base::supervise::restart_on_panic;
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -40,15 +41,18 @@
             ticket: Cell::new(0),
         });
         let updater = seats.clone();
-        tokio::task::spawn_local(async move {
-            loop {
-                tokio::time::sleep(SEAT_INTERVAL).await;
-                updater.advance();
-            }
-        });
+        let run = move || updater.clone().run();
+        tokio::task::spawn_local(restart_on_panic("waiting requests", run));
         seats
     }
 
+    async fn run(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SEAT_INTERVAL).await;
+            self.advance();
+        }
+    }
+
     /// Runs `change` on the balancer.
     pub(crate) fn with_balancer<T>(&self, change: impl FnOnce(&mut Balancer) -> T) -> T {
         change(&mut self.balancer.borrow_mut())
--- a/papayaproxy/src/lib.rs
+++ b/papayaproxy/src/lib.rs
@@ -63,6 +63,7 @@
 pub const EVENT_TABLES: &[&[Event]] = &[
     agent::events::ROWS,
     balance::events::ROWS,
+    base::events::ROWS,
     catalog::events::ROWS,
     console::events::ROWS,
     ctl::events::ROWS,
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -12,6 +12,7 @@
 use super::table::{PeerLoads, Table};
 use crate::base::clock::Clock;
 use crate::base::name::{Incarnation, Name};
+use crate::base::supervise::restart_on_panic;
 use crate::catalog::freshness::boot_time;
 use crate::catalog::{Catalog, StoreRole};
 use crate::ranks::message::{AgentHello, GroupContacts, GroupPulse, GroupStatus, MembersQuery};
@@ -100,10 +101,14 @@
             hooks,
         });
         tokio::task::spawn_local(relay::serve(listener, catalog));
-        tokio::task::spawn_local(peers.clone().receive());
-        tokio::task::spawn_local(peers.clone().run_heartbeats());
-        tokio::task::spawn_local(peers.clone().run_queries());
-        tokio::task::spawn_local(peers.clone().announce_changes());
+        let (node, task) = (peers.clone(), "peer datagrams");
+        tokio::task::spawn_local(restart_on_panic(task, move || node.clone().receive()));
+        let (node, task) = (peers.clone(), "heartbeats");
+        tokio::task::spawn_local(restart_on_panic(task, move || node.clone().run_heartbeats()));
+        let (node, task) = (peers.clone(), "freshness queries");
+        tokio::task::spawn_local(restart_on_panic(task, move || node.clone().run_queries()));
+        let (node, task) = (peers.clone(), "announcements");
+        tokio::task::spawn_local(restart_on_panic(task, move || node.clone().announce_changes()));
         Ok(peers)
     }
 
--- a/papayaproxy/src/peers/tests/mod.rs
+++ b/papayaproxy/src/peers/tests/mod.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use crate::base::name::Incarnation;
+mod groups;
+mod mutated;
+
+use crate::base::name::{Incarnation, Name};
 use crate::peers::constants::{PEER_TIMEOUT, ZONE_TIMEOUT};
 use crate::peers::message::{Heartbeat, UpstreamLoad, digest};
 use crate::peers::table::Table;
@@ -92,3 +95,55 @@
     table.record_heartbeat(address(4), heartbeat("c", 1, 2), later);
     assert!(!table.is_cut_off("a", later));
 }
+
+/// A table of `count` entries in the availability zones a, b and c in turn, this one included.
+fn fleet(count: u8, heard_at: Duration) -> Table {
+    let mut table = Table::new(address(1), Vec::new());
+    for last in 2..=count {
+        let zone = ["a", "b", "c"][usize::from(last) % 3];
+        table.record_heartbeat(address(last), heartbeat(zone, last.into(), 1), heard_at);
+    }
+    table
+}
+
+/// Each zone of a large fleet has one reader, and all entries choose the same one.
+#[test]
+fn readers_one_each_zone() {
+    let table = fleet(30, NOW);
+    let readers = table.readers(&Name::from("b"));
+    assert_eq!(readers.len(), 3);
+    assert!(readers.values().all(|r| r.len() == 1), "{readers:?}");
+    // Another entry's view: it is the one at address 5, in zone c.
+    let mut other = Table::new(address(5), Vec::new());
+    for last in (1..=30).filter(|last| *last != 5) {
+        let zone = ["a", "b", "c"][usize::from(last) % 3];
+        other.record_heartbeat(address(last), heartbeat(zone, last.into(), 1), NOW);
+    }
+    let others = other.readers(&Name::from("c"));
+    assert!(readers.iter().all(|(zone, r)| others[zone] == *r), "{readers:?} {others:?}");
+}
+
+/// The reader of a zone is lost: the others choose the next one once it counts as down.
+#[test]
+fn readers_lost_replaced() {
+    let mut table = fleet(30, NOW);
+    let before = table.readers(&Name::from("b"));
+    let lost = before["a"][0];
+    let later = NOW + PEER_TIMEOUT;
+    for last in 2..=30 {
+        if address(last) != lost {
+            let zone = ["a", "b", "c"][usize::from(last) % 3];
+            table.record_heartbeat(address(last), heartbeat(zone, last.into(), 2), later);
+        }
+    }
+    table.expire(later + Duration::from_millis(100));
+    let after = table.readers(&Name::from("b"));
+    assert_ne!(after["a"], before["a"]);
+    assert_eq!(after["c"], before["c"]);
+}
+
+/// In a small fleet each entry reads for itself.
+#[test]
+fn readers_small_fleet_none() {
+    assert!(fleet(9, NOW).readers(&Name::from("b")).is_empty());
+}
--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -21,6 +21,7 @@
 use crate::peers::message::{Message, send};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -32,7 +33,7 @@
 
 /// The agent's state, owned by its single task.
 pub(crate) struct Agent {
-    pub(super) socket: UdpSocket,
+    pub(super) socket: Rc<UdpSocket>,
     pub(super) clock: Clock,
     pub(super) service: Name,
     pub(super) local: RankClient,
@@ -72,7 +73,7 @@
 
 impl Agent {
     /// An agent that knows only its seeds.
-    pub(crate) fn new(socket: UdpSocket, settings: &RankSettings) -> Self {
+    pub(crate) fn new(socket: Rc<UdpSocket>, settings: &RankSettings) -> Self {
         Self {
             socket,
             clock: Clock::start(),
--- a/papayaproxy/src/ranks/process.rs
+++ b/papayaproxy/src/ranks/process.rs
@@ -5,7 +5,9 @@
 use super::settings::RankSettings;
 use crate::base::error::ProcessError;
 use crate::base::name::Name;
+use crate::base::supervise::restart_on_panic;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -35,14 +37,15 @@
             %address,
             "open"
         );
-        let agent = Agent::new(socket, &settings);
         let stop = CancellationToken::new();
         let stopped = stop.clone();
         let (seeds, seed_updates) = watch::channel(Vec::new());
+        let (name, socket) = (settings.name.clone(), Rc::new(socket));
+        let run = move || Agent::new(socket.clone(), &settings).run(seed_updates.clone());
         tokio::task::spawn_local(async move {
-            stopped.run_until_cancelled(agent.run(seed_updates)).await
+            stopped.run_until_cancelled(restart_on_panic("agent", run)).await
         });
-        Ok(Self { name: settings.name, seeds, _stop: stop.drop_guard() })
+        Ok(Self { name, seeds, _stop: stop.drop_guard() })
     }
 
     /// Applies reloaded settings. Only the seeds can change in a running process.
