--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -163,7 +163,8 @@
         if self.phase != Phase::Idle {
             return None;
         }
-        let version = (seen.max(self.last_version) + 1).max(self.term << VERSION_PLAN_BITS);
+        let next = seen.max(self.last_version).saturating_add(1);
+        let version = next.max(self.term << VERSION_PLAN_BITS);
         self.last_version = version;
         self.enter(Phase::Preparing { version, map }, now, "a plan pays");
         Some(version)
@@ -276,7 +277,7 @@
                 false => 0,
             };
             let step = reports.iter().map(|r| r.status.step).max().unwrap_or_default();
-            let step = step + ahead.max(SWITCH_MIN_STEPS);
+            let step = step.saturating_add(ahead.max(SWITCH_MIN_STEPS));
             self.hold_at = now;
             self.enter(Phase::Holding { version, step }, now, "all ranks have prepared");
             return vec![(self.rank, Command::Hold { step })];
@@ -369,7 +370,7 @@
         if own.held.is_none() && !armed.is_empty() {
             let steps = armed.iter().filter_map(|(_, a)| a.step);
             let holds = reports.iter().filter_map(|r| r.status.held);
-            let step = steps.chain(holds).min().unwrap_or(own.step + 1);
+            let step = steps.chain(holds).min().unwrap_or(own.step.saturating_add(1));
             return vec![(self.rank, Command::Hold { step })];
         }
         if !armed.is_empty() {
--- a/papayaproxy/src/ranks/rank.rs
+++ b/papayaproxy/src/ranks/rank.rs
@@ -229,7 +229,7 @@
             Action::Nothing => return,
             Action::Order(order) => self.send_order(&order, now).await,
             Action::AdvanceSequence => {
-                let step = self.status().map_or(0, |s| s.step) + UNREACHABLE_STEPS;
+                let step = self.status().map_or(0, |s| s.step).saturating_add(UNREACHABLE_STEPS);
                 self.send_order(&Order::Hold { step }, now).await;
                 self.refresh(now).await;
                 if self.status().is_some_and(|s| s.held == Some(step)) {
