--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -20,8 +20,8 @@
 pub(crate) const CONTACT_TTL: Duration = Duration::from_secs(30);
 /// Number of entries that an agent sends its hello to.
 pub(crate) const HELLO_ENTRIES: usize = 5;
-/// Group size up to which an agent sends its report to all ranks at every tick. In larger groups
-/// only the lead gets it at every tick, and the interval for the others grows with the size.
+/// Group size up to which an agent sends a short report to all ranks at every tick; the interval grows
+/// with the size. The lead gets the status more often, see [`STATUS_RANKS`].
 pub(crate) const FULL_RATE_RANKS: u64 = 8;
 /// Group size up to which a rank sends its status to the lead at every tick.
 pub(crate) const STATUS_RANKS: u64 = 32;
