Compute a plan's changes from the maps at hand

Change: the changes come from both maps directly; the order of the stored maps is as before. Behaviour as before, but that nothing is stored for a plan that is not proposed.

--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -117,12 +117,12 @@
         self.planned_for = popularity.changed_at();
         let epoch = self.lead.epoch();
         let base = self.local.status().map_or(0, |s| s.version);
-        self.maps.insert(epoch, base, Arc::new(lists));
         let seen = |r: &AgentReport| r.status.version.max(r.status.prepared.unwrap_or_default());
         let seen = self.reports.values().map(|(r, _)| seen(r)).max().unwrap_or_default();
         let (map, copy_ms) = (Arc::new(new_plan.map), new_plan.copy_time.as_millis() as u64);
         let Some(version) = self.lead.propose(seen, map.clone(), now) else { return };
-        self.prepare_changes(base, version, &map);
+        self.map_changes = Some((version, Arc::new(changes(base, &lists, &map))));
+        self.maps.insert(epoch, base, Arc::new(lists));
         self.maps.insert(epoch, version, map);
         tracing::info!(
             event = events::PLAN_MADE,
@@ -137,13 +137,6 @@
         );
     }
 
-    /// Computes the changes from the map in use to the planned one.
-    fn prepare_changes(&mut self, base: u64, version: u64, map: &ExpertLists) {
-        let epoch = self.lead.epoch();
-        let changes = self.maps.get(epoch, base).map(|old| changes(base, &old, map));
-        self.map_changes = changes.map(|c| (version, Arc::new(c)));
-    }
-
     /// The map in use; `None` unless all ranks report their experts of the same version.
     fn current_map(&self) -> Option<ExpertLists> {
         let version = self.local.status()?.version;
