Log workspace, prompt parts and answer age of failed attempts

Cause: the log of a failed attempt could not tell whether a part of the prompt, the workspace or none of the request's properties goes with the end of a replica.

Change: the platform's adapter reads the ids of the prompt's parts; event 3002 has the fields began_ms, workspace and parts. No decision changes.

--- a/papayaproxy/src/gateway/envelope.rs
+++ b/papayaproxy/src/gateway/envelope.rs
@@ -22,6 +22,9 @@
     pub(crate) timeout: Option<Duration>,
     /// Prompt length in tokens; 0 if the client does not state it.
     pub(crate) prompt_tokens: u32,
+    /// Ids of the parts of the prompt, in order; empty if the client does not state them. Requests
+    /// share parts, but for the last one.
+    pub(crate) prompt_parts: Vec<Name>,
     /// Id of the last event that the client received, if it resumes a stream.
     pub(crate) last_event: Option<u64>,
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -61,6 +61,8 @@
 pub(crate) struct AttemptHistory {
     /// Upstreams that have been tried, oldest first.
     tried: Vec<Name>,
+    /// When the answer of the last attempt began, on the process clock; `None` before its head.
+    began: Option<Duration>,
     /// Failed attempts in which the request may have run.
     pub(crate) maybe_run: u32,
     /// Failed attempts in which the request did not run.
@@ -162,6 +164,8 @@
     /// Records a failed attempt. Returns whether another attempt may follow.
     pub(crate) fn record_failure(&mut self, failure: &FailedAttempt) -> bool {
         let id = &self.envelope.id;
+        let now = self.shared.clock.now();
+        let began = self.history.began.map(|at| now.saturating_sub(at).as_millis() as u64);
         tracing::info!(
             event = events::SEND_ENDED,
             request = %id,
@@ -169,6 +173,9 @@
             end = ?failure.outcome,
             detail = failure.detail,
             took_ms = self.elapsed().as_millis() as u64,
+            began_ms = began,
+            workspace = self.workspace.as_ref().map(|w| w.name.as_str()),
+            parts = self.envelope.prompt_parts.join(","),
             "attempt failed"
         );
         if failure.may_have_run {
@@ -190,7 +197,6 @@
             // No upstream received the request, so the retry needs no budget.
             return true;
         }
-        let now = self.shared.clock.now();
         let allowed =
             self.shared.seats.with_balancer(|balancer| balancer.try_retry(&self.service, now));
         if !allowed {
@@ -234,6 +240,7 @@
         last_event: Option<u64>,
     ) -> Result<ResponseHead, FailedAttempt> {
         self.history.tried.push(seat.seat().upstream.clone());
+        self.history.began = None;
         let repeatable = self.route.kind.is_repeatable();
         let address = seat.seat().address;
         let connection = self.shared.pool.connection(address, repeatable).await;
@@ -282,7 +289,10 @@
                 let detail = format!("{} does not state whether the request ran", parts.status);
                 Err(fail_attempt(seat, SendOutcome::Failed, true, detail))
             }
-            verdict => Ok(ResponseHead { parts, body, connection, seat, verdict }),
+            verdict => {
+                self.history.began = Some(self.shared.clock.now());
+                Ok(ResponseHead { parts, body, connection, seat, verdict })
+            }
         }
     }
 
--- a/papayaproxy/src/platform/names.rs
+++ b/papayaproxy/src/platform/names.rs
@@ -18,6 +18,8 @@
 pub(crate) const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 /// Prompt tokens and largest number of response tokens, separated by a comma.
 pub(crate) const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-token-usage");
+/// Parts of the prompt in order, separated by commas, each with its id, a colon and its tokens.
+pub(crate) const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// Id of the last event that the caller of a stream has received.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/papayaproxy/src/platform/request.rs
+++ b/papayaproxy/src/platform/request.rs
@@ -1,8 +1,10 @@
 //! Decodes headers of client requests and builds the headers for replicas.
 
 use super::names::{
-    API_KEY, DEADLINE_MS, EXPECTED_REPLICA, LAST_EVENT_ID, REQUEST_ID, TOKEN_USAGE, WORKSPACE,
+    API_KEY, DEADLINE_MS, EXPECTED_REPLICA, LAST_EVENT_ID, PROMPT_PARTS, REQUEST_ID, TOKEN_USAGE,
+    WORKSPACE,
 };
+use crate::base::name::Name;
 use crate::gateway::hops::copy_end_to_end;
 use crate::gateway::{Envelope, KeyHeader};
 use hyper::HeaderMap;
@@ -30,10 +32,19 @@
         key,
         timeout: header_number(headers, &DEADLINE_MS).map(|ms: u64| Duration::from_millis(ms)),
         prompt_tokens: tokens.and_then(|(p, _)| p.trim().parse().ok()).unwrap_or_default(),
+        prompt_parts: part_ids(headers),
         last_event: header_number(headers, &LAST_EVENT_ID),
     }
 }
 
+/// Ids of the listed parts, without their tokens. The list may be spread over several headers.
+fn part_ids(headers: &HeaderMap) -> Vec<Name> {
+    let lists = headers.get_all(PROMPT_PARTS).iter().filter_map(|v| v.to_str().ok());
+    let parts = lists.flat_map(|list| list.split(','));
+    let ids = parts.map(|part| part.split_once(':').map_or(part, |(id, _)| id).trim());
+    ids.filter(|id| !id.is_empty()).map(Name::from).collect()
+}
+
 /// Header values that differ between the attempts of one request.
 pub(crate) struct AttemptHeaders<'a> {
     /// Id of the replica that the attempt goes to.
--- a/papayaproxy/src/platform/tests/mod.rs
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -42,6 +42,16 @@
     assert!(upstream::parse(UPSTREAM_RECORD.replacen(from, to, 1).as_bytes()).is_err());
 }
 
+#[rstest]
+#[case::none(&[], &[])]
+#[case::one(&[("x-prompt-prefix", "5c1e:800")], &["5c1e"])]
+#[case::several(&[("x-prompt-prefix", "5c1e:800, 91bd:410,e440:250")], &["5c1e", "91bd", "e440"])]
+#[case::lines(&[("x-prompt-prefix", "5c1e:800"), ("x-prompt-prefix", "91bd:410")], &["5c1e", "91bd"])]
+#[case::no_tokens(&[("x-prompt-prefix", "5c1e,,:7")], &["5c1e"])]
+fn read_envelope_prompt_parts(#[case] pairs: &[(&'static str, &str)], #[case] expected: &[&str]) {
+    assert_eq!(read_envelope(&headers(pairs)).prompt_parts, expected);
+}
+
 #[rstest]
 #[case::one(&[("x-key", "k1")], KeyHeader::One("k1".into()))]
 #[case::none(&[], KeyHeader::Missing)]
