Tell restarted entries which parts are blocked

What callers saw: after an entry was stopped and started within the peers' timeout, requests with a blocked part went out through it again and crashed replicas for as long as it took to learn anew.

Cause: peers greeted an entry that was down or unknown, told by its address. The class of fault: state of a process taken for that of its successor.

Change: a heartbeat of a new incarnation is greeted like that of a new peer. The greeting also brings the peers' list sooner.

The test failed before: call_deadly_part_known_after_restart got 200 in place of P3015.

--- a/papayaproxy/src/gateway/tests/deadly.rs
+++ b/papayaproxy/src/gateway/tests/deadly.rs
@@ -2,7 +2,10 @@
 
 use super::stand_ins::{Action, FakeServer, ReceivedRequest, TestGateway, on_one_thread};
 use super::streams::{EVENTS, event_ids, head, whole_answer};
+use crate::quarantine::constants::NEWS_TIME;
 use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
 
 /// How long a replica is down after it has ended.
 const DOWN_TIME: Duration = Duration::from_millis(200);
@@ -55,3 +58,39 @@
         }
     });
 }
+
+/// Guards against an entry that starts anew while requests of one kind crash replicas: it must
+/// learn from the others what they have blocked.
+#[test]
+fn call_deadly_part_known_after_restart() {
+    on_one_thread(async {
+        let (one, two) = (mortal_replica().await, mortal_replica().await);
+        let replicas = [&one, &two];
+        let (first_peer, second_peer) = (free_address().await, free_address().await);
+        let first = TestGateway::open_peers(&replicas, &first_peer, &second_peer).await;
+        let process = LocalSet::new();
+        process
+            .run_until(async {
+                let _second = TestGateway::open_peers(&replicas, &second_peer, &first_peer).await;
+                for number in 0..3 {
+                    call(&first, &format!("5a7e:40,dead:90,d{number:x}:674")).await;
+                    tokio::time::sleep(DOWN_TIME * 2).await;
+                }
+                // Peers repeat their news for a while; the second process ends after it.
+                tokio::time::sleep(NEWS_TIME).await;
+            })
+            .await;
+        drop(process);
+        assert!(call(&first, "5a7e:40,dead:90,e1:674").await.contains("P3015"));
+        let started = TestGateway::open_peers(&replicas, &second_peer, &first_peer).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let answer = call(&started, "5a7e:40,dead:90,e2:674").await;
+        assert!(answer.contains("P3015"), "{answer}");
+    });
+}
+
+/// An address whose port is free.
+async fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().to_string()
+}
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -209,10 +209,15 @@
 impl TestGateway {
     /// Opens a gateway with `replicas` as upstreams, and waits until it is ready.
     pub(crate) async fn open(replicas: &[&FakeServer]) -> Self {
+        Self::open_peers(replicas, "127.0.0.1:0", "").await
+    }
+
+    /// The same, with an address for its peers and the addresses of the first of them.
+    pub(crate) async fn open_peers(replicas: &[&FakeServer], peers: &str, seeds: &str) -> Self {
         let server = fake_store(replicas.iter().map(|r| r.address).collect()).await;
         let text = format!(
             "[process]\nname = entry-1\nzone = a\n[gateway]\naddress = 127.0.0.1:0\n\
-             ready = 127.0.0.1:0\npeers = 127.0.0.1:0\n[ops]\naddress = 127.0.0.1:0\n\
+             ready = 127.0.0.1:0\npeers = {peers}\nseeds = {seeds}\n[ops]\naddress = 127.0.0.1:0\n\
              [store]\naddress = {}\n[bounds]\ngrace = 1s\n[budget]\nwindow = 1ms\n",
             server.address
         );
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -209,16 +209,17 @@
         self.send(&Message::Heartbeat(heartbeat), to).await;
     }
 
-    /// Applies a heartbeat. Peers that it adds or revives get a heartbeat at once, so that all
-    /// entries know each other soon after a start.
+    /// Applies a heartbeat. Peers that it adds or revives, or that have started anew, get a heartbeat
+    /// at once, so that all entries know each other soon after a start.
     async fn handle_heartbeat(&self, from: SocketAddr, heartbeat: Heartbeat) {
         let now = self.clock.now();
         let new = {
             let mut table = self.table.borrow_mut();
-            let was_live = table.is_live(from);
+            let incarnation = heartbeat.incarnation;
+            let was_live = table.is_live(from, incarnation);
             table.record_heartbeat(from, heartbeat, now);
             let mut new = table.take_new_addresses();
-            if !was_live && table.is_live(from) {
+            if !was_live && table.is_live(from, incarnation) {
                 new.push(from);
             }
             new
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -236,8 +236,9 @@
         std::mem::take(&mut self.new_addresses)
     }
 
-    /// Whether the peer at `address` counts as live.
-    pub(crate) fn is_live(&self, address: SocketAddr) -> bool {
-        self.peers.get(&address).and_then(Option::as_ref).is_some_and(|p| p.is_live)
+    /// Whether the peer at `address` counts as live, in the run `incarnation`.
+    pub(crate) fn is_live(&self, address: SocketAddr, incarnation: Incarnation) -> bool {
+        let peer = self.peers.get(&address).and_then(Option::as_ref);
+        peer.is_some_and(|p| p.is_live && p.incarnation == incarnation)
     }
 }
--- a/papayaproxy/src/peers/tests/mod.rs
+++ b/papayaproxy/src/peers/tests/mod.rs
@@ -47,9 +47,11 @@
     assert_eq!(table.take_new_addresses(), vec![address(2)], "seeds");
     let mut first = heartbeat("a", 1, 1);
     first.known_peers = vec![address(3), address(1), address(2)];
-    assert!(!table.is_live(address(2)));
+    let run = Incarnation(1);
+    assert!(!table.is_live(address(2), run));
     table.record_heartbeat(address(2), first.clone(), NOW);
-    assert!(table.is_live(address(2)) && !table.is_live(address(3)));
+    assert!(table.is_live(address(2), run) && !table.is_live(address(3), run));
+    assert!(!table.is_live(address(2), Incarnation(2)), "a later run has not been heard of");
     assert_eq!(table.take_new_addresses(), vec![address(3)]);
     table.record_heartbeat(address(2), Heartbeat { sequence: 2, ..first }, NOW);
     assert!(table.take_new_addresses().is_empty());
