Blame crashes on the part that explains most of them

What callers saw: sound requests refused with P3015 for as long as an hour, and waves of requests with a deadly part that crashed several replicas at once, twice.

Cause: each part was judged by itself. After a restart of all entries nothing has been cleared yet, and a wave of requests with the deadly part crashes many replicas at once: each ends sound answers that had just begun, and a sound part that was in two waves was blocked. The waves themselves counted once each, since all of their requests had been sent before the first crash.

Change: the part in the crashes of most upstreams is judged first, and what it explains is not held against other parts. Three upstreams that crash with one uncleared part, whenever their requests were sent, block it for 60 s (chosen). Messages and memory stay bounded: 128 crashes, 400 keys a datagram.

Replaced check: record_crash_together_blocks_nothing held for an uncleared part in six crashes at once, which is now blocked for a while; the test now covers cleared parts and those that few upstreams held, and record_crash_together_blocks_for_a_while the rest, with release.

The tests failed before: record_crash_coincidence_not_blamed (blocked the sound part), record_crash_together_blocks_for_a_while (blocked nothing).

--- a/papayaproxy/src/quarantine/constants.rs
+++ b/papayaproxy/src/quarantine/constants.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-/// Crashes, one after the other, after which a part is no longer sent.
-pub(crate) const CRASHES_TO_BLOCK: u32 = 2;
+/// Crashes, each of a request sent after the one before, after which a part is no longer sent.
+pub(crate) const CRASHES_IN_TURN: u32 = 2;
+/// Crashed upstreams after which the same holds for a while, whenever their requests were sent.
+pub(crate) const CRASHES_TOGETHER: usize = 3;
+/// Time for which [`CRASHES_TOGETHER`] block a part.
+pub(crate) const TOGETHER_TTL: Duration = Duration::from_secs(60);
 /// Events after which an answer has shown that its parts crash nothing; the first ones may come
 /// from one pass of the engine.
 pub(crate) const SURVIVED_EVENTS: u64 = 3;
@@ -12,7 +16,7 @@
 /// Time for which a crash is held against the parts of its prompts.
 pub(crate) const CRASH_TTL: Duration = Duration::from_secs(3600);
 /// Crashes that are kept; the oldest are dropped first.
-pub(crate) const CRASHES_MAX: usize = 32;
+pub(crate) const CRASHES_MAX: usize = 128;
 /// Parts that are kept of one prompt. Later parts are shared by fewer requests, so the last ones are
 /// kept.
 pub(crate) const PARTS_MAX: usize = 8;
@@ -23,5 +27,5 @@
 pub(crate) const SAME_CRASH: Duration = Duration::from_millis(1000);
 /// Time for which heartbeats repeat news to the other entries, since datagrams may be lost.
 pub(crate) const NEWS_TIME: Duration = Duration::from_millis(2000);
-/// Survivals in one message, so that it fits one datagram.
-pub(crate) const NEWS_SURVIVALS_MAX: usize = 128;
+/// Keys of parts and upstreams in one message, so that it fits one datagram.
+pub(crate) const NEWS_KEYS_MAX: usize = 400;
--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -1,17 +1,18 @@
 //! Which parts of prompts are not sent, by crashes and survived answers.
 //!
 //! A crash is held against the parts of each answer that had just begun. A part that is sound is
-//! cleared by any answer on it that goes on, at this entry or another. What remains and was in
-//! several crashes, one after the other, is blocked.
+//! cleared by any answer on it that goes on, at this entry or another. What remains and explains
+//! several crashes is blocked.
 
 use super::constants::{
-    CRASH_TTL, CRASHES_MAX, CRASHES_TO_BLOCK, NEWS_SURVIVALS_MAX, NEWS_TIME, PARTS_MAX, SAME_CRASH,
-    SURVIVAL_TTL, SURVIVALS_MAX,
+    CRASH_TTL, CRASHES_IN_TURN, CRASHES_MAX, CRASHES_TOGETHER, NEWS_KEYS_MAX, NEWS_TIME, PARTS_MAX,
+    SAME_CRASH, SURVIVAL_TTL, SURVIVALS_MAX, TOGETHER_TTL,
 };
 use super::events;
 use super::news::{CrashNews, PartNews};
 use crate::base::name::Name;
 use indexmap::{IndexMap, IndexSet};
+use std::cmp::Reverse;
 use std::time::Duration;
 
 /// Stands for a part of a prompt for one service.
@@ -62,6 +63,8 @@
     /// Last survived answer on each part that this entry sent lately, in two generations.
     survivals: [IndexMap<PartKey, Duration>; 2],
     blocked: IndexSet<PartKey>,
+    /// When a crash becomes too old, or a part that is blocked for a while may be released.
+    review_at: Duration,
 }
 
 impl Quarantine {
@@ -118,27 +121,40 @@
         self.clear_survived(now);
     }
 
-    /// What the other entries should know: recent news of this entry, or `all` that it knows.
+    /// What the other entries should know: recent news of this entry, or `all` that it knows. What
+    /// does not fit one datagram is left out, first of all crashes that block nothing.
     pub(crate) fn news(&self, all: bool, now: Duration) -> PartNews {
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
-        let crashes = self.crashes.iter().filter(|c| all || now < c.until).map(|c| CrashNews {
-            upstream: c.fact.upstream,
-            parts: c.fact.parts.clone(),
-            sent_ms: age_ms(c.fact.sent_at),
-            ended_ms: age_ms(c.fact.ended_at),
-        });
+        let mut news = PartNews::default();
+        let mut keys = 0;
+        let mut crashes: Vec<_> = self.crashes.iter().filter(|c| all || now < c.until).collect();
+        let is_blocked = |c: &Crash| self.blocked_part(&c.parts).is_some();
+        crashes.sort_by_key(|c| (!is_blocked(&c.fact), Reverse(c.fact.ended_at)));
+        for crash in crashes.into_iter().map(|c| &c.fact) {
+            keys += crash.parts.len() + 1;
+            if keys > NEWS_KEYS_MAX {
+                break;
+            }
+            news.crashes.push(CrashNews {
+                upstream: crash.upstream,
+                parts: crash.parts.clone(),
+                sent_ms: age_ms(crash.sent_at),
+                ended_ms: age_ms(crash.ended_at),
+            });
+        }
         let survived = self.cleared.iter().filter(|(_, c)| all || now < c.until);
-        let survived = survived.map(|(part, c)| (*part, age_ms(c.fact))).take(NEWS_SURVIVALS_MAX);
-        PartNews { crashes: crashes.collect(), survived: survived.collect() }
+        let survived = survived.map(|(part, c)| (*part, age_ms(c.fact)));
+        news.survived = survived.take(NEWS_KEYS_MAX.saturating_sub(keys)).collect();
+        news
     }
 
-    /// Forgets crashes that are too old.
+    /// Forgets crashes that are too old, and releases what is blocked for a while only.
     pub(crate) fn expire(&mut self, now: Duration) {
-        let count = self.crashes.len();
-        self.crashes.retain(|c| now < c.fact.ended_at + CRASH_TTL);
-        if self.crashes.len() < count {
-            self.clear_survived(now);
+        if self.crashes.is_empty() || now < self.review_at {
+            return;
         }
+        self.crashes.retain(|c| now < c.fact.ended_at + CRASH_TTL);
+        self.clear_survived(now);
     }
 
     fn is_accused(&self, part: PartKey) -> bool {
@@ -152,11 +168,7 @@
 
     /// Adds a crash, unless it is known.
     fn add_crash(&mut self, crash: Crash, until: Duration) {
-        let is_same = |known: &Crash| {
-            known.upstream == crash.upstream
-                && known.parts == crash.parts
-                && known.ended_at.abs_diff(crash.ended_at) < SAME_CRASH
-        };
+        let is_same = |known: &Crash| known.is_same_end(&crash) && known.parts == crash.parts;
         if self.crashes.iter().any(|c| is_same(&c.fact)) {
             return;
         }
@@ -189,46 +201,87 @@
                 self.cleared.insert(part, Told { fact: at, until: now + NEWS_TIME });
             }
         }
-        self.update_blocked();
+        self.update_blocked(now);
     }
 
-    fn update_blocked(&mut self) {
-        let mut blocked = IndexSet::new();
-        for crash in &self.crashes {
-            // Later parts are shared by fewer requests: where several qualify, blocking the last
-            // one stops the least.
-            let crashes_of = |part: &&PartKey| self.crashes_of(**part) >= CRASHES_TO_BLOCK;
-            blocked.extend(crash.fact.parts.iter().rev().find(crashes_of));
+    /// Finds the parts that explain the most crashes, one after the other. What a crash also ended is
+    /// not blamed for it once a blocked part explains it.
+    fn update_blocked(&mut self, now: Duration) {
+        let mut unexplained: Vec<&Crash> = self.crashes.iter().map(|c| &c.fact).collect();
+        let mut blocked = IndexMap::new();
+        self.review_at = unexplained.first().map_or(now, |c| c.ended_at + CRASH_TTL);
+        loop {
+            let mut best: Option<(PartKey, Blame<'_>)> = None;
+            // Later parts are shared by fewer requests, so the last of equal ones is blocked.
+            for part in unexplained.iter().flat_map(|c| c.parts.iter().rev()) {
+                let blame = self.blame(*part, &unexplained);
+                if best
+                    .as_ref()
+                    .is_none_or(|(_, best)| best.upstreams.len() < blame.upstreams.len())
+                {
+                    best = Some((*part, blame));
+                }
+            }
+            let Some((part, blame)) = best.filter(|(_, blame)| blame.is_enough(now)) else { break };
+            if blame.in_turn < CRASHES_IN_TURN {
+                self.review_at = self.review_at.min(blame.last_end + TOGETHER_TTL);
+            }
+            blocked.insert(part, blame.upstreams.len());
+            unexplained.retain(|crash| !blame.upstreams.iter().any(|b| b.is_same_end(crash)));
         }
-        for part in blocked.difference(&self.blocked) {
-            tracing::warn!(
-                event = events::PART_BLOCKED,
-                part = key_list(&[*part]),
-                crashes = self.crashes_of(*part),
-                "part of a prompt blocked"
-            );
+        for (part, crashes) in blocked.iter().filter(|(p, _)| !self.blocked.contains(*p)) {
+            let (event, part) = (events::PART_BLOCKED, key_list(&[*part]));
+            tracing::warn!(event, part, crashes, "part of a prompt blocked");
         }
-        for part in self.blocked.difference(&blocked) {
+        for part in self.blocked.iter().filter(|p| !blocked.contains_key(*p)) {
             let (event, part) = (events::PART_RELEASED, key_list(&[*part]));
             tracing::warn!(event, part, "part of a prompt released");
         }
-        self.blocked = blocked;
+        self.blocked = blocked.into_keys().collect();
     }
 
-    /// Crashes held against a part. Those of requests that were sent before the one counted last are
-    /// left out: what crashes many upstreams at once also ends sound answers at each of them.
-    fn crashes_of(&self, part: PartKey) -> u32 {
+    /// What `crashes`, by time, hold against `part`.
+    fn blame<'a>(&self, part: PartKey, crashes: &[&'a Crash]) -> Blame<'a> {
         let cleared = self.cleared.get(&part).map(|c| c.fact + SURVIVAL_TTL);
-        let mut count = 0;
-        let mut last_end = Duration::ZERO;
-        for crash in self.crashes.iter().map(|c| &c.fact) {
-            let is_held = crash.parts.contains(&part)
-                && cleared.is_none_or(|until| until < crash.ended_at)
-                && crash.sent_at >= last_end;
-            if is_held {
-                (count, last_end) = (count + 1, crash.ended_at);
+        let mut blame = Blame { upstreams: Vec::new(), in_turn: 0, last_end: Duration::ZERO };
+        for crash in crashes {
+            if !crash.parts.contains(&part) || cleared.is_some_and(|until| until >= crash.ended_at)
+            {
+                continue;
+            }
+            if !blame.upstreams.iter().any(|b| b.is_same_end(crash)) {
+                blame.upstreams.push(crash);
+            }
+            if crash.sent_at >= blame.last_end {
+                (blame.in_turn, blame.last_end) = (blame.in_turn + 1, crash.ended_at);
             }
         }
-        count
+        blame
+    }
+}
+
+/// The crashes held against one part.
+struct Blame<'a> {
+    /// One crash of each upstream.
+    upstreams: Vec<&'a Crash>,
+    /// Crashes one after the other, each of a request sent after the one before.
+    in_turn: u32,
+    /// Time of the last of these.
+    last_end: Duration,
+}
+
+impl Blame<'_> {
+    /// Whether the part is to be blocked. What crashes many upstreams at once also ends sound
+    /// answers at each of them, so that crashes at one time block for a while only.
+    fn is_enough(&self, now: Duration) -> bool {
+        let is_recent = now < self.last_end + TOGETHER_TTL;
+        self.in_turn >= CRASHES_IN_TURN || (self.upstreams.len() >= CRASHES_TOGETHER && is_recent)
+    }
+}
+
+impl Crash {
+    /// Whether both are one end of one upstream, noticed by two requests.
+    fn is_same_end(&self, other: &Self) -> bool {
+        self.upstream == other.upstream && self.ended_at.abs_diff(other.ended_at) < SAME_CRASH
     }
 }
