Take an unframed stream without events for broken off

What callers saw: a stream that ended without any event looked complete when its replica's answer had neither a length nor chunks, and crashes behind such answers were never held against a part.

Cause: without framing, the end of the connection is the end of the answer, also when its process has crashed; only an end within an event was taken for broken off.

Change: an unframed stream that ends before its first event is broken off and goes on elsewhere.

The tests failed before: call_stream_unframed_broken_off_resumed (without_event, an empty answer), call_deadly_part_contained (unframed, 9 more after the fifth crash). Two further cases, an end within an event and before its blank line, passed before.

--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::timeout;
@@ -115,6 +115,9 @@
     let mut splitter = EventSplitter::default();
     let mut previous: Option<Duration> = None;
     let (before, mut has_survived) = (progress.events, false);
+    // Without a length or chunks, the end of the connection ends the answer, also after a crash.
+    let is_framed =
+        parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
     // Bytes that complete no event do not count: a stalled replica may send one now and then.
     let mut progress_at = exchange.shared.clock.now();
     loop {
@@ -131,11 +134,11 @@
                     error.to_string(),
                 ));
             }
-            Some(None) if splitter.is_partial() => {
+            Some(None) if splitter.is_partial() || (!is_framed && progress.events == before) => {
                 if !has_survived {
                     exchange.check_crash(&seat);
                 }
-                let detail = "stream ended within an event".into();
+                let detail = "stream ended within an event or before its first".into();
                 return RelayOutcome::Interrupted(fail_attempt(
                     seat,
                     SendOutcome::Lost,
@@ -144,8 +147,10 @@
                 ));
             }
             Some(None) => {
-                if !has_survived && progress.events > before {
+                if !has_survived && is_framed && progress.events > before {
                     exchange.record_survival();
+                } else if !has_survived && !is_framed {
+                    exchange.check_crash(&seat);
                 }
                 seat.finish(SendOutcome::Good);
                 exchange.shared.pool.put_back(connection, &parts.headers);
--- a/papayaproxy/src/gateway/tests/deadly.rs
+++ b/papayaproxy/src/gateway/tests/deadly.rs
@@ -1,8 +1,9 @@
 //! Requests with a part of a prompt that ends each replica that begins to answer them.
 
 use super::stand_ins::{Action, FakeServer, ReceivedRequest, TestGateway, on_one_thread};
-use super::streams::{EVENTS, event_ids, head, whole_answer};
+use super::streams::{EVENTS, event_ids, head, unframed_head, whole_answer};
 use crate::quarantine::constants::NEWS_TIME;
+use rstest::rstest;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -15,8 +16,8 @@
 }
 
 /// A replica that ends as it begins to answer a request with the deadly part, and answers others.
-async fn mortal_replica() -> FakeServer {
-    FakeServer::bind(|request| {
+async fn mortal_replica(head: fn(&ReceivedRequest) -> String) -> FakeServer {
+    FakeServer::bind(move |request| {
         if has_deadly_part(request) {
             return vec![Action::Send(head(request)), Action::Crash(DOWN_TIME)];
         }
@@ -31,12 +32,14 @@
 
 /// Guards against requests of one kind that crash replica after replica: at most three with the
 /// part may reach replicas after the fifth crash. Requests that share their other parts are served.
-#[test]
-fn call_deadly_part_contained() {
+#[rstest]
+#[case::chunked(head)]
+#[case::unframed(unframed_head)]
+fn call_deadly_part_contained(#[case] head: fn(&ReceivedRequest) -> String) {
     on_one_thread(async {
         let mut replicas = Vec::new();
         for _ in 0..4 {
-            replicas.push(mortal_replica().await);
+            replicas.push(mortal_replica(head).await);
         }
         let gateway = TestGateway::open(&replicas.iter().collect::<Vec<_>>()).await;
         for number in 0..12 {
@@ -64,7 +67,7 @@
 #[test]
 fn call_deadly_part_known_after_restart() {
     on_one_thread(async {
-        let (one, two) = (mortal_replica().await, mortal_replica().await);
+        let (one, two) = (mortal_replica(head).await, mortal_replica(head).await);
         let replicas = [&one, &two];
         let (first_peer, second_peer) = (free_address().await, free_address().await);
         let first = TestGateway::open_peers(&replicas, &first_peer, &second_peer).await;
--- a/papayaproxy/src/gateway/tests/streams.rs
+++ b/papayaproxy/src/gateway/tests/streams.rs
@@ -169,3 +169,48 @@
         assert!(reset, "{}", String::from_utf8_lossy(&bytes));
     });
 }
+
+/// The head of an answer with neither a length nor chunks, which ends with its connection.
+pub(super) fn unframed_head(request: &ReceivedRequest) -> String {
+    head(request).replace("Transfer-Encoding: chunked\r\n", "Connection: close\r\n")
+}
+
+/// A replica whose answers end with their connection, after the events up to `last` and `rest`.
+async fn unframed_stream(last: u64, rest: &'static str) -> FakeServer {
+    FakeServer::bind(move |request| {
+        let events = (first_missing(request)..=last).map(|id| Action::Send(event(id)));
+        let start = std::iter::once(Action::Send(unframed_head(request)));
+        start.chain(events).chain([Action::Send(rest.into()), Action::Close]).collect()
+    })
+    .await
+}
+
+#[test]
+fn call_stream_unframed_whole() {
+    on_one_thread(async {
+        let replica = unframed_stream(EVENTS, "").await;
+        let gateway = TestGateway::open(&[&replica]).await;
+        let answer = gateway.call("POST", "/stream/x", "").await;
+        assert_eq!(event_ids(&answer), (1..=EVENTS).collect::<Vec<_>>(), "{answer}");
+        assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    });
+}
+
+/// Guards against answers without a length that break off and are taken for complete: one that ends
+/// within an event, or before any, continues at another replica.
+#[rstest]
+#[case::within_event(2, "id: 3\ndat")]
+#[case::before_blank_line(2, "id: 3\ndata: piece 3\n")]
+#[case::without_event(0, "")]
+fn call_stream_unframed_broken_off_resumed(#[case] last: u64, #[case] rest: &'static str) {
+    on_one_thread(async {
+        let (bad, good) = (unframed_stream(last, rest).await, complete_stream().await);
+        let gateway = TestGateway::open(&[&bad, &good]).await;
+        // Whichever replica is chosen first, the caller gets each event once.
+        for _ in 0..4 {
+            let answer = gateway.call("POST", "/stream/x", "").await;
+            assert_eq!(event_ids(&answer), (1..=EVENTS).collect::<Vec<_>>(), "{answer}");
+            assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+        }
+    });
+}
