--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -242,6 +242,13 @@
         seat.prompt_tokens = 0;
     }
 
+    /// Records the limit of requests a second that an answer of `upstream` names.
+    pub(crate) fn observe_limit(&mut self, upstream: &str, limit: Option<f64>) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.observe_limit(limit);
+        }
+    }
+
     /// Learns from the gap between two events of a stream.
     pub(crate) fn observe_gap(&mut self, upstream: &str, gap: Duration) {
         let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -64,6 +64,9 @@
     pub(crate) slowdown: Slowdown,
     /// Slowdown of its rank as its agent reports it; at least 1.
     pub(crate) rank_slowdown: f64,
+    /// Requests a second that it takes from all entries together, by its last answer; `None` if it
+    /// named no limit.
+    rate_limit: Option<f64>,
     circuit: Circuit,
     backoff_until: Duration,
     /// When its group was last reported broken, if not reported running since.
@@ -98,6 +101,7 @@
             peer_tokens: 0,
             slowdown: Slowdown::default(),
             rank_slowdown: 1.0,
+            rate_limit: None,
             circuit: Circuit::new(circuit),
             backoff_until: Duration::ZERO,
             broken_at: None,
@@ -178,6 +182,15 @@
         self.answered_at = Some(now);
     }
 
+    /// Records the limit that an answer names.
+    pub(crate) fn observe_limit(&mut self, limit: Option<f64>) {
+        let before = std::mem::replace(&mut self.rate_limit, limit);
+        if before != limit {
+            let (event, upstream) = (events::RATE_LIMITED, &self.id);
+            tracing::info!(event, %upstream, limit, before, "rate limit changed");
+        }
+    }
+
     /// Records whether its group runs passes.
     pub(crate) fn observe_group(&mut self, is_open: bool, now: Duration) {
         self.broken_at = (!is_open).then_some(now);
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -320,7 +320,12 @@
         };
         let (parts, body) = response.into_parts();
         let is_reused = connection.is_reused();
-        match replica::verdict(&self.envelope.id, parts.status, &parts.headers, is_reused) {
+        let verdict = replica::verdict(&self.envelope.id, parts.status, &parts.headers, is_reused);
+        if !matches!(verdict, Verdict::Foreign | Verdict::NotRun { misdirected: true }) {
+            let limit = replica::rate_limit(&parts.headers);
+            self.shared.seats.with_balancer(|balancer| balancer.observe_limit(&upstream, limit));
+        }
+        match verdict {
             Verdict::NotRun { misdirected } => {
                 let outcome = if misdirected { SendOutcome::Foreign } else { SendOutcome::Full };
                 let detail = format!("{} without running the request", parts.status);
--- a/papayaproxy/src/platform/names.rs
+++ b/papayaproxy/src/platform/names.rs
@@ -16,6 +16,9 @@
 pub(crate) const SIGNATURE: HeaderName = HeaderName::from_static("x-server-stamp");
 /// Present if a replica states that it did not run the request.
 pub(crate) const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+/// Requests a second that a replica takes from all entries together, as a decimal number. Absent if
+/// it does not limit them.
+pub(crate) const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Prompt tokens and largest number of response tokens, separated by a comma.
 pub(crate) const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-token-usage");
 /// Parts of the prompt in order, separated by commas, each with its id, a colon and its tokens.
--- a/papayaproxy/src/platform/replica.rs
+++ b/papayaproxy/src/platform/replica.rs
@@ -1,6 +1,6 @@
 //! Evaluates the heads of replicas' responses.
 
-use super::names::{NOT_EXECUTED, REQUEST_ID, SIGNATURE};
+use super::names::{NOT_EXECUTED, RATE_LIMIT, REQUEST_ID, SIGNATURE};
 use crate::gateway::Verdict;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, StatusCode};
@@ -35,3 +35,10 @@
         _ => Verdict::Final,
     }
 }
+
+/// Requests a second that the replica takes from all entries together; `None` if it names no limit.
+/// What is not a number of 0 or more counts as none.
+pub(crate) fn rate_limit(headers: &HeaderMap) -> Option<f64> {
+    let text = headers.get(RATE_LIMIT)?.to_str().ok()?;
+    text.trim().parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
+}
--- a/papayaproxy/src/platform/tests/mod.rs
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -143,3 +143,16 @@
         let _ = config::parse(&bytes);
     }
 }
+
+#[rstest]
+#[case::none(&[], None)]
+#[case::whole(&[("server-limit", "12")], Some(12.0))]
+#[case::fraction(&[("server-limit", " 1.75 ")], Some(1.75))]
+#[case::zero(&[("server-limit", "0")], Some(0.0))]
+#[case::negative(&[("server-limit", "-1")], None)]
+#[case::endless(&[("server-limit", "inf")], None)]
+#[case::not_a_number(&[("server-limit", "NaN")], None)]
+#[case::words(&[("server-limit", "few")], None)]
+fn rate_limit_values(#[case] pairs: &[(&'static str, &str)], #[case] expected: Option<f64>) {
+    assert_eq!(replica::rate_limit(&headers(pairs)), expected);
+}
