Share the limits that upstreams name among the entries

What callers saw: nothing; an upstream in need got twice the requests that it had asked for.

Cause: the header that names the limit was not read, and each entry sent as its load reports told. The class of fault: a limit for all, which no entry exceeds alone and nobody sums up.

Change: each entry takes an even part of 0.9 of the limit (chosen), as a least interval between its requests to that upstream; the first time is random in the interval, so that entries do not send at once. Changes of limits are told to the other entries with the heartbeats for a second, so that all follow the first who hears: in a large fleet an entry alone would notice the end only after many intervals. If no upstream may get a request in its time, it is refused at once with the time at which one may.

Why it works: the parts add up to less than the limit whatever each entry gets, and an entry has one request ahead at most.

--- a/papayaproxy/src/balance/budget.rs
+++ b/papayaproxy/src/balance/budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget of a service, shared by all entries without messages between them: each counts its
 //! own requests and uses an equal part of the slack.
 
-use super::constants::{BUDGET_ENTRIES_MIN, BUDGET_RATIO};
+use super::constants::{BUDGET_RATIO, SHARING_ENTRIES_MIN};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -49,7 +49,7 @@
     /// process.
     pub(crate) fn remaining(&mut self, entries: usize, now: Duration) -> f64 {
         self.expire(now);
-        let entries = entries.max(BUDGET_ENTRIES_MIN) as f64;
+        let entries = entries.max(SHARING_ENTRIES_MIN) as f64;
         // Retries made before a restart of this process are unknown, but still count in the window.
         // The slack therefore grows from zero over the first window.
         let elapsed = (now.as_secs_f64() / self.rule.window.as_secs_f64()).min(1.0);
--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -84,5 +84,13 @@
 
 /// Fraction of the allowed retries that is used, since entries may learn of each other late.
 pub(crate) const BUDGET_RATIO: f64 = 0.8;
-/// Smallest number of entries that a budget is divided by, until more are known.
-pub(crate) const BUDGET_ENTRIES_MIN: usize = 6;
+/// Smallest number of entries that a budget or a rate limit is divided by, until more are known.
+pub(crate) const SHARING_ENTRIES_MIN: usize = 6;
+
+/// Fraction of an upstream's rate limit that is used, since the entries do not send evenly.
+pub(crate) const RATE_LIMIT_RATIO: f64 = 0.9;
+/// Longest time between two requests of one entry to an upstream with a rate limit, so that the
+/// entry notices the end of a limit of 0.
+pub(crate) const RATE_INTERVAL_MAX: Duration = Duration::from_secs(60);
+/// Time for which heartbeats tell the peers of another rate limit; datagrams may be lost.
+pub(crate) const LIMIT_NEWS_TIME: Duration = Duration::from_millis(1000);
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -14,12 +14,16 @@
 use crate::catalog::{Config, Directory};
 use crate::limits::CircuitSettings;
 use crate::peers::PeerLoads;
-use crate::peers::message::{UpstreamLoad, digest};
+use crate::peers::constants::LOADS_MAX;
+use crate::peers::message::{LimitNews, UpstreamLoad, digest};
 use crate::ranks::message::GroupStatus;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Spreads the bits of a product over the whole word.
+const HASH_FACTOR: u32 = 0x9E37_79B9;
+
 /// All upstreams, and the requests that wait for a seat at one.
 pub(crate) struct Balancer {
     zone: Name,
@@ -175,6 +179,12 @@
         if let Some(seat) = self.seat(&request, QueueStage::Arriving, now) {
             return SeatDecision::Grant(seat);
         }
+        if let Some(opens_at) = self.limited_until(&request, now)
+            && opens_at > request.wait_until()
+        {
+            let wait = opens_at.saturating_sub(now).max(RETRY_AFTER_MIN);
+            return self.refuse(&request, "rate limited", wait.min(request.longest_retry_after()));
+        }
         if !request.is_returning && !request.is_resumed && !self.may_be_served(&request, now) {
             // No seat is freed soon. The later the client retries, the more likely it is served.
             return self.refuse(&request, "group broken", request.longest_retry_after());
@@ -188,6 +198,18 @@
         all.any(|u| !u.is_broken(now) && !self.is_zone_in_backoff(&u.zone, now))
     }
 
+    /// When the first upstream that could take the request may get one, if the rate limits of all
+    /// keep it from being sent.
+    fn limited_until(&self, request: &SeatRequest, now: Duration) -> Option<Duration> {
+        let fitting = self.upstreams.values().filter(|u| {
+            u.service == request.service
+                && !request.excluded.contains(&u.id)
+                && u.is_available(now)
+                && !self.is_zone_in_backoff(&u.zone, now)
+        });
+        fitting.map(Upstream::limited_until).min().filter(|at| now < *at)
+    }
+
     fn is_zone_in_backoff(&self, zone: &Name, now: Duration) -> bool {
         *zone != self.zone
             && self.zones.get(zone).is_some_and(|(_, backoff_until)| now < *backoff_until)
@@ -242,13 +264,43 @@
         seat.prompt_tokens = 0;
     }
 
-    /// Records the limit of requests a second that an answer of `upstream` names.
-    pub(crate) fn observe_limit(&mut self, upstream: &str, limit: Option<f64>) {
+    /// Records the limit of requests a second that an answer of `upstream` names. `draw` is
+    /// uniformly random.
+    pub(crate) fn observe_limit(
+        &mut self,
+        upstream: &str,
+        limit: Option<f64>,
+        draw: u32,
+        now: Duration,
+    ) {
+        let entries = self.entries;
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.observe_limit(limit);
+            upstream.observe_limit(limit, entries, draw, now);
         }
     }
 
+    /// Applies the limits that peers were told.
+    pub(crate) fn observe_peer_limits(&mut self, news: &[LimitNews], draw: u32, now: Duration) {
+        let entries = self.entries;
+        for news in news {
+            let at = now.saturating_sub(Duration::from_millis(news.age_ms));
+            // Limits that were told together must not open together.
+            let draw = (draw ^ news.upstream).wrapping_mul(HASH_FACTOR);
+            let known = self.upstreams.values_mut().filter(|u| u.digest == news.upstream);
+            known.for_each(|u| u.observe_peer_limit(news.limit, at, entries, draw, now));
+        }
+    }
+
+    /// Limits for the peers: those that have changed lately by answers to this entry.
+    pub(crate) fn limit_news(&self, now: Duration) -> Vec<LimitNews> {
+        let news = self.upstreams.values().filter_map(|u| {
+            let (limit, at) = u.limit_news(now)?;
+            let age_ms = now.saturating_sub(at).as_millis() as u64;
+            Some(LimitNews { upstream: u.digest, limit, age_ms })
+        });
+        news.take(LOADS_MAX).collect()
+    }
+
     /// Learns from the gap between two events of a stream.
     pub(crate) fn observe_gap(&mut self, upstream: &str, gap: Duration) {
         let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
@@ -350,7 +402,7 @@
         let service = self.services.get(&request.service)?;
         let engine = service.engine.as_ref();
         let noise = |u: &Upstream| {
-            let hash = (request.draw ^ u.digest).wrapping_mul(0x9E37_79B9);
+            let hash = (request.draw ^ u.digest).wrapping_mul(HASH_FACTOR);
             f64::from(hash) / f64::from(u32::MAX) * SCORE_NOISE
         };
         let penalty = if engine.is_some() { ZONE_PENALTY } else { ZONE_PENALTY_PLAIN };
@@ -369,7 +421,7 @@
             {
                 continue;
             }
-            if self.is_zone_in_backoff(&u.zone, now) {
+            if self.is_zone_in_backoff(&u.zone, now) || now < u.limited_until() {
                 continue;
             }
             candidates += 1;
--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -3,5 +3,6 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod budget;
+mod limits;
 mod patterns;
 mod spread;
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -15,8 +15,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const START: Duration = Duration::from_secs(30);
-const TARGET: Duration = Duration::from_millis(400);
+pub(super) const START: Duration = Duration::from_secs(30);
+pub(super) const TARGET: Duration = Duration::from_millis(400);
 const GAP: Duration = Duration::from_millis(120);
 
 fn figures() -> EngineFigures {
@@ -43,7 +43,7 @@
     }
 }
 
-fn address(index: u16) -> SocketAddr {
+pub(super) fn address(index: u16) -> SocketAddr {
     format!("10.0.0.1:{}", 8000 + index).parse().unwrap()
 }
 
@@ -60,7 +60,7 @@
 }
 
 /// A balancer in zone `a`, with four replicas of the service `llm` in each of `zones`.
-fn balancer(zones: &[&str]) -> (Balancer, Directory, Config) {
+pub(super) fn balancer(zones: &[&str]) -> (Balancer, Directory, Config) {
     let rule = BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10) };
     let circuit = CircuitSettings {
         bad_ratio: 0.5,
@@ -89,11 +89,11 @@
     (balancer, directory, config)
 }
 
-fn id(index: u16) -> Name {
+pub(super) fn id(index: u16) -> Name {
     format!("i-{index}").into()
 }
 
-fn request(ticket: u64, now: Duration) -> SeatRequest {
+pub(super) fn request(ticket: u64, now: Duration) -> SeatRequest {
     SeatRequest {
         ticket,
         request_id: format!("r{ticket}").into(),
@@ -110,7 +110,7 @@
     }
 }
 
-fn granted(decision: SeatDecision) -> Option<Seat> {
+pub(super) fn granted(decision: SeatDecision) -> Option<Seat> {
     match decision {
         SeatDecision::Grant(seat) => Some(seat),
         _ => None,
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -1,9 +1,9 @@
 //! State of one upstream: its load, timing, group status and circuit.
 
 use super::constants::{
-    BROKEN_TTL, FOREIGN_BACKOFF, FULL_BACKOFF, IDLE_FULL_BACKOFF, LOW_LOAD_RATIO,
-    PLAIN_LIMIT_FACTOR, SILENCE_BROKEN, SILENCE_HEALTHY, SILENCE_UNKNOWN, STATUS_MAX_AGE,
-    UNREACHED_BACKOFF,
+    BROKEN_TTL, FOREIGN_BACKOFF, FULL_BACKOFF, IDLE_FULL_BACKOFF, LIMIT_NEWS_TIME, LOW_LOAD_RATIO,
+    PLAIN_LIMIT_FACTOR, RATE_INTERVAL_MAX, RATE_LIMIT_RATIO, SHARING_ENTRIES_MIN, SILENCE_BROKEN,
+    SILENCE_HEALTHY, SILENCE_UNKNOWN, STATUS_MAX_AGE, UNREACHED_BACKOFF,
 };
 use super::engine::Slowdown;
 use super::events;
@@ -38,6 +38,31 @@
     Abandoned,
 }
 
+/// A limit of requests a second for all entries together, and this entry's part of it.
+///
+/// Entries share the limit evenly and without messages: each sends at even intervals, and the first
+/// times are random, so that the entries do not send at once.
+#[derive(Clone, Copy, Debug)]
+struct RateLimit {
+    per_second: f64,
+    /// Least time between two requests of this entry.
+    interval: Duration,
+    /// From when on this entry may send the next one.
+    next_send: Duration,
+}
+
+impl RateLimit {
+    fn new(per_second: f64, entries: usize, old: Option<Self>, draw: u32, now: Duration) -> Self {
+        let entries = entries.max(SHARING_ENTRIES_MIN) as f64;
+        let seconds = entries / (per_second * RATE_LIMIT_RATIO).max(f64::MIN_POSITIVE);
+        let longest = RATE_INTERVAL_MAX.as_secs_f64();
+        let interval = Duration::from_secs_f64(seconds.min(longest));
+        let first = now + interval.mul_f64(f64::from(draw) / f64::from(u32::MAX));
+        let next_send = old.map_or(first, |old| old.next_send.min(now + interval));
+        Self { per_second, interval, next_send }
+    }
+}
+
 /// State of one upstream, as one entry knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
@@ -64,9 +89,12 @@
     pub(crate) slowdown: Slowdown,
     /// Slowdown of its rank as its agent reports it; at least 1.
     pub(crate) rank_slowdown: f64,
-    /// Requests a second that it takes from all entries together, by its last answer; `None` if it
-    /// named no limit.
-    rate_limit: Option<f64>,
+    /// Limit that its last answer named; `None` if it named none.
+    rate_limit: Option<RateLimit>,
+    /// When that answer arrived, here or at a peer.
+    limit_at: Duration,
+    /// Until when the peers are told of the limit, or of its end.
+    limit_news_until: Duration,
     circuit: Circuit,
     backoff_until: Duration,
     /// When its group was last reported broken, if not reported running since.
@@ -102,6 +130,8 @@
             slowdown: Slowdown::default(),
             rank_slowdown: 1.0,
             rate_limit: None,
+            limit_at: Duration::ZERO,
+            limit_news_until: Duration::ZERO,
             circuit: Circuit::new(circuit),
             backoff_until: Duration::ZERO,
             broken_at: None,
@@ -182,15 +212,66 @@
         self.answered_at = Some(now);
     }
 
-    /// Records the limit that an answer names.
-    pub(crate) fn observe_limit(&mut self, limit: Option<f64>) {
-        let before = std::mem::replace(&mut self.rate_limit, limit);
-        if before != limit {
-            let (event, upstream) = (events::RATE_LIMITED, &self.id);
-            tracing::info!(event, %upstream, limit, before, "rate limit changed");
+    /// Records the limit that an answer to this entry names, which `entries` share. `draw` is
+    /// uniformly random.
+    pub(crate) fn observe_limit(
+        &mut self,
+        limit: Option<f64>,
+        entries: usize,
+        draw: u32,
+        now: Duration,
+    ) {
+        self.limit_at = now;
+        if self.apply_limit(limit, entries, draw, now) {
+            self.limit_news_until = now + LIMIT_NEWS_TIME;
+        }
+    }
+
+    /// Records the limit that an answer to a peer named at `at`, unless a later one is known.
+    pub(crate) fn observe_peer_limit(
+        &mut self,
+        limit: Option<f64>,
+        at: Duration,
+        entries: usize,
+        draw: u32,
+        now: Duration,
+    ) {
+        if at > self.limit_at {
+            self.limit_at = at;
+            self.apply_limit(limit, entries, draw, now);
         }
     }
 
+    /// Sets the limit; returns whether it differs from the one before.
+    fn apply_limit(
+        &mut self,
+        limit: Option<f64>,
+        entries: usize,
+        draw: u32,
+        now: Duration,
+    ) -> bool {
+        let old = self.rate_limit.take();
+        self.rate_limit = limit.map(|limit| RateLimit::new(limit, entries, old, draw, now));
+        let before = old.map(|l| l.per_second);
+        if before == limit {
+            return false;
+        }
+        let (event, upstream) = (events::RATE_LIMITED, &self.id);
+        tracing::info!(event, %upstream, limit, before, "rate limit changed");
+        true
+    }
+
+    /// The limit and the time of the answer that named it, while the peers are to be told.
+    pub(crate) fn limit_news(&self, now: Duration) -> Option<(Option<f64>, Duration)> {
+        let limit = self.rate_limit.map(|l| l.per_second);
+        (now < self.limit_news_until).then_some((limit, self.limit_at))
+    }
+
+    /// From when on its limit allows this entry a request; zero without a limit.
+    pub(crate) fn limited_until(&self) -> Duration {
+        self.rate_limit.map_or(Duration::ZERO, |limit| limit.next_send)
+    }
+
     /// Records whether its group runs passes.
     pub(crate) fn observe_group(&mut self, is_open: bool, now: Duration) {
         self.broken_at = (!is_open).then_some(now);
@@ -206,6 +287,9 @@
     /// Records that a request is sent to it; returns whether the request is a probe of its circuit.
     pub(crate) fn record_start(&mut self, now: Duration) -> bool {
         self.own_requests += 1;
+        if let Some(limit) = &mut self.rate_limit {
+            limit.next_send = now + limit.interval;
+        }
         self.circuit.start_attempt(now)
     }
 
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use super::refuse;
 use super::relay;
 use super::seats::SeatGuard;
-use crate::balance::{Refusal, Seat, SeatRequest, SendOutcome};
+use crate::balance::{Balancer, Refusal, Seat, SeatRequest, SendOutcome};
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::catalog::{Route, Workspace};
@@ -323,7 +323,9 @@
         let verdict = replica::verdict(&self.envelope.id, parts.status, &parts.headers, is_reused);
         if !matches!(verdict, Verdict::Foreign | Verdict::NotRun { misdirected: true }) {
             let limit = replica::rate_limit(&parts.headers);
-            self.shared.seats.with_balancer(|balancer| balancer.observe_limit(&upstream, limit));
+            let (now, draw) = (self.shared.clock.now(), rand::random());
+            let observe = |b: &mut Balancer| b.observe_limit(&upstream, limit, draw, now);
+            self.shared.seats.with_balancer(observe);
         }
         match verdict {
             Verdict::NotRun { misdirected } => {
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -122,6 +122,7 @@
             incarnation,
         };
         let (load_seats, peer_seats, group_seats) = (seats.clone(), seats.clone(), seats);
+        let (own_limits, peer_limits) = (load_seats.clone(), load_seats.clone());
         let (own_parts, peer_parts) = (quarantine.clone(), quarantine);
         let peers = Peers::bind(
             peer_settings,
@@ -135,6 +136,13 @@
                 observe_group: Box::new(move |status| {
                     group_seats.with_balancer(|b| b.observe_group(status, clock.now()));
                 }),
+                limit_news: Box::new(move || {
+                    own_limits.with_balancer(|b| b.limit_news(clock.now()))
+                }),
+                observe_limits: Box::new(move |news| {
+                    let (now, draw) = (clock.now(), rand::random());
+                    peer_limits.with_balancer(|b| b.observe_peer_limits(&news, draw, now));
+                }),
                 part_news: Box::new(move |all| own_parts.borrow().news(all, clock.now())),
                 observe_parts: Box::new(move |news| {
                     peer_parts.borrow_mut().observe(news, clock.now());
--- a/papayaproxy/src/gateway/tests/answers.rs
+++ b/papayaproxy/src/gateway/tests/answers.rs
@@ -132,3 +132,24 @@
         assert_eq!(request_count(&[&replica]), 0);
     });
 }
+
+/// Guards against upstreams that get far more requests than the limit that they named. What the
+/// limit leaves no room for is refused with a time to come back.
+#[test]
+fn call_limit_named_kept() {
+    on_one_thread(async {
+        let limited = FakeServer::bind(|request| {
+            let answer = reply(request, "200 OK", "whole");
+            vec![Action::Send(answer.replacen("\r\n", "\r\nServer-Limit: 1.0\r\n", 1))]
+        })
+        .await;
+        let gateway = TestGateway::open(&[&limited]).await;
+        for _ in 0..30 {
+            let answer = gateway.call("GET", "/safe/x", "").await;
+            let is_served = answer.starts_with("HTTP/1.1 200") && answer.ends_with("whole");
+            assert!(is_served || answer.contains("retry-after"), "{answer}");
+        }
+        // One and a half times what the limit allows in four seconds, and five more.
+        assert!(limited.received.borrow().len() <= 11);
+    });
+}
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -44,6 +44,8 @@
     Members(MembersQuery),
     /// Which parts of prompts have crashed upstreams, and which are sound.
     Parts(PartNews),
+    /// Rate limits of upstreams that have changed.
+    Limits(Vec<LimitNews>),
 }
 
 /// State and load of an entry.
@@ -74,6 +76,17 @@
     pub(crate) tokens: u32,
 }
 
+/// The rate limit that an upstream's answer named.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LimitNews {
+    /// The upstream's id, by its [`digest`].
+    pub(crate) upstream: u32,
+    /// Requests a second from all entries together; `None` if the answer named no limit.
+    pub(crate) limit: Option<f64>,
+    /// Time since the answer.
+    pub(crate) age_ms: u64,
+}
+
 /// Ages of an entry's configuration and upstream list.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Freshness {
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -7,7 +7,9 @@
 };
 use super::events;
 use super::groups::{Groups, PulseOutcome};
-use super::message::{FetchReply, FetchRequest, Freshness, Heartbeat, Message, UpstreamLoad, send};
+use super::message::{
+    FetchReply, FetchRequest, Freshness, Heartbeat, LimitNews, Message, UpstreamLoad, send,
+};
 use super::relay;
 use super::table::{PeerLoads, Table};
 use crate::base::clock::Clock;
@@ -70,6 +72,10 @@
     pub(crate) observe_loads: ObserveLoads,
     /// Called for each status of a lock-step group.
     pub(crate) observe_group: Box<dyn Fn(&GroupStatus)>,
+    /// Returns the rate limits that have changed lately.
+    pub(crate) limit_news: Box<dyn Fn() -> Vec<LimitNews>>,
+    /// Called for each message on rate limits.
+    pub(crate) observe_limits: Box<dyn Fn(Vec<LimitNews>)>,
     /// Returns recent news of parts of prompts, or all.
     pub(crate) part_news: Box<dyn Fn(bool) -> PartNews>,
     /// Called for each message on parts of prompts.
@@ -177,6 +183,10 @@
         };
         self.send_heartbeat(with_peers, &to).await;
         self.send_part_news(false, &to).await;
+        let limits = (self.hooks.limit_news)();
+        if !limits.is_empty() {
+            self.send(&Message::Limits(limits), &to).await;
+        }
     }
 
     /// Tells all peers at once what is new on parts of prompts; heartbeats repeat it.
@@ -291,6 +301,7 @@
                 (self.hooks.observe_group)(&status);
             }
             Message::Pulse(pulse) => self.handle_pulse(from, pulse).await,
+            Message::Limits(news) => (self.hooks.observe_limits)(news),
             Message::Parts(news) => (self.hooks.observe_parts)(&news),
             Message::Changed { .. } => {}
             Message::Freshness(_)
