Judge parts that are to be blocked by their crashes alone

Cause: the part in the crashes of most upstreams was looked for first, and the search ended if that one was not to be blocked. A part that was blocked for a while only and has been released hid all others, so that a deadly part with fewer crashes went on. Found by reading; no play has shown it.

Change: only parts that are to be blocked are compared.

The test failed before: record_crash_released_part_hides_none (blocked nothing).

--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -215,14 +215,12 @@
             // Later parts are shared by fewer requests, so the last of equal ones is blocked.
             for part in unexplained.iter().flat_map(|c| c.parts.iter().rev()) {
                 let blame = self.blame(*part, &unexplained);
-                if best
-                    .as_ref()
-                    .is_none_or(|(_, best)| best.upstreams.len() < blame.upstreams.len())
-                {
+                let most = best.as_ref().map_or(0, |(_, best)| best.upstreams.len());
+                if blame.is_enough(now) && blame.upstreams.len() > most {
                     best = Some((*part, blame));
                 }
             }
-            let Some((part, blame)) = best.filter(|(_, blame)| blame.is_enough(now)) else { break };
+            let Some((part, blame)) = best else { break };
             if blame.in_turn < CRASHES_IN_TURN {
                 self.review_at = self.review_at.min(blame.last_end + TOGETHER_TTL);
             }
--- a/papayaproxy/src/quarantine/tests/parts.rs
+++ b/papayaproxy/src/quarantine/tests/parts.rs
@@ -199,6 +199,20 @@
     assert_eq!(started.blocked_part(&[DEADLY]), Some(DEADLY));
 }
 
+/// Guards against a part that is not blocked any more and hides another one.
+#[test]
+fn record_crash_released_part_hides_none() {
+    let mut quarantine = Quarantine::default();
+    for upstream in 0..4 {
+        record(&mut quarantine, crash(upstream, &[SHARED], 2.0, 2.5));
+    }
+    let later = 3.0 + TOGETHER_TTL.as_secs_f64();
+    record(&mut quarantine, crash(5, &[DEADLY], later, later + 0.1));
+    record(&mut quarantine, crash(6, &[DEADLY], later + 1.0, later + 1.1));
+    assert_eq!(quarantine.blocked_part(&[SHARED]), None);
+    assert_eq!(quarantine.blocked_part(&[DEADLY]), Some(DEADLY));
+}
+
 #[test]
 fn record_crash_many_bounded() {
     let mut quarantine = Quarantine::default();
