Keep the crashes that block a part

Cause: of more than 128 crashes the oldest were dropped, also those that block a part, so that other crashes of an hour released a deadly part. Found by reading; no play has shown it.

Change: the oldest crash that blocks nothing is dropped first.

The test failed before: record_crash_many_keeps_blocked (released).

--- a/papayaproxy/src/quarantine/constants.rs
+++ b/papayaproxy/src/quarantine/constants.rs
@@ -15,7 +15,7 @@
 pub(crate) const SURVIVAL_TTL: Duration = Duration::from_secs(60);
 /// Time for which a crash is held against the parts of its prompts.
 pub(crate) const CRASH_TTL: Duration = Duration::from_secs(3600);
-/// Crashes that are kept; the oldest are dropped first.
+/// Crashes that are kept; the oldest that block nothing are dropped first.
 pub(crate) const CRASHES_MAX: usize = 128;
 /// Parts that are kept of one prompt. Later parts are shared by fewer requests, so the last ones are
 /// kept.
--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -184,7 +184,9 @@
         let index = self.crashes.partition_point(|c| c.fact.ended_at <= crash.ended_at);
         self.crashes.insert(index, Told { fact: crash, until });
         if self.crashes.len() > CRASHES_MAX {
-            self.crashes.remove(0);
+            let is_spare = |c: &Told<Crash>| self.blocked_part(&c.fact.parts).is_none();
+            let oldest = self.crashes.iter().position(is_spare).unwrap_or_default();
+            self.crashes.remove(oldest);
         }
     }
 
--- a/papayaproxy/src/quarantine/tests/parts.rs
+++ b/papayaproxy/src/quarantine/tests/parts.rs
@@ -213,6 +213,19 @@
     assert_eq!(quarantine.blocked_part(&[DEADLY]), Some(DEADLY));
 }
 
+/// Guards against crashes that block nothing and push out those that do.
+#[test]
+fn record_crash_many_keeps_blocked() {
+    let mut quarantine = Quarantine::default();
+    record(&mut quarantine, crash(1, &[DEADLY], 2.0, 2.5));
+    record(&mut quarantine, crash(2, &[DEADLY], 3.0, 3.5));
+    for number in 10..1000 {
+        let sent = f64::from(number);
+        record(&mut quarantine, crash(number, &[u64::from(number)], sent, sent + 0.5));
+    }
+    assert_eq!(quarantine.blocked_part(&[DEADLY]), Some(DEADLY));
+}
+
 #[test]
 fn record_crash_many_bounded() {
     let mut quarantine = Quarantine::default();
