Keep the order of crashes from before the start of an entry

Cause: ages that peers tell were taken from a clock that starts with the process, so that whatever is older than the process had the time 0. An entry that had just started took crashes that happened together for crashes one after the other, and blocked sound parts that two of them shared. Found by reading.

The test failed before: observe_all_after_start_order_kept (blocked the sound part).

--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -33,6 +33,12 @@
     parts.iter().map(|part| format!("{part:016x}")).collect::<Vec<_>>().join(",")
 }
 
+/// `now` on a clock that starts [`CRASH_TTL`] earlier, so that crashes from before the start of the
+/// process keep their order.
+fn extended(now: Duration) -> Duration {
+    now + CRASH_TTL
+}
+
 /// An upstream that crashed as it began to answer a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Crash {
@@ -75,11 +81,13 @@
 
     /// Whether a crash would be held against any of `parts`.
     pub(crate) fn is_suspect(&self, parts: &[PartKey], now: Duration) -> bool {
+        let now = extended(now);
         parts.iter().any(|part| self.survived_at(*part).is_none_or(|at| at + SURVIVAL_TTL < now))
     }
 
     /// Records that an answer on `parts` has gone on.
     pub(crate) fn record_survival(&mut self, parts: &[PartKey], now: Duration) {
+        let now = extended(now);
         if self.survivals[0].len() + parts.len() > SURVIVALS_MAX {
             self.survivals.swap(0, 1);
             self.survivals[0].clear();
@@ -98,12 +106,16 @@
 
     /// Records a crash that this entry has noticed.
     pub(crate) fn record_crash(&mut self, crash: Crash, now: Duration) {
+        let now = extended(now);
+        let (sent_at, ended_at) = (extended(crash.sent_at), extended(crash.ended_at));
+        let crash = Crash { sent_at, ended_at, ..crash };
         self.add_crash(crash, now + NEWS_TIME);
         self.clear_survived(now);
     }
 
     /// Applies what a peer tells.
     pub(crate) fn observe(&mut self, news: &PartNews, now: Duration) {
+        let now = extended(now);
         let at = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
         for crash in &news.crashes {
             let mut parts = crash.parts.clone();
@@ -124,6 +136,7 @@
     /// What the other entries should know: recent news of this entry, or `all` that it knows. What
     /// does not fit one datagram is left out, first of all crashes that block nothing.
     pub(crate) fn news(&self, all: bool, now: Duration) -> PartNews {
+        let now = extended(now);
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         let mut news = PartNews::default();
         let mut keys = 0;
@@ -150,6 +163,7 @@
 
     /// Forgets crashes that are too old, and releases what is blocked for a while only.
     pub(crate) fn expire(&mut self, now: Duration) {
+        let now = extended(now);
         if self.crashes.is_empty() || now < self.review_at {
             return;
         }
@@ -177,8 +191,7 @@
             upstream = format!("{:08x}", crash.upstream),
             by_peer = until.is_zero(),
             parts = key_list(&crash.parts),
-            sent_ms = crash.sent_at.as_millis() as u64,
-            ended_ms = crash.ended_at.as_millis() as u64,
+            took_ms = crash.ended_at.saturating_sub(crash.sent_at).as_millis() as u64,
             "crash recorded"
         );
         let index = self.crashes.partition_point(|c| c.fact.ended_at <= crash.ended_at);
--- a/papayaproxy/src/quarantine/tests/parts.rs
+++ b/papayaproxy/src/quarantine/tests/parts.rs
@@ -226,6 +226,18 @@
     assert_eq!(quarantine.blocked_part(&[DEADLY]), Some(DEADLY));
 }
 
+/// Guards against an entry that has just started and takes crashes from before its start for crashes
+/// one after the other.
+#[test]
+fn observe_all_after_start_order_kept() {
+    let (mut one, mut started) = (Quarantine::default(), Quarantine::default());
+    for upstream in 0..2 {
+        record(&mut one, crash(upstream, &[SHARED], 2.0, 2.5));
+    }
+    started.observe(&one.news(true, s(60.0)), s(1.0));
+    assert_eq!(started.blocked_part(&[SHARED]), None);
+}
+
 #[test]
 fn record_crash_many_bounded() {
     let mut quarantine = Quarantine::default();
