Count a crash once that entries tell with different delays

Cause: the ages that two entries tell of one crash come with different delays. The later message looked like a request that was sent after the crash of the earlier one, so that one crash counted as two, one after the other, and blocked a sound part until an answer on it went on.

Evidence: randomised fleet (21 entries, 9 upstreams, messages up to 60 ms late): a part blocked 110 ms after the start by two entries for one crash.

The test failed before: observe_one_crash_told_late_counts_once (blocked).

--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -256,6 +256,7 @@
     /// What `crashes`, by time, hold against `part`.
     fn blame<'a>(&self, part: PartKey, crashes: &[&'a Crash]) -> Blame<'a> {
         let cleared = self.cleared.get(&part).map(|c| c.fact + SURVIVAL_TTL);
+        let mut last: Option<&Crash> = None;
         let mut blame = Blame { upstreams: Vec::new(), in_turn: 0, last_end: Duration::ZERO };
         for crash in crashes {
             if !crash.parts.contains(&part) || cleared.is_some_and(|until| until >= crash.ended_at)
@@ -265,8 +266,10 @@
             if !blame.upstreams.iter().any(|b| b.is_same_end(crash)) {
                 blame.upstreams.push(crash);
             }
-            if crash.sent_at >= blame.last_end {
+            let is_counted = last.is_some_and(|last| last.is_same_end(crash));
+            if crash.sent_at >= blame.last_end && !is_counted {
                 (blame.in_turn, blame.last_end) = (blame.in_turn + 1, crash.ended_at);
+                last = Some(*crash);
             }
         }
         blame
--- a/papayaproxy/src/quarantine/tests/parts.rs
+++ b/papayaproxy/src/quarantine/tests/parts.rs
@@ -238,6 +238,18 @@
     assert_eq!(started.blocked_part(&[SHARED]), None);
 }
 
+/// Guards against one crash that two entries tell with different delays and that is taken for two,
+/// one after the other.
+#[test]
+fn observe_one_crash_told_late_counts_once() {
+    let (mut one, mut two, mut third) = Default::default();
+    record(&mut one, crash(1, &[SHARED], 2.0, 2.05));
+    record(&mut two, crash(1, &[SHARED, DEADLY], 2.02, 2.05));
+    Quarantine::observe(&mut third, &one.news(false, s(2.1)), s(2.1));
+    third.observe(&two.news(false, s(2.1)), s(2.16));
+    assert_eq!(third.blocked_part(&[SHARED, DEADLY]), None);
+}
+
 #[test]
 fn record_crash_many_bounded() {
     let mut quarantine = Quarantine::default();
