Tell crashes by the clock of the entry that noticed them

Cause: entries told crashes by ages in milliseconds. Receivers lost the order of crashes less than a millisecond, or a message's delay, apart: two crashes of one request, one after the other, passed for one moment, so that a part was blocked at one entry and not at the others; and requests under way at two crashes passed for one after the other.

Change: a crash names the entry that noticed it and has the times of that entry's clock, which compare exactly. Times of two entries compare with a margin of 100 ms (chosen). Two crashes are in turn if one request was sent after the other crash, in whatever order they were told.

--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -239,6 +239,7 @@
         if let Some(sent_at) = self.history.sent_at.filter(|_| is_suspect) {
             let crash = Crash {
                 upstream: digest(&seat.seat().upstream),
+                entry: self.shared.incarnation,
                 parts: self.shared_parts.clone(),
                 sent_at,
                 ended_at: now,
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -43,6 +43,8 @@
 /// State shared by all tasks of the process.
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
+    /// Identifies this run of the process.
+    pub(crate) incarnation: Incarnation,
     /// Configuration and list of upstreams.
     pub(crate) catalog: Rc<Catalog>,
     /// The balancer and the requests that wait for its decisions.
@@ -100,6 +102,7 @@
         let status = Arc::new(Mutex::new(Status::default()));
         let shared = Rc::new(Shared {
             clock,
+            incarnation,
             catalog: catalog.clone(),
             seats: seats.clone(),
             pool: Pool::new(clock),
--- a/papayaproxy/src/gateway/tests/deadly.rs
+++ b/papayaproxy/src/gateway/tests/deadly.rs
@@ -7,7 +7,7 @@
 use crate::quarantine::constants::NEWS_TIME;
 use rstest::rstest;
 use std::time::Duration;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 
 /// How long a replica is down after it has ended.
@@ -71,7 +71,7 @@
     on_one_thread(async {
         let (one, two) = (mortal_replica(head).await, mortal_replica(head).await);
         let replicas = [&one, &two];
-        let (first_peer, second_peer) = (free_address().await, free_address().await);
+        let (first_peer, second_peer) = (own_address(101), own_address(102));
         let first = TestGateway::open_peers(&replicas, &first_peer, &second_peer).await;
         let process = LocalSet::new();
         process
@@ -94,10 +94,10 @@
     });
 }
 
-/// An address whose port is free.
-async fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap().to_string()
+/// Loopback address `number` of this process, whose ports nobody else uses.
+fn own_address(number: u8) -> String {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    format!("127.{high}.{low}.{number}:7840")
 }
 
 /// Guards against an entry that missed what it was told after its start: it is told again.
@@ -106,7 +106,7 @@
     on_one_thread(async {
         let (one, two) = (mortal_replica(head).await, mortal_replica(head).await);
         let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        let own = free_address().await;
+        let own = own_address(103);
         let seeds = peer.local_addr().unwrap().to_string();
         let gateway = TestGateway::open_peers(&[&one, &two], &own, &seeds).await;
         for number in 0..3 {
--- a/papayaproxy/src/quarantine/constants.rs
+++ b/papayaproxy/src/quarantine/constants.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-/// Crashes, each of a request sent after the one before, after which a part is no longer sent.
-pub(crate) const CRASHES_IN_TURN: u32 = 2;
-/// Crashed upstreams after which the same holds for a while, whenever their requests were sent.
+/// Crashed upstreams after which a part is no longer sent for a while, whenever their requests were
+/// sent.
 pub(crate) const CRASHES_TOGETHER: usize = 3;
 /// Time for which [`CRASHES_TOGETHER`] block a part.
 pub(crate) const TOGETHER_TTL: Duration = Duration::from_secs(60);
@@ -27,5 +26,8 @@
 pub(crate) const SAME_CRASH: Duration = Duration::from_millis(1000);
 /// Time for which heartbeats repeat news to the other entries, since datagrams may be lost.
 pub(crate) const NEWS_TIME: Duration = Duration::from_millis(2000);
+/// Longest usual delay of a message between entries. Up to it, times that two entries tell may
+/// appear in the wrong order.
+pub(crate) const NEWS_DELAY_MAX: Duration = Duration::from_millis(100);
 /// Keys of parts and upstreams in one message, so that it fits one datagram.
 pub(crate) const NEWS_KEYS_MAX: usize = 400;
--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -5,13 +5,14 @@
 //! several crashes is blocked.
 
 use super::constants::{
-    CRASH_TTL, CRASHES_IN_TURN, CRASHES_MAX, CRASHES_TOGETHER, NEWS_KEYS_MAX, NEWS_TIME, PARTS_MAX,
+    CRASH_TTL, CRASHES_MAX, CRASHES_TOGETHER, NEWS_DELAY_MAX, NEWS_KEYS_MAX, NEWS_TIME, PARTS_MAX,
     SAME_CRASH, SURVIVAL_TTL, SURVIVALS_MAX, TOGETHER_TTL,
 };
 use super::events;
-use super::news::{CrashNews, PartNews};
-use crate::base::name::Name;
+use super::news::PartNews;
+use crate::base::name::{Incarnation, Name};
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::time::Duration;
 
@@ -40,32 +41,46 @@
 }
 
 /// An upstream that crashed as it began to answer a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Crash {
     /// Digest of the upstream's id.
     pub(crate) upstream: u32,
+    /// Run of the entry that noticed it.
+    pub(crate) entry: Incarnation,
     /// Shared parts of the request's prompt, in order.
     pub(crate) parts: Vec<PartKey>,
-    /// When the request was sent.
+    /// When the request was sent, on the clock of that entry.
     pub(crate) sent_at: Duration,
-    /// When the answer broke off.
+    /// When the answer broke off, on the same clock.
     pub(crate) ended_at: Duration,
 }
 
-/// A fact, and until when it is repeated to the other entries.
+/// A crash, and what only this entry knows of it.
 #[derive(Clone, Debug)]
-struct Told<T> {
-    fact: T,
-    until: Duration,
+struct Record {
+    crash: Crash,
+    /// When the answer broke off, on the [`extended`] clock of this entry; off by the delay of the
+    /// message if another entry noticed it.
+    ended_at: Duration,
+    /// Until when it is repeated to the other entries.
+    news_until: Duration,
+}
+
+/// The last survived answer on a part.
+#[derive(Clone, Copy, Debug)]
+struct Survival {
+    at: Duration,
+    /// Until when it is repeated to the other entries.
+    news_until: Duration,
 }
 
 /// Crashes, survivals, and the parts that are blocked for them.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
-    /// By time of the crash.
-    crashes: Vec<Told<Crash>>,
+    /// By `ended_at`.
+    crashes: Vec<Record>,
     /// Last survived answer on each part of `crashes`, at this entry or another.
-    cleared: IndexMap<PartKey, Told<Duration>>,
+    cleared: IndexMap<PartKey, Survival>,
     /// Last survived answer on each part that this entry sent lately, in two generations.
     survivals: [IndexMap<PartKey, Duration>; 2],
     blocked: IndexSet<PartKey>,
@@ -92,11 +107,11 @@
             self.survivals.swap(0, 1);
             self.survivals[0].clear();
         }
-        let last_crash = self.crashes.last().map(|c| c.fact.ended_at);
+        let last_crash = self.crashes.last().map(|c| c.ended_at);
         let mut changes = false;
         for part in parts {
             self.survivals[0].insert(*part, now);
-            let cleared_at = self.cleared.get(part).map(|c| c.fact);
+            let cleared_at = self.cleared.get(part).map(|c| c.at);
             changes |= cleared_at < last_crash && self.is_accused(*part);
         }
         if changes {
@@ -106,10 +121,9 @@
 
     /// Records a crash that this entry has noticed.
     pub(crate) fn record_crash(&mut self, crash: Crash, now: Duration) {
+        let ended_at = extended(crash.ended_at);
         let now = extended(now);
-        let (sent_at, ended_at) = (extended(crash.sent_at), extended(crash.ended_at));
-        let crash = Crash { sent_at, ended_at, ..crash };
-        self.add_crash(crash, now + NEWS_TIME);
+        self.add_crash(Record { crash, ended_at, news_until: now + NEWS_TIME });
         self.clear_survived(now);
     }
 
@@ -117,17 +131,17 @@
     pub(crate) fn observe(&mut self, news: &PartNews, now: Duration) {
         let now = extended(now);
         let at = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
-        for crash in &news.crashes {
-            let mut parts = crash.parts.clone();
-            parts.truncate(PARTS_MAX);
-            let (sent_at, ended_at) = (at(crash.sent_ms), at(crash.ended_ms));
-            let crash = Crash { upstream: crash.upstream, parts, sent_at, ended_at };
-            self.add_crash(crash, Duration::ZERO);
+        for (crash, age_ms) in &news.crashes {
+            let mut crash = crash.clone();
+            crash.parts.truncate(PARTS_MAX);
+            let (ended_at, news_until) = (at(*age_ms), Duration::ZERO);
+            self.add_crash(Record { crash, ended_at, news_until });
         }
         for (part, age_ms) in &news.survived {
-            let known = self.cleared.get(part).map(|c| c.fact);
-            if self.is_accused(*part) && known.is_none_or(|known| known < at(*age_ms)) {
-                self.cleared.insert(*part, Told { fact: at(*age_ms), until: Duration::ZERO });
+            let known = self.cleared.get(part).map(|c| c.at);
+            if self.is_accused(*part) && known < Some(at(*age_ms)) {
+                let survival = Survival { at: at(*age_ms), news_until: Duration::ZERO };
+                self.cleared.insert(*part, survival);
             }
         }
         self.clear_survived(now);
@@ -140,23 +154,19 @@
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         let mut news = PartNews::default();
         let mut keys = 0;
-        let mut crashes: Vec<_> = self.crashes.iter().filter(|c| all || now < c.until).collect();
-        let is_blocked = |c: &Crash| self.blocked_part(&c.parts).is_some();
-        crashes.sort_by_key(|c| (!is_blocked(&c.fact), Reverse(c.fact.ended_at)));
-        for crash in crashes.into_iter().map(|c| &c.fact) {
-            keys += crash.parts.len() + 1;
+        let mut crashes: Vec<_> =
+            self.crashes.iter().filter(|c| all || now < c.news_until).collect();
+        let is_blocked = |record: &Record| self.blocked_part(&record.crash.parts).is_some();
+        crashes.sort_by_key(|c| (!is_blocked(c), Reverse(c.ended_at)));
+        for record in crashes {
+            keys += record.crash.parts.len() + 1;
             if keys > NEWS_KEYS_MAX {
                 break;
             }
-            news.crashes.push(CrashNews {
-                upstream: crash.upstream,
-                parts: crash.parts.clone(),
-                sent_ms: age_ms(crash.sent_at),
-                ended_ms: age_ms(crash.ended_at),
-            });
+            news.crashes.push((record.crash.clone(), age_ms(record.ended_at)));
         }
-        let survived = self.cleared.iter().filter(|(_, c)| all || now < c.until);
-        let survived = survived.map(|(part, c)| (*part, age_ms(c.fact)));
+        let survived = self.cleared.iter().filter(|(_, c)| all || now < c.news_until);
+        let survived = survived.map(|(part, c)| (*part, age_ms(c.at)));
         news.survived = survived.take(NEWS_KEYS_MAX.saturating_sub(keys)).collect();
         news
     }
@@ -167,37 +177,37 @@
         if self.crashes.is_empty() || now < self.review_at {
             return;
         }
-        self.crashes.retain(|c| now < c.fact.ended_at + CRASH_TTL);
+        self.crashes.retain(|c| now < c.ended_at + CRASH_TTL);
         self.clear_survived(now);
     }
 
     fn is_accused(&self, part: PartKey) -> bool {
-        self.crashes.iter().any(|c| c.fact.parts.contains(&part))
+        self.crashes.iter().any(|c| c.crash.parts.contains(&part))
     }
 
     fn survived_at(&self, part: PartKey) -> Option<Duration> {
         let own = self.survivals.iter().filter_map(|g| g.get(&part)).max().copied();
-        own.max(self.cleared.get(&part).map(|c| c.fact))
+        own.max(self.cleared.get(&part).map(|c| c.at))
     }
 
     /// Adds a crash, unless it is known.
-    fn add_crash(&mut self, crash: Crash, until: Duration) {
-        let is_same = |known: &Crash| known.is_same_end(&crash) && known.parts == crash.parts;
-        if self.crashes.iter().any(|c| is_same(&c.fact)) {
+    fn add_crash(&mut self, record: Record) {
+        if self.crashes.iter().any(|known| known.crash == record.crash) {
             return;
         }
+        let crash = &record.crash;
         tracing::info!(
             event = events::CRASH_RECORDED,
             upstream = format!("{:08x}", crash.upstream),
-            by_peer = until.is_zero(),
+            entry = %crash.entry,
             parts = key_list(&crash.parts),
             took_ms = crash.ended_at.saturating_sub(crash.sent_at).as_millis() as u64,
             "crash recorded"
         );
-        let index = self.crashes.partition_point(|c| c.fact.ended_at <= crash.ended_at);
-        self.crashes.insert(index, Told { fact: crash, until });
+        let index = self.crashes.partition_point(|c| c.ended_at <= record.ended_at);
+        self.crashes.insert(index, record);
         if self.crashes.len() > CRASHES_MAX {
-            let is_spare = |c: &Told<Crash>| self.blocked_part(&c.fact.parts).is_none();
+            let is_spare = |c: &Record| self.blocked_part(&c.crash.parts).is_none();
             let oldest = self.crashes.iter().position(is_spare).unwrap_or_default();
             self.crashes.remove(oldest);
         }
@@ -207,13 +217,13 @@
     /// parts.
     fn clear_survived(&mut self, now: Duration) {
         let accused: IndexSet<PartKey> =
-            self.crashes.iter().flat_map(|c| c.fact.parts.iter().copied()).collect();
+            self.crashes.iter().flat_map(|c| c.crash.parts.iter().copied()).collect();
         self.cleared.retain(|part, _| accused.contains(part));
         for part in accused {
             let own = self.survivals.iter().filter_map(|g| g.get(&part)).max().copied();
-            let known = self.cleared.get(&part).map(|c| c.fact);
-            if let Some(at) = own.filter(|at| known.is_none_or(|known| known < *at)) {
-                self.cleared.insert(part, Told { fact: at, until: now + NEWS_TIME });
+            let known = self.cleared.get(&part).map(|c| c.at);
+            if let Some(at) = own.filter(|at| known < Some(*at)) {
+                self.cleared.insert(part, Survival { at, news_until: now + NEWS_TIME });
             }
         }
         self.update_blocked(now);
@@ -222,13 +232,13 @@
     /// Finds the parts that explain the most crashes, one after the other. What a crash also ended is
     /// not blamed for it once a blocked part explains it.
     fn update_blocked(&mut self, now: Duration) {
-        let mut unexplained: Vec<&Crash> = self.crashes.iter().map(|c| &c.fact).collect();
+        let mut unexplained: Vec<&Record> = self.crashes.iter().collect();
         let mut blocked = IndexMap::new();
         self.review_at = unexplained.first().map_or(now, |c| c.ended_at + CRASH_TTL);
         loop {
             let mut best: Option<(PartKey, Blame<'_>)> = None;
             // Later parts are shared by fewer requests, so the last of equal ones is blocked.
-            for part in unexplained.iter().flat_map(|c| c.parts.iter().rev()) {
+            for part in unexplained.iter().flat_map(|c| c.crash.parts.iter().rev()) {
                 let blame = self.blame(*part, &unexplained);
                 let most = best.as_ref().map_or(0, |(_, best)| best.upstreams.len());
                 if blame.is_enough(now) && blame.upstreams.len() > most {
@@ -236,7 +246,7 @@
                 }
             }
             let Some((part, blame)) = best else { break };
-            if blame.in_turn < CRASHES_IN_TURN {
+            if !blame.in_turn {
                 self.review_at = self.review_at.min(blame.last_end + TOGETHER_TTL);
             }
             blocked.insert(part, blame.upstreams.len());
@@ -253,24 +263,23 @@
         self.blocked = blocked.into_keys().collect();
     }
 
-    /// What `crashes`, by time, hold against `part`.
-    fn blame<'a>(&self, part: PartKey, crashes: &[&'a Crash]) -> Blame<'a> {
-        let cleared = self.cleared.get(&part).map(|c| c.fact + SURVIVAL_TTL);
-        let mut last: Option<&Crash> = None;
-        let mut blame = Blame { upstreams: Vec::new(), in_turn: 0, last_end: Duration::ZERO };
-        for crash in crashes {
-            if !crash.parts.contains(&part) || cleared.is_some_and(|until| until >= crash.ended_at)
-            {
+    /// What `crashes` hold against `part`.
+    fn blame<'a>(&self, part: PartKey, crashes: &[&'a Record]) -> Blame<'a> {
+        let cleared = self.cleared.get(&part).map(|c| c.at + SURVIVAL_TTL);
+        let mut blame = Blame { upstreams: Vec::new(), in_turn: false, last_end: Duration::ZERO };
+        let mut held: Vec<&Record> = Vec::new();
+        for record in crashes {
+            let is_cleared = cleared.is_some_and(|until| until >= record.ended_at);
+            if is_cleared || !record.crash.parts.contains(&part) {
                 continue;
             }
-            if !blame.upstreams.iter().any(|b| b.is_same_end(crash)) {
-                blame.upstreams.push(crash);
-            }
-            let is_counted = last.is_some_and(|last| last.is_same_end(crash));
-            if crash.sent_at >= blame.last_end && !is_counted {
-                (blame.in_turn, blame.last_end) = (blame.in_turn + 1, crash.ended_at);
-                last = Some(*crash);
+            if !blame.upstreams.iter().any(|b| b.is_same_end(record)) {
+                blame.upstreams.push(record);
             }
+            blame.in_turn |=
+                held.iter().any(|h| record.is_sent_after(h) || h.is_sent_after(record));
+            blame.last_end = blame.last_end.max(record.ended_at);
+            held.push(record);
         }
         blame
     }
@@ -279,10 +288,10 @@
 /// The crashes held against one part.
 struct Blame<'a> {
     /// One crash of each upstream.
-    upstreams: Vec<&'a Crash>,
-    /// Crashes one after the other, each of a request sent after the one before.
-    in_turn: u32,
-    /// Time of the last of these.
+    upstreams: Vec<&'a Record>,
+    /// Whether one request was sent after the crash of another.
+    in_turn: bool,
+    /// Time of the last crash.
     last_end: Duration,
 }
 
@@ -291,13 +300,25 @@
     /// answers at each of them, so that crashes at one time block for a while only.
     fn is_enough(&self, now: Duration) -> bool {
         let is_recent = now < self.last_end + TOGETHER_TTL;
-        self.in_turn >= CRASHES_IN_TURN || (self.upstreams.len() >= CRASHES_TOGETHER && is_recent)
+        self.in_turn || (self.upstreams.len() >= CRASHES_TOGETHER && is_recent)
     }
 }
 
-impl Crash {
+impl Record {
+    /// Whether the request was sent after the crash of `other`.
+    fn is_sent_after(&self, other: &Self) -> bool {
+        let is_after = if self.crash.entry == other.crash.entry {
+            self.crash.sent_at >= other.crash.ended_at
+        } else {
+            let took = self.crash.ended_at.saturating_sub(self.crash.sent_at);
+            self.ended_at >= other.ended_at + NEWS_DELAY_MAX + took
+        };
+        is_after && !self.is_same_end(other)
+    }
+
     /// Whether both are one end of one upstream, noticed by two requests.
     fn is_same_end(&self, other: &Self) -> bool {
-        self.upstream == other.upstream && self.ended_at.abs_diff(other.ended_at) < SAME_CRASH
+        self.crash.upstream == other.crash.upstream
+            && self.ended_at.abs_diff(other.ended_at) < SAME_CRASH
     }
 }
--- a/papayaproxy/src/quarantine/tests/fleet.rs
+++ b/papayaproxy/src/quarantine/tests/fleet.rs
@@ -2,6 +2,7 @@
 //! that crash on it. Messages between entries are lost and delayed, entries restart, and upstreams
 //! crash for other reasons at random.
 
+use crate::base::name::Incarnation;
 use crate::quarantine::{Crash, PartKey, PartNews, Quarantine};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -82,7 +83,13 @@
                 if crashes == 5 {
                     fifth_at = Some(now);
                 }
-                let crash = Crash { upstream, parts, sent_at, ended_at: now };
+                let crash = Crash {
+                    upstream,
+                    entry: Incarnation(entry as u64),
+                    parts,
+                    sent_at,
+                    ended_at: now,
+                };
                 entries[entry].record_crash(crash, now);
             } else if is_up && down_until[upstream as usize] <= now {
                 entries[entry].record_survival(&parts, now);
@@ -100,7 +107,13 @@
                 answers.into_iter().partition(|a| a.2 == upstream && a.4 < now);
             answers = rest;
             for (_, entry, _, parts, sent_at) in ended {
-                let crash = Crash { upstream, parts, sent_at, ended_at: now };
+                let crash = Crash {
+                    upstream,
+                    entry: Incarnation(entry as u64),
+                    parts,
+                    sent_at,
+                    ended_at: now,
+                };
                 entries[entry].record_crash(crash, now);
             }
         }
--- a/papayaproxy/src/quarantine/tests/parts.rs
+++ b/papayaproxy/src/quarantine/tests/parts.rs
@@ -1,5 +1,6 @@
 //! Which parts are blocked, and when they are released.
 
+use crate::base::name::Incarnation;
 use crate::quarantine::constants::{CRASH_TTL, CRASHES_MAX, PARTS_MAX, SURVIVAL_TTL, TOGETHER_TTL};
 use crate::quarantine::{Crash, PartKey, Quarantine, shared_keys};
 use rstest::rstest;
@@ -16,7 +17,8 @@
 
 /// A request for `parts` that was sent at `sent` seconds; its upstream crashed at `ended` seconds.
 fn crash(upstream: u32, parts: &[PartKey], sent: f64, ended: f64) -> Crash {
-    Crash { upstream, parts: parts.to_vec(), sent_at: s(sent), ended_at: s(ended) }
+    let (sent_at, ended_at) = (s(sent), s(ended));
+    Crash { upstream, entry: Incarnation(1), parts: parts.to_vec(), sent_at, ended_at }
 }
 
 fn record(quarantine: &mut Quarantine, crash: Crash) {
@@ -250,6 +252,34 @@
     assert_eq!(third.blocked_part(&[SHARED, DEADLY]), None);
 }
 
+/// Guards against requests that were under way at two crashes, which two entries tell with different
+/// delays, and that look as if one had been sent after the other.
+#[test]
+fn observe_crashes_told_late_not_in_turn() {
+    let (mut one, mut two, mut third) = Default::default();
+    let by_two = |crash| Crash { entry: Incarnation(2), ..crash };
+    record(&mut one, crash(1, &[SHARED], 2.0, 2.06));
+    record(&mut two, by_two(crash(2, &[SHARED], 2.04, 2.10)));
+    Quarantine::observe(&mut third, &one.news(false, s(2.11)), s(2.11));
+    third.observe(&two.news(false, s(2.11)), s(2.16));
+    assert_eq!(third.blocked_part(&[SHARED]), None);
+}
+
+/// Guards against two crashes of one entry's request, half a millisecond apart, whose order is lost
+/// on the way to the others.
+#[test]
+fn observe_crashes_of_one_entry_order_kept() {
+    let (mut one, mut two) = (Quarantine::default(), Quarantine::default());
+    record(&mut one, crash(1, &[DEADLY], 2.0, 2.0005));
+    let first = one.news(false, s(2.0005));
+    record(&mut one, crash(2, &[DEADLY], 2.0006, 2.001));
+    let mut second = one.news(false, s(2.001));
+    second.crashes.retain(|(crash, _)| crash.upstream == 2);
+    two.observe(&second, s(2.002));
+    two.observe(&first, s(2.010));
+    assert_eq!(two.blocked_part(&[DEADLY]), Some(DEADLY));
+}
+
 #[test]
 fn record_crash_many_bounded() {
     let mut quarantine = Quarantine::default();
