Move crash checks and rate limits into files of their own

Change: gateway/crash.rs and balance/limits.rs; a match in place of nested conditions. Behaviour as before.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -14,24 +14,23 @@
 use crate::catalog::{Config, Directory};
 use crate::limits::CircuitSettings;
 use crate::peers::PeerLoads;
-use crate::peers::constants::LOADS_MAX;
-use crate::peers::message::{LimitNews, UpstreamLoad, digest};
+use crate::peers::message::{UpstreamLoad, digest};
 use crate::ranks::message::GroupStatus;
 use indexmap::IndexMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Spreads the bits of a product over the whole word.
-const HASH_FACTOR: u32 = 0x9E37_79B9;
+pub(super) const HASH_FACTOR: u32 = 0x9E37_79B9;
 
 /// All upstreams, and the requests that wait for a seat at one.
 pub(crate) struct Balancer {
     zone: Name,
     budget_rule: BudgetRule,
     circuit: CircuitSettings,
-    upstreams: IndexMap<Name, Upstream>,
+    pub(super) upstreams: IndexMap<Name, Upstream>,
     services: IndexMap<Name, Service>,
-    entries: usize,
+    pub(super) entries: usize,
     /// Whether each lock-step group runs passes, by service and group name.
     groups: IndexMap<(Name, Name), bool>,
     /// Per availability zone: consecutive failed connections, and until when it gets no request.
@@ -264,43 +263,6 @@
         seat.prompt_tokens = 0;
     }
 
-    /// Records the limit of requests a second that an answer of `upstream` names. `draw` is
-    /// uniformly random.
-    pub(crate) fn observe_limit(
-        &mut self,
-        upstream: &str,
-        limit: Option<f64>,
-        draw: u32,
-        now: Duration,
-    ) {
-        let entries = self.entries;
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.observe_limit(limit, entries, draw, now);
-        }
-    }
-
-    /// Applies the limits that peers were told.
-    pub(crate) fn observe_peer_limits(&mut self, news: &[LimitNews], draw: u32, now: Duration) {
-        let entries = self.entries;
-        for news in news {
-            let at = now.saturating_sub(Duration::from_millis(news.age_ms));
-            // Limits that were told together must not open together.
-            let draw = (draw ^ news.upstream).wrapping_mul(HASH_FACTOR);
-            let known = self.upstreams.values_mut().filter(|u| u.digest == news.upstream);
-            known.for_each(|u| u.observe_peer_limit(news.limit, at, entries, draw, now));
-        }
-    }
-
-    /// Limits for the peers: those that have changed lately by answers to this entry.
-    pub(crate) fn limit_news(&self, now: Duration) -> Vec<LimitNews> {
-        let news = self.upstreams.values().filter_map(|u| {
-            let (limit, at) = u.limit_news(now)?;
-            let age_ms = now.saturating_sub(at).as_millis() as u64;
-            Some(LimitNews { upstream: u.digest, limit, age_ms })
-        });
-        news.take(LOADS_MAX).collect()
-    }
-
     /// Learns from the gap between two events of a stream.
     pub(crate) fn observe_gap(&mut self, upstream: &str, gap: Duration) {
         let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod desk;
 pub(crate) mod engine;
 pub(crate) mod events;
+pub(crate) mod limits;
 pub(crate) mod service;
 pub(crate) mod spread;
 pub(crate) mod upstream;
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -2,11 +2,12 @@
 
 use super::constants::{
     BROKEN_TTL, FOREIGN_BACKOFF, FULL_BACKOFF, IDLE_FULL_BACKOFF, LIMIT_NEWS_TIME, LOW_LOAD_RATIO,
-    PLAIN_LIMIT_FACTOR, RATE_INTERVAL_MAX, RATE_LIMIT_RATIO, SHARING_ENTRIES_MIN, SILENCE_BROKEN,
-    SILENCE_HEALTHY, SILENCE_UNKNOWN, STATUS_MAX_AGE, UNREACHED_BACKOFF,
+    PLAIN_LIMIT_FACTOR, SILENCE_BROKEN, SILENCE_HEALTHY, SILENCE_UNKNOWN, STATUS_MAX_AGE,
+    UNREACHED_BACKOFF,
 };
 use super::engine::Slowdown;
 use super::events;
+use super::limits::RateLimit;
 use crate::base::name::Name;
 use crate::catalog::{EngineFigures, UpstreamRecord};
 use crate::limits::{Circuit, CircuitSettings};
@@ -38,31 +39,6 @@
     Abandoned,
 }
 
-/// A limit of requests a second for all entries together, and this entry's part of it.
-///
-/// Entries share the limit evenly and without messages: each sends at even intervals, and the first
-/// times are random, so that the entries do not send at once.
-#[derive(Clone, Copy, Debug)]
-struct RateLimit {
-    per_second: f64,
-    /// Least time between two requests of this entry.
-    interval: Duration,
-    /// From when on this entry may send the next one.
-    next_send: Duration,
-}
-
-impl RateLimit {
-    fn new(per_second: f64, entries: usize, old: Option<Self>, draw: u32, now: Duration) -> Self {
-        let entries = entries.max(SHARING_ENTRIES_MIN) as f64;
-        let seconds = entries / (per_second * RATE_LIMIT_RATIO).max(f64::MIN_POSITIVE);
-        let longest = RATE_INTERVAL_MAX.as_secs_f64();
-        let interval = Duration::from_secs_f64(seconds.min(longest));
-        let first = now + interval.mul_f64(f64::from(draw) / f64::from(u32::MAX));
-        let next_send = old.map_or(first, |old| old.next_send.min(now + interval));
-        Self { per_second, interval, next_send }
-    }
-}
-
 /// State of one upstream, as one entry knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -4,9 +4,8 @@
 use super::buffer::Buffered;
 use super::codes;
 use super::constants::{
-    ATTEMPT_TIME_MIN, CRASH_CHECK_PAUSES, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN,
-    REFUSAL_BYTES_MAX, REFUSAL_TIMEOUT, RESPONSE_BYTES_MAX, RETRY_AFTER_STOPPING,
-    SILENCE_CHECK_INTERVAL,
+    ATTEMPT_TIME_MIN, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN, REFUSAL_BYTES_MAX,
+    REFUSAL_TIMEOUT, RESPONSE_BYTES_MAX, RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
 };
 use super::envelope::{Envelope, Verdict};
 use super::events;
@@ -15,13 +14,12 @@
 use super::refuse;
 use super::relay;
 use super::seats::SeatGuard;
-use crate::balance::{Balancer, Refusal, Seat, SeatRequest, SendOutcome};
+use crate::balance::{Balancer, Refusal, SeatRequest, SendOutcome};
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::catalog::{Route, Workspace};
-use crate::peers::message::digest;
 use crate::platform::{replica, request};
-use crate::quarantine::{Crash, PartKey, key_list};
+use crate::quarantine::PartKey;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -67,7 +65,7 @@
     /// Upstreams that have been tried, oldest first.
     tried: Vec<Name>,
     /// When the last attempt was sent, on the process clock; `None` before the first.
-    sent_at: Option<Duration>,
+    pub(super) sent_at: Option<Duration>,
     /// When the answer of the last attempt began; `None` before its head.
     began: Option<Duration>,
     /// Failed attempts in which the request may have run.
@@ -222,37 +220,6 @@
         allowed
     }
 
-    fn is_blocked(&self) -> bool {
-        self.shared.quarantine.borrow().blocked_part(&self.shared_parts).is_some()
-    }
-
-    /// Records that an answer to the request has gone on, so that its prompt crashes nothing.
-    pub(crate) fn record_survival(&self) {
-        let now = self.shared.clock.now();
-        self.shared.quarantine.borrow_mut().record_survival(&self.shared_parts, now);
-    }
-
-    /// Checks whether `seat`'s upstream has crashed, after an answer broke off as it began.
-    pub(crate) fn check_crash(&self, seat: &SeatGuard) {
-        let now = self.shared.clock.now();
-        let is_suspect = self.shared.quarantine.borrow().is_suspect(&self.shared_parts, now);
-        if let Some(sent_at) = self.history.sent_at.filter(|_| is_suspect) {
-            let crash = Crash {
-                upstream: digest(&seat.seat().upstream),
-                entry: self.shared.incarnation,
-                parts: self.shared_parts.clone(),
-                sent_at,
-                ended_at: now,
-            };
-            tokio::task::spawn_local(confirm_crash(
-                self.shared.clone(),
-                seat.seat().clone(),
-                crash,
-                self.envelope.clone(),
-            ));
-        }
-    }
-
     /// Time since the request arrived.
     pub(crate) fn elapsed(&self) -> Duration {
         self.shared.clock.now().saturating_sub(self.arrived)
@@ -522,29 +489,3 @@
     seat.finish(outcome);
     FailedAttempt { outcome, may_have_run, detail }
 }
-
-/// Records `crash` if the upstream of `seat` refuses connections.
-async fn confirm_crash(shared: Rc<Shared>, seat: Seat, crash: Crash, envelope: Envelope) {
-    let mut listening = None;
-    for pause in CRASH_CHECK_PAUSES {
-        tokio::time::sleep(pause).await;
-        listening = shared.pool.is_listening(seat.address).await;
-        if listening == Some(false) {
-            break;
-        }
-    }
-    tracing::info!(
-        event = crate::quarantine::events::CRASH_CHECKED,
-        upstream = %seat.upstream,
-        request = %envelope.id,
-        listening,
-        parts = envelope.prompt_parts.join(","),
-        keys = key_list(&crash.parts),
-        "upstream checked"
-    );
-    if listening == Some(false) {
-        let now = shared.clock.now();
-        shared.quarantine.borrow_mut().record_crash(crash, now);
-        shared.announce_parts().await;
-    }
-}
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod buffer;
 pub(crate) mod codes;
 pub(crate) mod constants;
+pub(crate) mod crash;
 pub(crate) mod edge;
 pub(crate) mod envelope;
 pub(crate) mod events;
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -147,10 +147,11 @@
                 ));
             }
             Some(None) => {
-                if !has_survived && is_framed && progress.events > before {
-                    exchange.record_survival();
-                } else if !has_survived && !is_framed {
-                    exchange.check_crash(&seat);
+                match is_framed {
+                    _ if has_survived => {}
+                    true if progress.events > before => exchange.record_survival(),
+                    true => {}
+                    false => exchange.check_crash(&seat),
                 }
                 seat.finish(SendOutcome::Good);
                 exchange.shared.pool.put_back(connection, &parts.headers);
