Bear times of a peer that are out of range

Cause: crashes are told with times of another process. The difference of two of them was added to a time of this one, which panics beyond the range. A damaged datagram could end the task that receives datagrams (it is started again) and lose what it held. Found by reading the change.

Change: the sum saturates. The mutated datagrams of the tests include the two new kinds.

The test failed before: observe_times_out_of_range_no_panic (overflow when adding durations).

--- a/papayaproxy/src/balance/limits.rs
+++ b/papayaproxy/src/balance/limits.rs
@@ -11,7 +11,7 @@
 /// Entries share the limit evenly and without messages: each sends at even intervals, and the first
 /// times are random, so that the entries do not send at once.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RateLimit {
+pub(crate) struct RateLimit {
     pub(super) per_second: f64,
     /// Least time between two requests of this entry.
     pub(super) interval: Duration,
@@ -20,7 +20,8 @@
 }
 
 impl RateLimit {
-    pub(super) fn new(
+    /// `old` is the limit before, `draw` uniformly random.
+    pub(crate) fn new(
         per_second: f64,
         entries: usize,
         old: Option<Self>,
--- a/papayaproxy/src/peers/tests/mutated.rs
+++ b/papayaproxy/src/peers/tests/mutated.rs
@@ -3,11 +3,13 @@
 //! Long run: `PROPTEST_CASES=100000 cargo test --release -p papayaproxy --lib mutated`.
 
 use super::{NOW, address, heartbeat};
-use crate::base::name::Name;
+use crate::balance::limits::RateLimit;
+use crate::base::name::{Incarnation, Name};
 use crate::catalog::ExpertFigures;
 use crate::peers::groups::Groups;
-use crate::peers::message::{FetchReply, FetchRequest, Message};
+use crate::peers::message::{FetchReply, FetchRequest, LimitNews, Message};
 use crate::peers::table::Table;
+use crate::quarantine::{Crash, PartNews, Quarantine};
 use crate::ranks::demand::Popularity;
 use crate::ranks::lead::{Lead, Reports};
 use crate::ranks::maps::{MapStore, changes, first_map, is_well_formed};
@@ -54,6 +56,11 @@
     }
 }
 
+fn crash(entry: u64) -> Crash {
+    let (sent_at, ended_at) = (Duration::from_millis(2_700), Duration::from_millis(2_900));
+    Crash { upstream: 5, entry: Incarnation(entry), parts: vec![7, 9], sent_at, ended_at }
+}
+
 /// One datagram of each kind that carries numbers or lists.
 fn samples() -> Vec<Message> {
     let old = first_map(3, &figures());
@@ -87,6 +94,11 @@
             requests: 3.0,
             slow: vec![(1, 3.0)],
         }),
+        Message::Parts(PartNews {
+            crashes: vec![(crash(1), 40), (crash(2), 30)],
+            survived: vec![(7, 900)],
+        }),
+        Message::Limits(vec![LimitNews { upstream: 5, limit: Some(1.5), age_ms: 40 }]),
     ]
 }
 
@@ -133,6 +145,18 @@
             }
             groups.apply_pulse(pulse, NOW);
         }
+        Message::Parts(news) => {
+            let mut quarantine = Quarantine::default();
+            quarantine.observe(&news, NOW);
+            quarantine.record_crash(Crash { upstream: 6, ..crash(3) }, NOW);
+            quarantine.expire(NOW);
+            quarantine.news(true, NOW);
+        }
+        Message::Limits(news) => {
+            for news in news {
+                RateLimit::new(news.limit.unwrap_or_default(), 8, None, news.upstream, NOW);
+            }
+        }
         _ => {}
     }
 }
@@ -140,7 +164,7 @@
 proptest! {
     #[test]
     fn handle_mutated_datagrams_no_panic(
-        kind in 0usize..7,
+        kind in 0usize..9,
         edits in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..4),
         cut in prop::option::of(any::<prop::sample::Index>()),
     ) {
--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -311,7 +311,7 @@
             self.crash.sent_at >= other.crash.ended_at
         } else {
             let took = self.crash.ended_at.saturating_sub(self.crash.sent_at);
-            self.ended_at >= other.ended_at + NEWS_DELAY_MAX + took
+            self.ended_at >= took.saturating_add(other.ended_at + NEWS_DELAY_MAX)
         };
         is_after && !self.is_same_end(other)
     }
--- a/papayaproxy/src/quarantine/tests/parts.rs
+++ b/papayaproxy/src/quarantine/tests/parts.rs
@@ -280,6 +280,19 @@
     assert_eq!(two.blocked_part(&[DEADLY]), Some(DEADLY));
 }
 
+/// Guards against times of a peer that are out of range and end this entry.
+#[test]
+fn observe_times_out_of_range_no_panic() {
+    let mut quarantine = Quarantine::default();
+    record(&mut quarantine, crash(1, &[DEADLY], 2.0, 2.5));
+    let mut news = quarantine.news(true, s(3.0));
+    let (told, _) = news.crashes[0].clone();
+    let (entry, sent_at, ended_at) = (Incarnation(2), Duration::ZERO, Duration::MAX);
+    news.crashes = vec![(Crash { upstream: 9, entry, sent_at, ended_at, ..told }, 0)];
+    quarantine.observe(&news, s(3.0));
+    assert_eq!(quarantine.blocked_part(&[DEADLY]), None);
+}
+
 #[test]
 fn record_crash_many_bounded() {
     let mut quarantine = Quarantine::default();
