--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -200,15 +200,18 @@
     /// When the first upstream that could take the request may get one, if the rate limits of all
     /// keep it from being sent.
     fn limited_until(&self, request: &SeatRequest, now: Duration) -> Option<Duration> {
-        let fitting = self.upstreams.values().filter(|u| {
-            u.service == request.service
-                && !request.excluded.contains(&u.id)
-                && u.is_available(now)
-                && !self.is_zone_in_backoff(&u.zone, now)
-        });
+        let fitting = self.upstreams.values().filter(|u| self.may_get(u, request, now));
         fitting.map(Upstream::limited_until).min().filter(|at| now < *at)
     }
 
+    /// Whether an upstream may get the request, apart from its load and its rate limit.
+    fn may_get(&self, upstream: &Upstream, request: &SeatRequest, now: Duration) -> bool {
+        upstream.service == request.service
+            && !request.excluded.contains(&upstream.id)
+            && upstream.is_available(now)
+            && !self.is_zone_in_backoff(&upstream.zone, now)
+    }
+
     fn is_zone_in_backoff(&self, zone: &Name, now: Duration) -> bool {
         *zone != self.zone
             && self.zones.get(zone).is_some_and(|(_, backoff_until)| now < *backoff_until)
@@ -377,13 +380,7 @@
         let mut usable = Vec::new();
         let (mut candidates, mut free_seats) = (0, 0.0);
         for (index, u) in self.upstreams.values().enumerate() {
-            if u.service != request.service
-                || request.excluded.contains(&u.id)
-                || !u.is_available(now)
-            {
-                continue;
-            }
-            if self.is_zone_in_backoff(&u.zone, now) || now < u.limited_until() {
+            if !self.may_get(u, request, now) || now < u.limited_until() {
                 continue;
             }
             candidates += 1;
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -147,11 +147,10 @@
                 ));
             }
             Some(None) => {
-                match is_framed {
-                    _ if has_survived => {}
-                    true if progress.events > before => exchange.record_survival(),
-                    true => {}
-                    false => exchange.check_crash(&seat),
+                if !has_survived && !is_framed {
+                    exchange.check_crash(&seat);
+                } else if !has_survived && progress.events > before {
+                    exchange.record_survival();
                 }
                 seat.finish(SendOutcome::Good);
                 exchange.shared.pool.put_back(connection, &parts.headers);
--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -185,9 +185,13 @@
         self.crashes.iter().any(|c| c.crash.parts.contains(&part))
     }
 
+    /// Last survived answer on a part at this entry.
+    fn own_survival(&self, part: PartKey) -> Option<Duration> {
+        self.survivals.iter().filter_map(|g| g.get(&part)).max().copied()
+    }
+
     fn survived_at(&self, part: PartKey) -> Option<Duration> {
-        let own = self.survivals.iter().filter_map(|g| g.get(&part)).max().copied();
-        own.max(self.cleared.get(&part).map(|c| c.at))
+        self.own_survival(part).max(self.cleared.get(&part).map(|c| c.at))
     }
 
     /// Adds a crash, unless it is known.
@@ -220,9 +224,8 @@
             self.crashes.iter().flat_map(|c| c.crash.parts.iter().copied()).collect();
         self.cleared.retain(|part, _| accused.contains(part));
         for part in accused {
-            let own = self.survivals.iter().filter_map(|g| g.get(&part)).max().copied();
             let known = self.cleared.get(&part).map(|c| c.at);
-            if let Some(at) = own.filter(|at| known < Some(*at)) {
+            if let Some(at) = self.own_survival(part).filter(|at| known < Some(*at)) {
                 self.cleared.insert(part, Survival { at, news_until: now + NEWS_TIME });
             }
         }
@@ -238,11 +241,13 @@
         loop {
             let mut best: Option<(PartKey, Blame<'_>)> = None;
             // Later parts are shared by fewer requests, so the last of equal ones is blocked.
-            for part in unexplained.iter().flat_map(|c| c.crash.parts.iter().rev()) {
-                let blame = self.blame(*part, &unexplained);
+            let accused: IndexSet<PartKey> =
+                unexplained.iter().flat_map(|c| c.crash.parts.iter().rev().copied()).collect();
+            for part in accused {
+                let blame = self.blame(part, &unexplained);
                 let most = best.as_ref().map_or(0, |(_, best)| best.upstreams.len());
                 if blame.is_enough(now) && blame.upstreams.len() > most {
-                    best = Some((*part, blame));
+                    best = Some((part, blame));
                 }
             }
             let Some((part, blame)) = best else { break };
--- a/papayaproxy/src/quarantine/tests/fleet.rs
+++ b/papayaproxy/src/quarantine/tests/fleet.rs
@@ -60,6 +60,16 @@
     })
 }
 
+/// A crash that `entry` noticed: when its request was sent, and when the answer broke off.
+fn crash(
+    entry: usize,
+    upstream: u32,
+    parts: Vec<PartKey>,
+    (sent_at, ended_at): (Duration, Duration),
+) -> Crash {
+    Crash { upstream, entry: Incarnation(entry as u64), parts, sent_at, ended_at }
+}
+
 /// Plays the fleet. Returns the deadly requests sent later than [`STABLE_WINDOW`] after the fifth
 /// crash, and whether a sound part was blocked.
 fn play(fleet: Fleet, seed: u64) -> (u32, bool) {
@@ -83,13 +93,7 @@
                 if crashes == 5 {
                     fifth_at = Some(now);
                 }
-                let crash = Crash {
-                    upstream,
-                    entry: Incarnation(entry as u64),
-                    parts,
-                    sent_at,
-                    ended_at: now,
-                };
+                let crash = crash(entry, upstream, parts, (sent_at, now));
                 entries[entry].record_crash(crash, now);
             } else if is_up && down_until[upstream as usize] <= now {
                 entries[entry].record_survival(&parts, now);
@@ -107,13 +111,7 @@
                 answers.into_iter().partition(|a| a.2 == upstream && a.4 < now);
             answers = rest;
             for (_, entry, _, parts, sent_at) in ended {
-                let crash = Crash {
-                    upstream,
-                    entry: Incarnation(entry as u64),
-                    parts,
-                    sent_at,
-                    ended_at: now,
-                };
+                let crash = crash(entry, upstream, parts, (sent_at, now));
                 entries[entry].record_crash(crash, now);
             }
         }
