Review, case 1: events lost at a spoiled id

Cause: new_events records events as sent before it returns the error that drops them. Nothing is fixed. Result: with one byte spoiled in 1 of 50 answers of one of two replicas, each spoiled stream reaches the caller without three of its events and with a proper end.

--- /dev/null
+++ b/review/rig/cases/mod.rs
@@ -0,0 +1,5 @@
+//! The cases; each returns how often the rule was broken.
+
+pub mod drain;
+pub mod events;
+pub mod stop;
