Review, case 1: seats of clients that leave are never given back

Cause: a seat that was sent to a waiting request is dropped with its channel if the request's client leaves before the request runs again; nothing releases it. Change: review/1 with a script; the cases so far move to 2 to 4, the gravest first. Nothing is fixed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# An entry gets SIGTERM.
+# A replica spoils one byte of an answer.
 dir=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec "$dir/../run-case.sh" stop "$dir"
+exec "$dir/../run-case.sh" events "$dir"
--- a/review/rig/cases/mod.rs
+++ b/review/rig/cases/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod drain;
 pub mod events;
+pub mod seats;
 pub mod stop;
--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -139,16 +139,21 @@
         Ok(Self { process, address: ports[0].clone(), ready: ports[1].clone() })
     }
 
+    /// Whether the entry tells the load balancer that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let status = Wire::connect(&self.ready, Duration::from_secs(1)).and_then(|mut wire| {
+            wire.limit(Duration::from_secs(1))?;
+            wire.send(b"GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n")?;
+            Ok(wire.head()?.map_or(0, |h| h.status()))
+        });
+        matches!(status, Ok(200))
+    }
+
     /// Waits until the entry is ready.
     pub fn await_ready(&self) -> io::Result<()> {
         let end = Instant::now() + Duration::from_secs(10);
         while Instant::now() < end {
-            let status = Wire::connect(&self.ready, Duration::from_secs(1)).and_then(|mut wire| {
-                wire.limit(Duration::from_secs(1))?;
-                wire.send(b"GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n")?;
-                Ok(wire.head()?.map_or(0, |h| h.status()))
-            });
-            if matches!(status, Ok(200)) {
+            if self.is_ready() {
                 return Ok(());
             }
             std::thread::sleep(Duration::from_millis(50));
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -21,6 +21,7 @@
     record.note(format!("case {case}, disruption: {trouble}"));
     let outcome = match case.as_str() {
         "events" => cases::events::run(&record, trouble),
+        "seats" => cases::seats::run(&record, trouble),
         "stop" => cases::stop::run(&record, trouble),
         "drain" => cases::drain::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/rig/net.rs
+++ b/review/rig/net.rs
@@ -1,5 +1,6 @@
 //! Small HTTP/1.1 pieces for the stand-ins: blocking sockets, one thread a connection.
 
+use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -121,7 +122,7 @@
 #[derive(Clone, Default)]
 pub struct Server {
     ended: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    open: Arc<Mutex<HashMap<u64, TcpStream>>>,
     address: String,
 }
 
@@ -134,16 +135,18 @@
         let server = Self { address: listener.local_addr()?.to_string(), ..Self::default() };
         let own = server.clone();
         std::thread::spawn(move || {
+            let mut number = 0;
             for stream in listener.incoming().flatten() {
                 if own.ended.load(Ordering::SeqCst) {
                     return;
                 }
-                own.open.lock().unwrap().extend(stream.try_clone());
-                let handle = handle.clone();
+                let Ok(copy) = stream.try_clone() else { continue };
+                number += 1;
+                own.open.lock().unwrap().insert(number, copy);
+                let (own, handle, number) = (own.clone(), handle.clone(), number);
                 std::thread::spawn(move || {
-                    let closing = stream.try_clone();
                     let _ = Wire::new(stream).and_then(handle);
-                    if let Ok(stream) = closing {
+                    if let Some(stream) = own.open.lock().unwrap().remove(&number) {
                         let _ = stream.shutdown(Shutdown::Both);
                     }
                 });
@@ -160,7 +163,7 @@
         self.ended.store(true, Ordering::SeqCst);
         // Wakes the thread that accepts.
         let _ = TcpStream::connect(&self.address);
-        for stream in self.open.lock().unwrap().drain(..) {
+        for (_, stream) in self.open.lock().unwrap().drain() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
