--- a/review/rig/cases/mod.rs
+++ b/review/rig/cases/mod.rs
@@ -3,4 +3,5 @@
 pub mod drain;
 pub mod events;
 pub mod seats;
+pub mod silence;
 pub mod stop;
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -22,6 +22,7 @@
     let outcome = match case.as_str() {
         "events" => cases::events::run(&record, trouble),
         "seats" => cases::seats::run(&record, trouble),
+        "silence" => cases::silence::run(&record, trouble),
         "stop" => cases::stop::run(&record, trouble),
         "drain" => cases::drain::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
