Balancer: seats stay with the run of the upstream that counts them

Cause: an upstream's count of seats went with its record when the catalog lost it, and began at 0 when it came back in the same run; and a seat of an earlier run, released late, was taken off the count of the run that had followed it. So an upstream got more than it can run. Change: each record of an upstream has a number, which its seats name. A record that leaves the catalog is kept until its seats are released; if the same run comes back, it is used again, counts, circuit and pauses included.

--- a/papayaproxy/src/balance/ask.rs
+++ b/papayaproxy/src/balance/ask.rs
@@ -41,6 +41,8 @@
 pub(crate) struct Seat {
     /// Id of the upstream.
     pub(crate) upstream: Name,
+    /// The balancer's record of the upstream that counts the seat.
+    pub(crate) record: u64,
     pub(crate) address: SocketAddr,
     /// Whether the request is the probe of a half-open circuit.
     pub(crate) is_probe: bool,
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -11,13 +11,11 @@
 use super::spread::{Candidate, choose};
 use super::upstream::{SendOutcome, Upstream};
 use crate::base::name::Name;
-use crate::catalog::{Config, Directory};
 use crate::limits::CircuitSettings;
 use crate::peers::PeerLoads;
-use crate::peers::message::{UpstreamLoad, digest};
+use crate::peers::message::UpstreamLoad;
 use crate::ranks::message::GroupStatus;
 use indexmap::IndexMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Spreads the bits of a product over the whole word.
@@ -26,10 +24,14 @@
 /// All upstreams, and the requests that wait for a seat at one.
 pub(crate) struct Balancer {
     zone: Name,
-    budget_rule: BudgetRule,
-    circuit: CircuitSettings,
+    pub(super) budget_rule: BudgetRule,
+    pub(super) circuit: CircuitSettings,
     pub(super) upstreams: IndexMap<Name, Upstream>,
-    services: IndexMap<Name, Service>,
+    /// Upstreams that are not in the catalog while requests at them are in progress, by record.
+    pub(super) departed: IndexMap<u64, Upstream>,
+    /// Number of upstream records created so far.
+    pub(super) records: u64,
+    pub(super) services: IndexMap<Name, Service>,
     pub(super) entries: usize,
     /// Whether each lock-step group runs passes, by service and group name.
     groups: IndexMap<(Name, Name), bool>,
@@ -47,6 +49,8 @@
             budget_rule,
             circuit,
             upstreams: IndexMap::new(),
+            departed: IndexMap::new(),
+            records: 0,
             services: IndexMap::new(),
             entries: 1,
             groups: IndexMap::new(),
@@ -55,38 +59,6 @@
         }
     }
 
-    /// Applies the current configuration and catalog. Unchanged upstreams keep their state.
-    pub(crate) fn install(&mut self, config: &Config, directory: &Directory) {
-        let rule = self.budget_rule;
-        for (name, service) in &config.services {
-            let new = || Service::new(rule);
-            let known = self.services.entry(name.clone()).or_insert_with(new);
-            known.engine = service.engine.clone();
-        }
-        let mut next = IndexMap::with_capacity(directory.len());
-        // After a crash an address has two catalog entries for a while; the one that started last
-        // is valid.
-        let mut newest: IndexMap<SocketAddr, u64> = IndexMap::new();
-        for (_, entry) in directory.ready() {
-            let started_ms = newest.entry(entry.address).or_default();
-            *started_ms = entry.started_ms.max(*started_ms);
-        }
-        for (id, entry) in directory.ready() {
-            if newest.get(&entry.address).is_some_and(|newest| *newest > entry.started_ms) {
-                continue;
-            }
-            let is_same = |u: &Upstream| {
-                u.started_ms == entry.started_ms
-                    && u.address == entry.address
-                    && u.service == entry.service
-            };
-            let known = self.upstreams.shift_remove(id).filter(is_same);
-            let new = || Upstream::new(id.clone(), digest(id), entry, self.circuit);
-            next.insert(id.clone(), known.unwrap_or_else(new));
-        }
-        self.upstreams = next;
-    }
-
     /// Updates the peers' loads as of `reported_at`, and the number of entries with this one.
     pub(crate) fn observe_peers(
         &mut self,
@@ -219,9 +191,16 @@
 
     /// Releases a seat and records how the attempt ended.
     pub(crate) fn release(&mut self, seat: &Seat, outcome: SendOutcome, now: Duration) {
-        let Some(upstream) = self.upstreams.get_mut(&seat.upstream) else { return };
+        let Some((upstream, is_current)) = self.record_of(seat) else { return };
         upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.prompt_tokens);
         upstream.record_end(outcome, seat.is_probe, now);
+        if !is_current {
+            if upstream.own_requests == 0 {
+                self.departed.swap_remove(&seat.record);
+            }
+            return;
+        }
+        let Some(upstream) = self.upstreams.get_mut(&seat.upstream) else { return };
         let unready = upstream.unready_until(now).filter(|_| outcome == SendOutcome::Full);
         let (failed, backoff_until) = self.zones.entry(upstream.zone.clone()).or_default();
         match outcome {
@@ -259,7 +238,7 @@
 
     /// Records that the answer of a request has begun, which means that its prompt has been read.
     pub(crate) fn observe_answer(&mut self, seat: &mut Seat, now: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(&seat.upstream) {
+        if let Some((upstream, _)) = self.record_of(seat) {
             upstream.observe_answer(now);
             upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.prompt_tokens);
         }
@@ -434,11 +413,12 @@
         }
         let is_probe = upstream.record_start(now);
         upstream.own_tokens = upstream.own_tokens.saturating_add(request.prompt_tokens);
-        let (id, address) = (upstream.id.clone(), upstream.address);
+        let (id, record, address) = (upstream.id.clone(), upstream.record, upstream.address);
         if let Some(service) = self.services.get_mut(&request.service) {
             service.record_send(now);
         }
-        Some(Seat { upstream: id, address, is_probe, prompt_tokens: request.prompt_tokens })
+        let prompt_tokens = request.prompt_tokens;
+        Some(Seat { upstream: id, record, address, is_probe, prompt_tokens })
     }
 
     fn refuse(
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod engine;
 pub(crate) mod events;
 pub(crate) mod limits;
+mod records;
 pub(crate) mod service;
 pub(crate) mod spread;
 pub(crate) mod upstream;
--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -5,4 +5,5 @@
 mod budget;
 mod limits;
 mod patterns;
+mod records;
 mod spread;
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -11,6 +11,7 @@
 use crate::base::name::Name;
 use crate::catalog::{EngineFigures, UpstreamRecord};
 use crate::limits::{Circuit, CircuitSettings};
+use crate::peers::message::digest;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -43,6 +44,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub(crate) id: Name,
+    /// Identifies this record; an upstream that starts anew under the same id gets another.
+    pub(crate) record: u64,
     /// Digest of the id, by which load reports of peers refer to it.
     pub(crate) digest: u32,
     pub(crate) service: Name,
@@ -87,13 +90,14 @@
     /// Creates the state from the catalog entry alone.
     pub(crate) fn new(
         id: Name,
-        digest: u32,
+        record: u64,
         entry: &UpstreamRecord,
         circuit: CircuitSettings,
     ) -> Self {
         Self {
+            digest: digest(&id),
             id,
-            digest,
+            record,
             service: entry.service.clone(),
             zone: entry.zone.clone(),
             address: entry.address,
@@ -142,6 +146,13 @@
         now < self.unready_until || self.broken_at.is_some_and(|at| now < at + BROKEN_TTL)
     }
 
+    /// Whether `entry` describes this run of the upstream.
+    pub(crate) fn is_run_of(&self, entry: &UpstreamRecord) -> bool {
+        self.started_ms == entry.started_ms
+            && self.address == entry.address
+            && self.service == entry.service
+    }
+
     /// Requests of all entries in progress.
     pub(crate) fn running(&self) -> f64 {
         f64::from(self.own_requests) + f64::from(self.peer_requests)
