Seats: a seat that its request does not receive is given back

If its client left between the grant and the next turn of its task, the seat was dropped unread and stayed counted, until the entry refused what it could serve. Change: the seat is put into its guard before it is handed over, so that what is dropped unread releases it. The metric papaya_gateway_lost_seats holds the seats counted beyond those held. Test: acquire_any_order_seats_given_back takes any order of asking, leaving, ending, time, and upstreams that go, come back and start anew.

--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -2,7 +2,7 @@
 
 use crate::telemetry::Metrics;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use std::time::Duration;
 
 /// Histogram bounds in seconds. They include the latency targets of the routes.
@@ -13,6 +13,7 @@
     duration: Histogram<f64>,
     first_event: Histogram<f64>,
     connections: Counter<u64>,
+    lost_seats: Gauge<i64>,
 }
 
 impl Meters {
@@ -37,6 +38,10 @@
                 .u64_counter("papaya_gateway_connections")
                 .with_description("Connections opened to upstreams")
                 .build(),
+            lost_seats: meter
+                .i64_gauge("papaya_gateway_lost_seats")
+                .with_description("Seats counted at upstreams that no request holds; 0 if sound")
+                .build(),
         }
     }
 
@@ -45,6 +50,11 @@
         self.connections.add(connections, &[]);
     }
 
+    /// Records the seats counted at upstreams that no request holds.
+    pub(crate) fn record_lost_seats(&self, seats: i64) {
+        self.lost_seats.record(seats, &[]);
+    }
+
     /// Records a response and the time it took.
     pub(crate) fn record_response(&self, status: u16, took: Duration) {
         self.requests.add(1, &[KeyValue::new("status", i64::from(status))]);
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -311,6 +311,7 @@
             self.update_readiness();
             self.pool.close_expired();
             self.meters.count_connections(self.pool.take_opened());
+            self.meters.record_lost_seats(self.seats.lost_seats());
             *self.status.lock().unwrap_or_else(PoisonError::into_inner) = self.status();
             tokio::time::sleep(STATE_INTERVAL).await;
         }
--- a/papayaproxy/src/gateway/seats.rs
+++ b/papayaproxy/src/gateway/seats.rs
@@ -1,4 +1,5 @@
-//! The balancer of this process, and the requests that wait for its decisions.
+//! The balancer of this process, and the requests that wait for its decisions. A seat is owned by a
+//! guard from the moment it is granted, so that one that nobody receives is given back.
 
 use super::constants::SEAT_INTERVAL;
 use crate::balance::{Balancer, Refusal, Seat, SeatDecision, SeatRequest, SendOutcome};
@@ -10,12 +11,17 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// What a request gets: a seat, or the reason why there is none.
+type Outcome = Result<SeatGuard, Refusal>;
+
 /// The balancer and the channels of waiting requests.
 pub(crate) struct Seats {
     balancer: RefCell<Balancer>,
     clock: Clock,
-    waiters: RefCell<IndexMap<u64, oneshot::Sender<SeatDecision>>>,
+    waiters: RefCell<IndexMap<u64, oneshot::Sender<Outcome>>>,
     ticket: Cell<u64>,
+    /// Number of live guards.
+    held: Cell<u64>,
 }
 
 /// Guard that releases its seat when dropped.
@@ -39,6 +45,7 @@
             clock,
             waiters: RefCell::default(),
             ticket: Cell::new(0),
+            held: Cell::new(0),
         });
         let updater = seats.clone();
         let run = move || updater.clone().run();
@@ -63,49 +70,57 @@
         self.ticket.get()
     }
 
+    /// Seats counted at upstreams beyond those that some request holds; 0 unless seats are lost.
+    pub(crate) fn lost_seats(&self) -> i64 {
+        let counted = self.with_balancer(|balancer| balancer.seats_counted());
+        counted as i64 - self.held.get() as i64
+    }
+
     /// Waits for a seat.
     ///
     /// # Errors
     /// The balancer refuses the request.
-    pub(crate) async fn acquire(
-        self: &Rc<Self>,
-        request: SeatRequest,
-    ) -> Result<SeatGuard, Refusal> {
+    pub(crate) async fn acquire(self: &Rc<Self>, request: SeatRequest) -> Outcome {
         let ticket = request.ticket;
         let now = self.clock.now();
         let first = self.with_balancer(|balancer| balancer.offer(request, now));
-        let decision = match first {
-            SeatDecision::Wait => {
-                let (sender, receiver) = oneshot::channel();
-                self.waiters.borrow_mut().insert(ticket, sender);
-                let _waiter = WaitGuard { seats: self.clone(), ticket };
-                receiver.await.ok()
-            }
-            decision => Some(decision),
-        };
+        if let Some(outcome) = self.outcome(first) {
+            return outcome;
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, sender);
+        let _waiter = WaitGuard { seats: self.clone(), ticket };
+        // Not expected: the balancer decides each ticket once, with a seat or a refusal.
+        let undecided = Refusal { reason: "not decided", retry_after: Duration::from_secs(1) };
+        receiver.await.unwrap_or(Err(undecided))
+    }
+
+    /// The outcome of a final decision; `None` while the request waits.
+    fn outcome(self: &Rc<Self>, decision: SeatDecision) -> Option<Outcome> {
         match decision {
-            Some(SeatDecision::Grant(seat)) => {
-                Ok(SeatGuard { seats: self.clone(), seat, outcome: SendOutcome::Abandoned })
-            }
-            Some(SeatDecision::Refuse(refusal)) => Err(refusal),
-            // Not expected: the balancer decides each ticket once, with a seat or a refusal.
-            Some(SeatDecision::Wait) | None => {
-                Err(Refusal { reason: "not decided", retry_after: Duration::from_secs(1) })
+            SeatDecision::Grant(seat) => {
+                self.held.set(self.held.get() + 1);
+                let outcome = SendOutcome::Abandoned;
+                Some(Ok(SeatGuard { seats: self.clone(), seat, outcome }))
             }
+            SeatDecision::Refuse(refusal) => Some(Err(refusal)),
+            SeatDecision::Wait => None,
         }
     }
 
-    fn advance(&self) {
+    fn advance(self: &Rc<Self>) {
         if self.waiters.borrow().is_empty() {
             return;
         }
         let now = self.clock.now();
         let decisions = self.with_balancer(|balancer| balancer.advance(now));
         for (ticket, decision) in decisions {
+            let Some(outcome) = self.outcome(decision) else { continue };
             let waiter = self.waiters.borrow_mut().swap_remove(&ticket);
-            let undelivered = waiter.map_or(Some(decision.clone()), |w| w.send(decision).err());
-            if let Some(SeatDecision::Grant(seat)) = undelivered {
-                self.with_balancer(|balancer| balancer.release(&seat, SendOutcome::Abandoned, now));
+            // A seat that cannot be delivered is released with its guard.
+            match waiter {
+                Some(waiter) => drop(waiter.send(outcome)),
+                None => drop(outcome),
             }
         }
     }
@@ -141,6 +156,7 @@
 impl Drop for SeatGuard {
     fn drop(&mut self) {
         let now = self.seats.clock.now();
+        self.seats.held.set(self.seats.held.get() - 1);
         self.seats.with_balancer(|balancer| balancer.release(&self.seat, self.outcome, now));
         self.seats.advance();
     }
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -8,5 +8,6 @@
 mod mutated;
 mod pacing;
 mod progress;
+mod seats;
 mod stand_ins;
 mod streams;
