Odd entries among those of the replicas name no replica

Operators reported that one odd entry of another writer (deeply nested, a number too large, a port out of range) made machines that read the list end, or stop following it.

An odd item now costs only itself.

--- a/papayaproxy/src/catalog/constants.rs
+++ b/papayaproxy/src/catalog/constants.rs
@@ -44,3 +44,5 @@
 pub(crate) const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 /// Removed records to remember; more than are removed while a peer may still list one of them.
 pub(crate) const REMOVED_MAX: usize = 512;
+/// Odd records whose logging is remembered; as many as one page of a listing has.
+pub(crate) const IGNORED_MAX: usize = 512;
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -4,9 +4,10 @@
 use super::calls::{follow_config, follow_upstreams};
 use super::config::Config;
 use super::constants::{
-    LAPSE_GRACE, PAUSE_FRACTION, RELY_AGE, TURN_INTERVAL, UPSTREAM_PAUSE_MAX, UPSTREAM_PAUSE_MIN,
+    IGNORED_MAX, LAPSE_GRACE, PAUSE_FRACTION, RELY_AGE, TURN_INTERVAL, UPSTREAM_PAUSE_MAX,
+    UPSTREAM_PAUSE_MIN,
 };
-use super::directory::{Directory, ListedUpstream};
+use super::directory::{Directory, ListedUpstream, UpstreamRecord};
 use super::events;
 use super::freshness::{Freshness, boot_time};
 use crate::base::clock::Clock;
@@ -15,6 +16,7 @@
 use crate::platform::store::Item;
 use crate::platform::{Store, StoreUpdate, config, upstream};
 use bytes::Bytes;
+use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -80,6 +82,8 @@
     list_revision: Cell<u64>,
     /// Digest of the directory; `None` after a change until it is needed.
     list_digest: Cell<Option<u64>>,
+    /// Revisions of the odd records that have been logged, by id.
+    ignored: RefCell<IndexMap<Name, u64>>,
     /// Whether this process follows the store for others, or relies on those that do.
     role: Cell<StoreRole>,
     /// Longest pause between two watches of the upstreams.
@@ -105,6 +109,7 @@
             listed_at: Cell::default(),
             list_revision: Cell::default(),
             list_digest: Cell::default(),
+            ignored: RefCell::default(),
             role: Cell::default(),
             pause: drain.mul_f64(PAUSE_FRACTION).clamp(UPSTREAM_PAUSE_MIN, UPSTREAM_PAUSE_MAX),
             changed: Notify::new(),
@@ -296,14 +301,23 @@
     }
 
     pub(super) fn apply_watched_config(&self, watched: &StoreUpdate) {
-        let Some(newest) = watched.items.iter().rev().find_map(|i| i.value.clone()) else {
-            let mut active = self.active.borrow_mut();
-            if let Some(active) = active.as_mut() {
-                active.revision = active.revision.max(watched.revision);
+        for value in watched.items.iter().filter_map(|i| i.value.as_ref()) {
+            match value {
+                Ok(raw) => self.apply_config(raw.clone(), watched.revision, "store"),
+                Err(error) => tracing::error!(
+                    event = events::CONFIG_REFUSED,
+                    version = 0,
+                    held = self.version(),
+                    source = "store",
+                    reason = %error,
+                    "configuration rejected"
+                ),
             }
-            return;
-        };
-        self.apply_config(newest, watched.revision, "store");
+        }
+        let mut active = self.active.borrow_mut();
+        if let Some(active) = active.as_mut() {
+            active.revision = active.revision.max(watched.revision);
+        }
     }
 
     /// Whether a record may be missing only because of a store outage.
@@ -321,7 +335,7 @@
         let mut changed = false;
         for item in watched.items {
             let id: Name = item.key.as_str().into();
-            changed |= match parse_record(&id, &item) {
+            changed |= match self.parse_record(&id, &item) {
                 Some(record) => directory.put(&id, record, item.revision),
                 None => {
                     let may_return = may_return && item.value.is_none();
@@ -338,14 +352,19 @@
         let now = self.clock.now();
         let may_return = self.may_lack_records(now);
         let mut listed = Vec::with_capacity(watched.items.len());
+        let mut directory = self.directory.borrow_mut();
+        let mut changed = false;
         for item in watched.items {
             let id: Name = item.key.as_str().into();
-            if let Some(record) = parse_record(&id, &item) {
-                listed.push((id, record, item.revision));
+            match self.parse_record(&id, &item) {
+                Some(record) => listed.push((id, record, item.revision)),
+                // What is there and names no replica is not missing because of an outage.
+                None => changed |= directory.remove(&id, item.revision, false, now),
             }
         }
         let revision = watched.revision;
-        let changed = self.directory.borrow_mut().replace(listed, revision, may_return, now);
+        changed |= directory.replace(listed, revision, may_return, now);
+        drop(directory);
         self.list_revision.set(self.list_revision.get().max(revision));
         self.confirm_list(at, changed);
     }
@@ -370,16 +389,34 @@
             self.changed.notify_waiters();
         }
     }
-}
 
-fn parse_record(id: &Name, item: &Item) -> Option<super::directory::UpstreamRecord> {
-    let bytes = item.value.as_ref()?;
-    match upstream::parse(bytes) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            let (event, revision) = (events::ENTRY_IGNORED, item.revision);
-            tracing::warn!(event, upstream = %id, revision, %error, "upstream record ignored");
-            None
+    /// Decodes the record of `item`; `None` if it was deleted or names no replica to use. An odd
+    /// record is logged once.
+    fn parse_record(&self, id: &Name, item: &Item) -> Option<UpstreamRecord> {
+        let mut ignored = self.ignored.borrow_mut();
+        let parsed = match item.value.as_ref() {
+            None => {
+                ignored.shift_remove(id);
+                return None;
+            }
+            Some(Ok(bytes)) => upstream::parse_entry(id, bytes).map_err(|e| e.to_string()),
+            Some(Err(error)) => Err(error.to_string()),
+        };
+        match parsed {
+            Ok(record) => {
+                ignored.shift_remove(id);
+                Some(record)
+            }
+            Err(error) => {
+                let (event, revision) = (events::ENTRY_IGNORED, item.revision);
+                if ignored.insert(id.clone(), revision) != Some(revision) {
+                    tracing::warn!(event, upstream = %id, revision, %error, "upstream record ignored");
+                }
+                if ignored.len() > IGNORED_MAX {
+                    ignored.shift_remove_index(0);
+                }
+                None
+            }
         }
     }
 }
--- a/papayaproxy/src/catalog/tests/mod.rs
+++ b/papayaproxy/src/catalog/tests/mod.rs
@@ -4,3 +4,5 @@
 
 mod directory;
 mod look_ups;
+mod odd_entries;
+mod store;
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 pub(crate) mod settings;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub(crate) use envelope::{Envelope, KeyHeader, Verdict};
 pub use process::Gateway;
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -8,5 +8,5 @@
 mod mutated;
 mod pacing;
 mod progress;
-mod stand_ins;
+pub(crate) mod stand_ins;
 mod streams;
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -185,7 +185,7 @@
         } else if target.starts_with("/kv-range") {
             let entry = |(i, address): (usize, &SocketAddr)| {
                 let value = format!(
-                    r#"{{"service":"plain","address":"{address}","zone":"a","slots":6,"state":"ready","born":1}}"#
+                    r#"{{"service":"plain","address":"{address}","zone":"a","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1}}"#
                 );
                 item(&format!("servers/i-{i}"), &value)
             };
--- a/papayaproxy/src/platform/caller.rs
+++ b/papayaproxy/src/platform/caller.rs
@@ -1,7 +1,7 @@
 //! HTTP client for one address of the platform: the store, or a replica's own interface.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
@@ -24,6 +24,8 @@
     /// The connection failed, or the response is not valid HTTP.
     #[snafu(display("response interrupted or invalid: {reason}"))]
     Interrupted { reason: String },
+    #[snafu(display("response exceeds {RESPONSE_BYTES_MAX} bytes"))]
+    Oversized,
     #[snafu(display("no response within {} ms", limit.as_millis()))]
     Timeout { limit: Duration },
 }
@@ -96,7 +98,11 @@
         let response = connection.send_request(request).await.map_err(interrupted)?;
         let status = response.status();
         let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX).collect().await;
-        let body = body.map_err(interrupted)?.to_bytes();
+        let body = body.map_err(|error| match error.is::<LengthLimitError>() {
+            true => CallError::Oversized,
+            false => interrupted(error),
+        })?;
+        let body = body.to_bytes();
         self.idle.borrow_mut().push(connection);
         Ok((status, body))
     }
--- a/papayaproxy/src/platform/store.rs
+++ b/papayaproxy/src/platform/store.rs
@@ -2,8 +2,8 @@
 
 use super::caller::{CallError, HttpClient};
 use super::names::{CONFIG_KEY, UPSTREAM_PREFIX};
-use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
+use base64::{DecodeError, Engine as _};
 use bytes::Bytes;
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -37,8 +37,8 @@
 pub(crate) struct Item {
     /// The key, without the requested prefix.
     pub(crate) key: String,
-    /// The stored bytes; `None` if the key was deleted.
-    pub(crate) value: Option<Bytes>,
+    /// The stored bytes, or why they cannot be read; `None` if the key was deleted.
+    pub(crate) value: Option<Result<Bytes, DecodeError>>,
     /// Revision of the last change of this key.
     pub(crate) revision: u64,
 }
@@ -96,7 +96,7 @@
         };
         let item: WireItem = parse(&body)?;
         let revision = item.at_rev.max(item.revision);
-        Ok(StoreUpdate { items: vec![decode(item, CONFIG_KEY)?], revision })
+        Ok(StoreUpdate { items: decode(item, CONFIG_KEY).into_iter().collect(), revision })
     }
 
     /// Lists the upstream records.
@@ -116,15 +116,15 @@
             if index == 0 {
                 update.revision = page.at_rev;
             }
-            if let Some(last) = page.items.last() {
-                after.clone_from(&last.key);
-            }
-            let has_more = page.has_more && !page.items.is_empty();
-            for item in page.items {
-                update.items.push(decode(item, UPSTREAM_PREFIX)?);
-            }
-            if !has_more {
-                return Ok(update);
+            let last = page.items.last().map(|item| item.key.clone());
+            update.items.extend(page.items.into_iter().filter_map(|i| decode(i, UPSTREAM_PREFIX)));
+            match last.filter(|_| page.has_more) {
+                None => return Ok(update),
+                Some(last) if last <= after => {
+                    let reason = format!("the page after '{after}' ends with '{last}'");
+                    return Err(StoreError::Malformed { reason });
+                }
+                Some(last) => after = last,
             }
         }
         Err(StoreError::Malformed { reason: format!("more than {PAGES_MAX} pages") })
@@ -136,7 +136,10 @@
         revision: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        self.watch(CONFIG_KEY, CONFIG_KEY, revision, wait).await
+        let mut update = self.watch(CONFIG_KEY, revision, wait).await?;
+        // The prefix also covers keys that are longer than the configuration's.
+        update.items.retain(|item| item.key.is_empty());
+        Ok(update)
     }
 
     /// Waits up to `wait` for changes of the upstream records after `revision`.
@@ -145,13 +148,12 @@
         revision: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        self.watch(UPSTREAM_PREFIX, UPSTREAM_PREFIX, revision, wait).await
+        self.watch(UPSTREAM_PREFIX, revision, wait).await
     }
 
     async fn watch(
         &self,
         prefix: &str,
-        stripped_prefix: &str,
         revision: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
@@ -159,14 +161,17 @@
         let path = format!("/kv-watch?pathPrefix={prefix}&after={revision}&waitMs={wait_ms}");
         let body = self.call(&path, wait + CALL_TIMEOUT).await?.unwrap_or_default();
         let page: WirePage = parse(&body)?;
-        let items =
-            page.items.into_iter().map(|i| decode(i, stripped_prefix)).collect::<Result<_, _>>()?;
+        let items = page.items.into_iter().filter_map(|i| decode(i, prefix)).collect();
         Ok(StoreUpdate { items, revision: page.at_rev.max(revision) })
     }
 
     /// Makes one call. Returns `None` for status 404.
     async fn call(&self, path: &str, limit: Duration) -> Result<Option<Bytes>, StoreError> {
-        let (status, body) = self.client.get(path, limit).await?;
+        let response = self.client.get(path, limit).await.map_err(|source| match source {
+            CallError::Oversized => StoreError::Malformed { reason: source.to_string() },
+            source => StoreError::NoResponse { source },
+        });
+        let (status, body) = response?;
         match status {
             StatusCode::OK => Ok(Some(body)),
             StatusCode::NOT_FOUND => Ok(None),
@@ -180,15 +185,12 @@
     serde_json::from_slice(body).map_err(|e| StoreError::Malformed { reason: e.to_string() })
 }
 
-fn decode(item: WireItem, prefix: &str) -> Result<Item, StoreError> {
-    let value = match item.value {
-        Some(text) if !item.deleted => {
-            let bytes = BASE64_STANDARD.decode(text);
-            let bytes = bytes.map_err(|e| StoreError::Malformed { reason: e.to_string() })?;
-            Some(bytes.into())
-        }
-        _ => None,
-    };
-    let key = item.key.strip_prefix(prefix).unwrap_or(&item.key).to_owned();
-    Ok(Item { key, value, revision: item.revision })
+/// Decodes an item; `None` if its key does not begin with `prefix`.
+fn decode(item: WireItem, prefix: &str) -> Option<Item> {
+    let key = item.key.strip_prefix(prefix)?.to_owned();
+    let value = item.value.filter(|_| !item.deleted).map(|text| {
+        let bytes = BASE64_STANDARD.decode(text)?;
+        Ok(bytes.into())
+    });
+    Some(Item { key, value, revision: item.revision })
 }
