An answer of the store that cannot be read no longer repeats for ever

A watch whose answer could not be read, or was over 4 MB, was sent again unchanged, and would get the same answer until the history was discarded: the list was no longer followed. After such an answer the whole list, or the configuration, is read.

--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -85,6 +85,7 @@
             Err(error) => {
                 let delay = pause;
                 pause = record_result(health, "configuration", Some(&error), pause, now);
+                reread |= matches!(error, StoreError::Malformed { .. });
                 failed = true;
                 tokio::time::sleep(delay).await;
             }
@@ -133,6 +134,8 @@
             Err(error) => {
                 let delay = pause;
                 pause = record_result(health, "upstreams", Some(&error), pause, now);
+                // The same watch would get the same answer; a full read does not need it.
+                reread |= matches!(error, StoreError::Malformed { .. });
                 tokio::time::sleep(delay).await;
             }
         }
--- a/papayaproxy/src/catalog/tests/mod.rs
+++ b/papayaproxy/src/catalog/tests/mod.rs
@@ -4,5 +4,6 @@
 
 mod directory;
 mod look_ups;
+mod odd_answers;
 mod odd_entries;
 mod store;
