The copy of a refusal is not taken for that of a repeat of the id

A faulty replica may write a refusal once more on a kept connection. Copies with another id, without an id, in halves, in one segment with the first, as 400, 421, 429 or 503 were already told apart (cases of call_refused_twice_not_taken that held before, and stay). A client that uses an id again got the copy as its refusal, "not run", while the replica ran the request: nothing on that connection distinguishes the two. A connection now remembers the ids that were refused on it, at most 64, and is not used for a request of such an id. 64 ids of 16 characters take about 2 KB a connection (computed); a connection with more refusals is not kept.

Failed before: call_refused_twice_not_taken::case_11_same_id, all three routes: the answer to the request that ran was "HTTP/1.1 503 Service Unavailable, papaya-code: P3006".

--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -83,3 +83,5 @@
 pub(crate) const STOP_CLOSE_FRACTION: f64 = 0.6;
 /// Fraction of the grace period after which the process exits even if requests are in progress.
 pub(crate) const STOP_END_FRACTION: f64 = 0.96;
+/// Refused requests after which a connection is not kept, since their ids are remembered with it.
+pub(crate) const REFUSED_IDS_MAX: usize = 64;
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -257,7 +257,7 @@
         (self.history.sent_at, self.history.began) = (Some(self.shared.clock.now()), None);
         let repeatable = self.route.kind.is_repeatable();
         let address = seat.seat().address;
-        let connection = self.shared.pool.connection(address, repeatable).await;
+        let connection = self.shared.pool.connection(address, repeatable, &self.envelope.id).await;
         let mut connection = match connection {
             Ok(connection) => connection,
             Err(error) => {
@@ -318,7 +318,8 @@
     }
 
     /// Reads the short body of a refusal, so that its connection can be reused.
-    async fn drain_body(&self, body: Incoming, connection: Connection, headers: &HeaderMap) {
+    async fn drain_body(&self, body: Incoming, mut connection: Connection, headers: &HeaderMap) {
+        connection.mark_refused(&self.envelope.id);
         let read = self.shared.buffers.collect(body, REFUSAL_BYTES_MAX);
         if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, read).await {
             self.shared.pool.put_back(connection, headers);
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -2,9 +2,10 @@
 
 use super::constants::{
     CONNECT_TIMEOUT, IDLE_CONNECTIONS_MAX, IDLE_MARGIN, IDLE_TIMEOUT, IDLE_TIMEOUT_UNSAFE,
-    UNACKED_TIMEOUT,
+    REFUSED_IDS_MAX, UNACKED_TIMEOUT,
 };
 use crate::base::clock::Clock;
+use crate::base::name::Name;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -30,6 +31,8 @@
     idle_timeout: Duration,
     idle_since: Duration,
     is_reused: bool,
+    /// Ids of the requests that were refused on it, of which a late copy may still arrive.
+    refused: Vec<Name>,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -68,7 +71,7 @@
         self.opened.take()
     }
 
-    /// Returns an idle connection to `address`, or opens one.
+    /// Returns an idle connection to `address` for the request `id`, or opens one.
     ///
     /// # Errors
     /// The connection is refused, or not established in time.
@@ -76,8 +79,9 @@
         &self,
         address: SocketAddr,
         repeatable: bool,
+        id: &Name,
     ) -> Result<Connection, ConnectError> {
-        match self.take_idle(address, repeatable) {
+        match self.take_idle(address, repeatable, id) {
             Some(connection) => Ok(connection),
             None => self.open(address).await,
         }
@@ -111,7 +115,7 @@
         connection.idle_since = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let pooled = idle.entry(connection.address).or_default();
-        if pooled.len() < IDLE_CONNECTIONS_MAX {
+        if pooled.len() < IDLE_CONNECTIONS_MAX && connection.refused.len() < REFUSED_IDS_MAX {
             pooled.push(connection);
         }
     }
@@ -125,7 +129,7 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr, repeatable: bool) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, repeatable: bool, id: &Name) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let pooled = idle.get_mut(&address)?;
@@ -136,7 +140,9 @@
             } else {
                 connection.idle_timeout.min(IDLE_TIMEOUT_UNSAFE)
             };
-            if connection.sender.is_ready() && now < connection.idle_since + limit {
+            // A late copy of the refusal would look like one of this request.
+            let is_refused = connection.refused.contains(id);
+            if !is_refused && connection.sender.is_ready() && now < connection.idle_since + limit {
                 return Some(connection);
             }
         }
@@ -178,6 +184,7 @@
             idle_timeout: IDLE_TIMEOUT,
             idle_since: Duration::ZERO,
             is_reused: false,
+            refused: Vec::new(),
             _task: task,
         })
     }
@@ -189,6 +196,11 @@
         self.is_reused
     }
 
+    /// Records that the request `id` was refused on it.
+    pub(crate) fn mark_refused(&mut self, id: &Name) {
+        self.refused.push(id.clone());
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod answers;
+mod copies;
 mod deadly;
 mod endless;
 mod mutated;
