A refusal that contradicts itself or names two requests is not believed

Callers could be told "not run" on: an answer of 200 or 500 that also carries X-Not-Executed, an answer with two ids of which the first is right, and, for ids that are no visible ASCII, any answer with such an id, since all read as the empty one. Believed is now a statement with a status of 4xx or 503 whose ids all are that of the request; odd ids are compared by their escaped bytes.

Failed before (5 tests): replica_verdict::case_12_success_not_run: left: NotRun { misdirected: false }, right: Foreign; the same in replica_verdict_odd_ids_differ; case_13_failure_not_run: right: Failed; case_14_two_ids: left: NotRun, right: Foreign; case_15_two_ids_success: left: Final, right: Foreign.

--- a/papayaproxy/src/platform/replica.rs
+++ b/papayaproxy/src/platform/replica.rs
@@ -1,6 +1,7 @@
 //! Evaluates the heads of replicas' responses.
 
 use super::names::{NOT_EXECUTED, RATE_LIMIT, REQUEST_ID, SIGNATURE};
+use super::request::id_text;
 use crate::gateway::Verdict;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, StatusCode};
@@ -14,17 +15,22 @@
     headers: &HeaderMap,
     is_reused: bool,
 ) -> Verdict {
-    let echoed = headers.get(REQUEST_ID).map(|v| v.to_str().unwrap_or_default());
-    if echoed.is_some_and(|e| e != id) || (echoed.is_none() && is_reused) {
+    let mut echoed = headers.get_all(REQUEST_ID).iter().peekable();
+    let is_named = echoed.peek().is_some();
+    if echoed.any(|value| id_text(value) != id) || (!is_named && is_reused) {
         return Verdict::Foreign;
     }
-    if headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST {
+    // Beside another status, such as that of a success, the statement contradicts itself.
+    let may_refuse = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+    let states_not_run = may_refuse && headers.contains_key(NOT_EXECUTED);
+    if states_not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Verdict::NotRun { misdirected: status == StatusCode::MISDIRECTED_REQUEST };
     }
-    if status.is_informational() || headers.contains_key(CONTENT_ENCODING) {
+    let contradicts = status.is_success() && headers.contains_key(NOT_EXECUTED);
+    if status.is_informational() || contradicts || headers.contains_key(CONTENT_ENCODING) {
         return Verdict::Foreign;
     }
-    if status.is_success() && (!headers.contains_key(SIGNATURE) || echoed.is_none()) {
+    if status.is_success() && (!headers.contains_key(SIGNATURE) || !is_named) {
         return Verdict::Foreign;
     }
     match status.as_u16() {
--- a/papayaproxy/src/platform/request.rs
+++ b/papayaproxy/src/platform/request.rs
@@ -9,6 +9,7 @@
 use crate::gateway::{Envelope, KeyHeader};
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue};
+use std::borrow::Cow;
 use std::time::Duration;
 
 /// Client headers that are never forwarded unchanged.
@@ -28,7 +29,7 @@
     };
     let tokens = header_text(headers, &TOKEN_USAGE).and_then(|t| t.split_once(','));
     Envelope {
-        id: header_text(headers, &REQUEST_ID).unwrap_or_default().into(),
+        id: headers.get(REQUEST_ID).map(id_text).unwrap_or_default().into(),
         key,
         timeout: header_number(headers, &DEADLINE_MS).map(|ms: u64| Duration::from_millis(ms)),
         prompt_tokens: tokens.and_then(|(p, _)| p.trim().parse().ok()).unwrap_or_default(),
@@ -37,6 +38,14 @@
     }
 }
 
+/// A request id as text. Bytes that are no visible ASCII are escaped, so that two ids stay two.
+pub(crate) fn id_text(value: &HeaderValue) -> Cow<'_, str> {
+    match value.to_str() {
+        Ok(text) => text.into(),
+        Err(_) => value.as_bytes().escape_ascii().to_string().into(),
+    }
+}
+
 /// Ids of the listed parts, without their tokens. The list may be spread over several headers.
 fn part_ids(headers: &HeaderMap) -> Vec<Name> {
     let lists = headers.get_all(PROMPT_PARTS).iter().filter_map(|v| v.to_str().ok());
--- a/papayaproxy/src/platform/tests/mod.rs
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+
 use super::request::{AttemptHeaders, read_envelope, replica_headers};
 use super::{config, replica, upstream};
 use crate::catalog::UpstreamState;
@@ -105,6 +106,14 @@
 #[case::too_many(429, &[ID], Verdict::Unproven)]
 #[case::own_failure(500, &[ID, STAMP], Verdict::Failed)]
 #[case::refused(400, &[ID, STAMP], Verdict::Final)]
+#[case::success_not_run(200, &[ID, STAMP, ("x-not-executed", "1")], Verdict::Foreign)]
+#[case::failure_not_run(500, &[ID, STAMP, ("x-not-executed", "1")], Verdict::Failed)]
+#[case::two_ids(503, &[ID, ("x-request-id", "r0"), ("x-not-executed", "1")], Verdict::Foreign)]
+#[case::two_ids_success(200, &[ID, ("x-request-id", "r0"), STAMP], Verdict::Foreign)]
+#[case::id_twice(503, &[ID, ID, ("x-not-executed", "1")], Verdict::NotRun { misdirected: false })]
+#[case::id_other_case(503, &[("x-request-id", "R1"), ("x-not-executed", "1")], Verdict::Foreign)]
+#[case::id_empty(503, &[("x-request-id", ""), ("x-not-executed", "1")], Verdict::Foreign)]
+#[case::id_longer(503, &[("x-request-id", "r1, r1"), ("x-not-executed", "1")], Verdict::Foreign)]
 fn replica_verdict(
     #[case] status: u16,
     #[case] pairs: &[(&'static str, &str)],
@@ -131,6 +140,23 @@
     assert_eq!(replica::verdict("r1", status, &headers(pairs), true), expected);
 }
 
+/// Ids that are no visible ASCII text must not all look alike: a copy of one's refusal would be taken
+/// for that of another.
+#[test]
+fn replica_verdict_odd_ids_differ() {
+    let with_id = |id: &[u8]| {
+        let mut headers = headers(&[("x-not-executed", "1")]);
+        headers.insert("x-request-id", HeaderValue::from_bytes(id).unwrap());
+        headers
+    };
+    let id = read_envelope(&with_id(b"caf\xe9")).id;
+    let verdict =
+        |echoed| replica::verdict(&id, StatusCode::SERVICE_UNAVAILABLE, &with_id(echoed), true);
+    assert_eq!(verdict(b"caf\xe8"), Verdict::Foreign);
+    assert_eq!(verdict(b""), Verdict::Foreign);
+    assert_eq!(verdict(b"caf\xe9"), Verdict::NotRun { misdirected: false });
+}
+
 proptest! {
     /// Malformed data from the store must not cause a panic.
     #[test]
