Orders and reports are tied to their own answers

The agent's client kept its connections to the replica and took whatever answer came next. Each call now carries an id. An answer with another id, or without one where the replica has returned ids, belongs to no call: an order is then in doubt, as one without an answer. Until the replica has returned an id, each order goes on a new connection.

Not shown: whether a copy alone can lead to two maps; not measured: how often new connections are opened on the users' platform.

--- a/papayaproxy/src/platform/caller.rs
+++ b/papayaproxy/src/platform/caller.rs
@@ -1,5 +1,6 @@
 //! HTTP client for one address of the platform: the store, or a replica's own interface.
 
+use super::names::REQUEST_ID;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -7,7 +8,7 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -24,6 +25,9 @@
     /// The connection failed, or the response is not valid HTTP.
     #[snafu(display("response interrupted or invalid: {reason}"))]
     Interrupted { reason: String },
+    /// The response belongs to another call.
+    #[snafu(display("the response does not name this call"))]
+    Foreign,
     #[snafu(display("response exceeds {RESPONSE_BYTES_MAX} bytes"))]
     Oversized,
     #[snafu(display("no response within {} ms", limit.as_millis()))]
@@ -36,13 +40,29 @@
 pub(crate) struct HttpClient {
     address: SocketAddr,
     host: String,
+    /// Whether each call carries an id by which the response is known.
+    names_calls: bool,
+    /// Whether the server has returned such an id.
+    returns_ids: Cell<bool>,
     idle: RefCell<Vec<Connection>>,
 }
 
 impl HttpClient {
     /// Creates a client of `address`. It connects at the first call.
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address, host: address.to_string(), idle: RefCell::default() }
+        Self {
+            address,
+            host: address.to_string(),
+            names_calls: false,
+            returns_ids: Cell::default(),
+            idle: RefCell::default(),
+        }
+    }
+
+    /// The same for a replica, which may send a late second copy of an earlier response: each call
+    /// carries an id, and a response with another one belongs to no call.
+    pub(crate) fn new_named(address: SocketAddr) -> Self {
+        Self { names_calls: true, ..Self::new(address) }
     }
 
     /// Requests `path` and waits for at most `limit`.
@@ -87,7 +107,12 @@
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        let mut connection = self.connection().await?;
+        // Without ids, only the first response on a connection is known to belong to its call.
+        let must_open = method == Method::POST && self.names_calls && !self.returns_ids.get();
+        let (mut connection, is_reused) = match must_open {
+            true => (self.open().await?, false),
+            false => self.connection().await?,
+        };
         let has_body = !body.is_empty();
         let request = Request::builder().method(method).uri(path).header(HOST, &self.host);
         let mut request = request.body(Full::new(body)).map_err(interrupted)?;
@@ -95,7 +120,19 @@
             let value = HeaderValue::from_static("application/json");
             request.headers_mut().insert(CONTENT_TYPE, value);
         }
+        let id = HeaderValue::from(rand::random::<u64>());
+        if self.names_calls {
+            request.headers_mut().insert(REQUEST_ID, id.clone());
+        }
         let response = connection.send_request(request).await.map_err(interrupted)?;
+        if self.names_calls {
+            let mut returned = response.headers().get_all(REQUEST_ID).iter().peekable();
+            let is_unnamed = returned.peek().is_none();
+            if returned.any(|r| *r != id) || (is_unnamed && is_reused && self.returns_ids.get()) {
+                return Err(CallError::Foreign);
+            }
+            self.returns_ids.set(self.returns_ids.get() || !is_unnamed);
+        }
         let status = response.status();
         let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX).collect().await;
         let body = body.map_err(|error| match error.is::<LengthLimitError>() {
@@ -107,13 +144,18 @@
         Ok((status, body))
     }
 
-    async fn connection(&self) -> Result<Connection, CallError> {
+    /// Returns a connection, and whether it has served a call before.
+    async fn connection(&self) -> Result<(Connection, bool), CallError> {
         loop {
             let Some(idle) = self.idle.borrow_mut().pop() else { break };
             if idle.is_ready() {
-                return Ok(idle);
+                return Ok((idle, true));
             }
         }
+        Ok((self.open().await?, false))
+    }
+
+    async fn open(&self) -> Result<Connection, CallError> {
         let stream = TcpStream::connect(self.address).await;
         let stream = stream.map_err(|source| CallError::Connect { source })?;
         if let Err(error) = stream.set_nodelay(true) {
--- a/papayaproxy/src/platform/rank.rs
+++ b/papayaproxy/src/platform/rank.rs
@@ -126,7 +126,7 @@
 
 impl ReplicaClient {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { client: HttpClient::new(address) }
+        Self { client: HttpClient::new_named(address) }
     }
 
     /// Reads the state of the rank; `None` if the replica belongs to no group.
