--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -3,11 +3,12 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod answers;
+mod copies;
 mod deadly;
 mod endless;
 mod mutated;
 mod pacing;
 mod progress;
 mod seats;
-mod stand_ins;
+pub(crate) mod stand_ins;
 mod streams;
