Event 3003 states why a stream that is cut was not resumed

What operators saw: a stream that ends "cut" (event 3003) named no reason.

Cause: `record_failure` returned a bool and `next_head`'s reason was dropped.

Change: `StopReason` tells attempts used up, refusals, budget and the next upstream's status apart, and event 3003 has `reason` and `stopping`.

Test: call_stream_cut_reason_logged (four cases) failed before, on with the test added: "assertion `left == right` failed" in 4 of 4 cases, since the line has no `reason`; all pass now.

--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! Forwards one request: attempts at upstreams, retry decisions and the final response.
 
+use super::attempts::{FailedAttempt, ResponseHead, StopReason, fail_attempt};
 use super::body::ResponseBody;
 use super::buffer::Buffered;
 use super::codes;
@@ -14,7 +15,7 @@
 use super::refuse;
 use super::relay;
 use super::seats::SeatGuard;
-use crate::balance::{Balancer, Refusal, SeatRequest, SendOutcome};
+use crate::balance::{Balancer, SeatRequest, SendOutcome};
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::catalog::{Route, Workspace};
@@ -31,6 +32,8 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+pub(crate) use super::attempts::AttemptHistory;
+
 /// One client request with a known route and a complete body, and the state of its attempts.
 pub(crate) struct Exchange {
     pub(crate) shared: Rc<Shared>,
@@ -59,57 +62,6 @@
     pub(crate) history: AttemptHistory,
 }
 
-/// The attempts made for one request.
-#[derive(Default)]
-pub(crate) struct AttemptHistory {
-    /// Upstreams that have been tried, oldest first.
-    tried: Vec<Name>,
-    /// When the last attempt was sent, on the process clock; `None` before the first.
-    pub(super) sent_at: Option<Duration>,
-    /// When the answer of the last attempt began; `None` before its head.
-    began: Option<Duration>,
-    /// Failed attempts in which the request may have run.
-    pub(crate) maybe_run: u32,
-    /// Failed attempts in which the request did not run.
-    not_run: u32,
-    /// Last response of an upstream that ran the request and failed. It is returned if all retries
-    /// fail.
-    last_failure: Option<Response<ResponseBody>>,
-}
-
-/// The head of a valid response and the connection that its body arrives on.
-pub(crate) struct ResponseHead {
-    pub(crate) parts: Parts,
-    pub(crate) body: Incoming,
-    pub(crate) connection: Connection,
-    pub(crate) seat: SeatGuard,
-    pub(crate) verdict: Verdict,
-}
-
-/// An attempt that brought no usable response.
-#[derive(Debug)]
-pub(crate) struct FailedAttempt {
-    pub(crate) outcome: SendOutcome,
-    /// Whether the upstream may have run the request.
-    pub(crate) may_have_run: bool,
-    /// Observed error, for the log.
-    pub(crate) detail: String,
-}
-
-/// Why no further attempt is made.
-pub(crate) enum StopReason {
-    /// The balancer found no upstream with capacity in time.
-    Refused(Refusal),
-    /// The deadline has passed.
-    DeadlinePassed,
-    /// The entry stops before the request could be expected to end.
-    Stopping,
-    /// The request must not be retried, or the retry budget is used up.
-    RetriesExhausted,
-    /// A part of the prompt crashes upstreams.
-    PartBlocked,
-}
-
 impl Exchange {
     /// Makes attempts until there is a response for the client.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
@@ -124,8 +76,8 @@
             match self.read_plain(head).await {
                 Ok(response) => return response,
                 Err(failure) => {
-                    if !self.record_failure(&failure) {
-                        return self.final_response(StopReason::RetriesExhausted);
+                    if let Err(reason) = self.record_failure(&failure) {
+                        return self.final_response(reason);
                     }
                 }
             }
@@ -166,17 +118,16 @@
             }
             match self.send(seat, last_event).await {
                 Ok(head) => return Ok(head),
-                Err(failure) => {
-                    if !self.record_failure(&failure) {
-                        return Err(StopReason::RetriesExhausted);
-                    }
-                }
+                Err(failure) => self.record_failure(&failure)?,
             }
         }
     }
 
-    /// Records a failed attempt. Returns whether another attempt may follow.
-    pub(crate) fn record_failure(&mut self, failure: &FailedAttempt) -> bool {
+    /// Records a failed attempt.
+    ///
+    /// # Errors
+    /// No further attempt may follow.
+    pub(crate) fn record_failure(&mut self, failure: &FailedAttempt) -> Result<(), StopReason> {
         let id = &self.envelope.id;
         let now = self.shared.clock.now();
         let began = self.history.began.map(|at| now.saturating_sub(at).as_millis() as u64);
@@ -196,12 +147,12 @@
             self.history.maybe_run += 1;
             if !self.route.kind.is_repeatable() || self.history.maybe_run >= self.route.max_attempts
             {
-                return false;
+                return Err(StopReason::AttemptsUsed);
             }
         } else {
             self.history.not_run += 1;
             if self.history.not_run > NOT_RUN_MAX {
-                return false;
+                return Err(StopReason::RefusalsUsed);
             }
         }
         if matches!(
@@ -209,15 +160,14 @@
             SendOutcome::Unreached | SendOutcome::Closed | SendOutcome::Stale
         ) {
             // No upstream received the request, so the retry needs no budget.
-            return true;
+            return Ok(());
         }
-        let allowed =
-            self.shared.seats.with_balancer(|balancer| balancer.try_retry(&self.service, now));
-        if !allowed {
+        if !self.shared.seats.with_balancer(|balancer| balancer.try_retry(&self.service, now)) {
             let (event, service) = (events::REPEAT_DENIED, &self.service);
             tracing::warn!(event, request = %self.envelope.id, %service, "retry budget exhausted");
+            return Err(StopReason::BudgetSpent);
         }
-        allowed
+        Ok(())
     }
 
     /// Time since the request arrived.
@@ -446,7 +396,10 @@
             StopReason::DeadlinePassed => (codes::NOT_OFFERED, Some(Duration::ZERO)),
             StopReason::Stopping => (codes::STOPPING, Some(RETRY_AFTER_STOPPING)),
             StopReason::Refused(refusal) => (codes::NO_SEAT, Some(refusal.retry_after)),
-            StopReason::RetriesExhausted => {
+            StopReason::AttemptsUsed
+            | StopReason::RefusalsUsed
+            | StopReason::BudgetSpent
+            | StopReason::Status(_) => {
                 (codes::TURNED_DOWN, Some(crate::balance::constants::RETRY_AFTER_MAX))
             }
         };
@@ -478,14 +431,3 @@
         self.history.tried.len()
     }
 }
-
-/// Releases the seat of a failed attempt.
-pub(crate) fn fail_attempt(
-    seat: SeatGuard,
-    outcome: SendOutcome,
-    may_have_run: bool,
-    detail: String,
-) -> FailedAttempt {
-    seat.finish(outcome);
-    FailedAttempt { outcome, may_have_run, detail }
-}
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It runs on a single thread, since a host has a quarter of a core.
 
+pub(crate) mod attempts;
 pub(crate) mod body;
 pub(crate) mod buffer;
 pub(crate) mod codes;
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -1,11 +1,12 @@
 //! Forwards the events of a stream as they arrive, and resumes an interrupted stream at another
 //! replica.
 
+use super::attempts::{FailedAttempt, ResponseHead, StopReason, fail_attempt};
 use super::body::{RelayBody, RelayFrame, ResponseBody};
 use super::codes;
 use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
-use super::exchange::{Exchange, FailedAttempt, ResponseHead, fail_attempt};
+use super::exchange::Exchange;
 use super::hops::copy_end_to_end;
 use super::pacing::Pacer;
 use crate::balance::SendOutcome;
@@ -69,23 +70,27 @@
             RelayOutcome::Complete => {
                 // Fails if the caller has left, who needs no end then.
                 let _ = timeout(exchange.time_left(), sender.send(RelayFrame::End)).await;
-                return log_stream_end(&exchange, &upstream, &progress, "whole");
+                return log_stream_end(&exchange, &upstream, &progress, "whole", None);
             }
             RelayOutcome::CallerLeft => {
-                return log_stream_end(&exchange, &upstream, &progress, "caller left");
+                return log_stream_end(&exchange, &upstream, &progress, "caller left", None);
             }
             RelayOutcome::DeadlinePassed => {
-                return log_stream_end(&exchange, &upstream, &progress, "late");
+                return log_stream_end(&exchange, &upstream, &progress, "late", None);
             }
             RelayOutcome::Interrupted(failure) => failure,
         };
         let after = progress.last_event;
         let next = match exchange.record_failure(&failure) {
-            true => exchange.next_head(after).await.ok(),
-            false => None,
+            Ok(()) => exchange.next_head(after).await,
+            Err(reason) => Err(reason),
         };
-        match next.filter(|h| h.parts.status.is_success()) {
-            Some(next) => {
+        let next = next.and_then(|head| match head.parts.status {
+            status if status.is_success() => Ok(head),
+            status => Err(StopReason::Status(status.as_u16())),
+        });
+        match next {
+            Ok(next) => {
                 tracing::info!(
                     event = events::STREAM_MOVED,
                     request = %exchange.envelope.id,
@@ -96,8 +101,8 @@
                 );
                 head = next;
             }
-            None => {
-                return log_stream_end(&exchange, &upstream, &progress, "cut");
+            Err(reason) => {
+                return log_stream_end(&exchange, &upstream, &progress, "cut", Some(reason));
             }
         }
     }
@@ -233,7 +238,14 @@
     Ok(bytes.freeze())
 }
 
-fn log_stream_end(exchange: &Exchange, upstream: &Name, progress: &Progress, outcome: &str) {
+/// Logs the end of a stream. `reason` states why a stream that is cut was not resumed.
+fn log_stream_end(
+    exchange: &Exchange,
+    upstream: &Name,
+    progress: &Progress,
+    outcome: &str,
+    reason: Option<StopReason>,
+) {
     let took = exchange.elapsed();
     exchange.shared.meters.record_response(200, took);
     tracing::info!(
@@ -243,6 +255,8 @@
         events = progress.events,
         sends = exchange.attempts(),
         outcome,
+        reason = reason.map(|r| r.to_string()),
+        stopping = exchange.shared.is_stopping(),
         took_ms = took.as_millis() as u64,
         "stream ended"
     );
--- a/papayaproxy/src/gateway/tests/streams.rs
+++ b/papayaproxy/src/gateway/tests/streams.rs
@@ -42,7 +42,7 @@
 }
 
 /// A replica that sends two events and then does `then`.
-async fn interrupted_stream(then: Vec<Action>) -> FakeServer {
+pub(super) async fn interrupted_stream(then: Vec<Action>) -> FakeServer {
     FakeServer::bind(move |request| {
         let from = first_missing(request);
         let mut actions = vec![
