Streams keep the events that arrive whole before a spoiled one

A replica sends events 5 to 8 in one chunk, with one digit of the last id wrong.

Cause: `new_events` recorded each event in `progress.last_event` as it took it from the splitter, and returned an error at the first event that doesn't follow. The events before it were dropped, but counted as sent, and the stream was resumed after them. The class is an effect that is recorded before it has happened.

Change: gateway/reader.rs returns the whole events before a fault, and the fault with the next call. `last_event` and `events` move only once the events are in the caller's queue.

--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod pool;
 pub(crate) mod process;
 pub(crate) mod progress;
+pub(crate) mod reader;
 pub(crate) mod ready;
 pub(crate) mod refuse;
 pub(crate) mod relay;
--- /dev/null
+++ b/papayaproxy/src/gateway/reader.rs
@@ -0,0 +1,126 @@
+//! Reads the part of a stream that one replica serves.
+
+use super::attempts::ResponseHead;
+use super::codes;
+use super::pool::Connection;
+use super::seats::SeatGuard;
+use crate::base::code::Code;
+use crate::streams::{EventSplitter, event_id};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+
+/// Whole events that the caller has not received yet, in order.
+#[derive(Debug, Default, PartialEq)]
+pub(super) struct Batch {
+    pub(super) bytes: Bytes,
+    /// Number of events.
+    pub(super) events: u64,
+    /// Id of the last event that the caller has once it has received these.
+    pub(super) last_event: Option<u64>,
+}
+
+/// What a replica brought next.
+pub(super) enum Step {
+    Events(Batch),
+    /// The answer has ended properly.
+    End,
+}
+
+/// Why a replica brings no further events.
+#[derive(Debug)]
+pub(super) struct Broken {
+    /// Observed error, for the log.
+    pub(super) detail: String,
+    /// Whether the end of the connection was seen, as after a crash.
+    pub(super) has_closed: bool,
+}
+
+/// A stream's answer by one replica.
+pub(super) struct StreamReader {
+    pub(super) parts: Parts,
+    pub(super) connection: Connection,
+    pub(super) seat: SeatGuard,
+    /// Whether the answer has a length or chunks. Otherwise the end of the connection ends it, also
+    /// after a crash.
+    pub(super) is_framed: bool,
+    body: Incoming,
+    splitter: EventSplitter,
+    /// Number of new events read so far.
+    events: u64,
+    /// Fault found behind the events that were returned last.
+    fault: Option<Code>,
+}
+
+impl StreamReader {
+    pub(super) fn new(head: ResponseHead) -> Self {
+        let ResponseHead { parts, body, connection, seat, .. } = head;
+        let headers = &parts.headers;
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let (splitter, events, fault) = (EventSplitter::default(), 0, None);
+        Self { parts, connection, seat, is_framed, body, splitter, events, fault }
+    }
+
+    /// Waits for the events after `last_event`. Nothing is lost if it is dropped and called again.
+    ///
+    /// # Errors
+    /// The answer has broken off, or it is not the rest of the stream.
+    pub(super) async fn next(&mut self, last_event: Option<u64>) -> Result<Step, Broken> {
+        loop {
+            if let Some(code) = self.fault {
+                return Err(Broken { detail: code.to_string(), has_closed: false });
+            }
+            let data = match self.body.frame().await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => {
+                    return Err(Broken { detail: error.to_string(), has_closed: true });
+                }
+                None if self.splitter.is_partial() || (!self.is_framed && self.events == 0) => {
+                    let detail = "stream ended within an event or before its first".into();
+                    return Err(Broken { detail, has_closed: true });
+                }
+                None => return Ok(Step::End),
+            };
+            self.splitter.push(&data);
+            let (batch, fault) = take_events(&mut self.splitter, last_event);
+            self.fault = fault;
+            self.events += batch.events;
+            if !batch.bytes.is_empty() {
+                return Ok(Step::Events(batch));
+            }
+        }
+    }
+}
+
+/// Takes the whole events after `last_event` out of `splitter`, up to the first one that does not
+/// follow.
+pub(super) fn take_events(
+    splitter: &mut EventSplitter,
+    last_event: Option<u64>,
+) -> (Batch, Option<Code>) {
+    let mut bytes = BytesMut::new();
+    let mut batch = Batch { last_event, ..Batch::default() };
+    let fault = loop {
+        let event = match splitter.next_event() {
+            Ok(Some(event)) => event,
+            Ok(None) => break None,
+            Err(code) => break Some(code),
+        };
+        if let Some(id) = event_id(&event) {
+            if batch.last_event.is_some_and(|last| id <= last) {
+                continue;
+            }
+            if batch.last_event.is_some_and(|last| id > last.saturating_add(1)) {
+                break Some(codes::EVENT_MISSING);
+            }
+            batch.last_event = Some(id);
+        }
+        batch.events += 1;
+        bytes.extend_from_slice(&event);
+    };
+    batch.bytes = bytes.freeze();
+    (batch, fault)
+}
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -3,20 +3,17 @@
 
 use super::attempts::{FailedAttempt, ResponseHead, StopReason, fail_attempt};
 use super::body::{RelayBody, RelayFrame, ResponseBody};
-use super::codes;
 use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
 use super::exchange::Exchange;
 use super::hops::copy_end_to_end;
 use super::pacing::Pacer;
+use super::reader::{Step, StreamReader};
 use crate::balance::SendOutcome;
 use crate::base::name::Name;
 use crate::quarantine::constants::SURVIVED_EVENTS;
-use crate::streams::{EventSplitter, event_id};
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::CONTENT_LENGTH;
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::timeout;
@@ -66,7 +63,14 @@
     let mut progress = Progress { last_event: exchange.envelope.last_event, events: 0 };
     loop {
         let upstream = head.seat.seat().upstream.clone();
-        let failure = match forward_events(&exchange, head, &mut progress, &sender).await {
+        let failure = match forward_events(
+            &exchange,
+            StreamReader::new(head),
+            &mut progress,
+            &sender,
+        )
+        .await
+        {
             RelayOutcome::Complete => {
                 // Fails if the caller has left, who needs no end then.
                 let _ = timeout(exchange.time_left(), sender.send(RelayFrame::End)).await;
@@ -111,82 +115,46 @@
 /// Forwards the events that one replica sends.
 async fn forward_events(
     exchange: &Exchange,
-    head: ResponseHead,
+    mut reader: StreamReader,
     progress: &mut Progress,
     sender: &Sender<RelayFrame>,
 ) -> RelayOutcome {
-    let ResponseHead { parts, mut body, connection, mut seat, .. } = head;
-    let upstream = seat.seat().upstream.clone();
-    let mut splitter = EventSplitter::default();
+    let upstream = reader.seat.seat().upstream.clone();
     let mut previous: Option<Duration> = None;
     let (before, mut has_survived) = (progress.events, false);
-    // Without a length or chunks, the end of the connection ends the answer, also after a crash.
-    let is_framed =
-        parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
     // Bytes that complete no event do not count: a stalled replica may send one now and then.
     let mut progress_at = exchange.shared.clock.now();
     loop {
-        let frame = match exchange.next_from(&upstream, progress_at, body.frame()).await {
-            Some(Some(Ok(frame))) => frame,
-            Some(Some(Err(error))) => {
-                if !has_survived {
-                    exchange.check_crash(&seat);
-                }
-                return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
-                    SendOutcome::Lost,
-                    true,
-                    error.to_string(),
-                ));
-            }
-            Some(None) if splitter.is_partial() || (!is_framed && progress.events == before) => {
-                if !has_survived {
-                    exchange.check_crash(&seat);
-                }
-                let detail = "stream ended within an event or before its first".into();
-                return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
-                    SendOutcome::Lost,
-                    true,
-                    detail,
-                ));
-            }
-            Some(None) => {
-                if !has_survived && !is_framed {
-                    exchange.check_crash(&seat);
+        let next = reader.next(progress.last_event);
+        let batch = match exchange.next_from(&upstream, progress_at, next).await {
+            Some(Ok(Step::Events(batch))) => batch,
+            Some(Ok(Step::End)) => {
+                if !has_survived && !reader.is_framed {
+                    exchange.check_crash(&reader.seat);
                 } else if !has_survived && progress.events > before {
                     exchange.record_survival();
                 }
-                seat.finish(SendOutcome::Good);
-                exchange.shared.pool.put_back(connection, &parts.headers);
+                reader.seat.finish(SendOutcome::Good);
+                exchange.shared.pool.put_back(reader.connection, &reader.parts.headers);
                 return RelayOutcome::Complete;
             }
+            Some(Err(broken)) => {
+                if broken.has_closed && !has_survived {
+                    exchange.check_crash(&reader.seat);
+                }
+                let failed = fail_attempt(reader.seat, SendOutcome::Lost, true, broken.detail);
+                return RelayOutcome::Interrupted(failed);
+            }
             None if exchange.time_left().is_zero() => return RelayOutcome::DeadlinePassed,
             None => {
                 return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
+                    reader.seat,
                     SendOutcome::Silent,
                     true,
                     "no event in the expected time".into(),
                 ));
             }
         };
-        let Ok(data) = frame.into_data() else { continue };
-        splitter.push(&data);
-        let bytes = match new_events(&mut splitter, progress) {
-            Ok(bytes) => bytes,
-            Err(code) => {
-                return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
-                    SendOutcome::Lost,
-                    true,
-                    code.to_string(),
-                ));
-            }
-        };
-        if bytes.is_empty() {
-            continue;
-        }
         let now = exchange.shared.clock.now();
         match previous {
             Some(previous) => {
@@ -197,45 +165,27 @@
                     .with_balancer(|balancer| balancer.observe_gap(&upstream, gap));
             }
             None => {
-                seat.response_started();
+                reader.seat.response_started();
                 exchange.shared.meters.record_first_event(exchange.elapsed());
             }
         }
         previous = Some(now);
         progress_at = now;
-        if !has_survived && progress.events >= before + SURVIVED_EVENTS {
-            has_survived = true;
-            exchange.record_survival();
-        }
-        match timeout(exchange.time_left(), sender.send(RelayFrame::Events(bytes, now))).await {
+        let frame = RelayFrame::Events(batch.bytes, now);
+        match timeout(exchange.time_left(), sender.send(frame)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return RelayOutcome::CallerLeft,
             // The caller reads too slowly.
             Err(_) => return RelayOutcome::DeadlinePassed,
         }
-    }
-}
-
-/// Returns the complete events in `splitter` that the caller has not received yet.
-fn new_events(
-    splitter: &mut EventSplitter,
-    progress: &mut Progress,
-) -> Result<Bytes, crate::base::code::Code> {
-    let mut bytes = BytesMut::new();
-    while let Some(event) = splitter.next_event()? {
-        if let Some(id) = event_id(&event) {
-            if progress.last_event.is_some_and(|last| id <= last) {
-                continue;
-            }
-            if progress.last_event.is_some_and(|last| id > last.saturating_add(1)) {
-                return Err(codes::EVENT_MISSING);
-            }
-            progress.last_event = Some(id);
+        // Only what is in the caller's queue counts as sent, since a resumed stream goes on from it.
+        progress.last_event = batch.last_event;
+        progress.events += batch.events;
+        if !has_survived && progress.events >= before + SURVIVED_EVENTS {
+            has_survived = true;
+            exchange.record_survival();
         }
-        progress.events += 1;
-        bytes.extend_from_slice(&event);
     }
-    Ok(bytes.freeze())
 }
 
 /// Logs the end of a stream. `reason` states why a stream that is cut was not resumed.
--- a/papayaproxy/src/gateway/tests/streams.rs
+++ b/papayaproxy/src/gateway/tests/streams.rs
@@ -214,3 +214,27 @@
         }
     });
 }
+
+/// Guards against events that arrive whole before a spoiled one of the same chunk, and are recorded
+/// as sent but dropped.
+#[rstest]
+#[case::id_spoiled("id: 9\ndata: piece 4\n\n".to_owned())]
+#[case::rest_too_large("x".repeat(70 << 10))]
+fn call_stream_events_before_fault_kept(#[case] fault: String) {
+    on_one_thread(async {
+        let text: String = (1..=3).map(event).chain([fault]).collect();
+        let bad = FakeServer::bind(move |request| {
+            let text = text[text.find(&event(first_missing(request))).unwrap_or(0)..].to_owned();
+            vec![Action::Send(head(request)), Action::Send(chunk(&text))]
+        });
+        let (bad, good) = (bad.await, complete_stream().await);
+        let gateway = TestGateway::open(&[&bad, &good]).await;
+        while bad.received.borrow().is_empty() {
+            let answer = gateway.call("POST", "/stream/x", "").await;
+            assert_eq!(event_ids(&answer), (1..=EVENTS).collect::<Vec<_>>(), "{answer}");
+            assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+        }
+        let resumed = good.received.borrow().last().unwrap().clone();
+        assert_eq!(resumed.header("last-event-id"), Some("3"));
+    });
+}
