A silent replica's stream stays until another replica has begun to go on

Cause: the entry gave up the silent replica, by dropping its connection, before it had a seat elsewhere. If no seat was free, the budget of repeats was used up, or the other replica refused or failed, nothing was left to return to.

Change: gateway/handover.rs. While the silent replica's answer is still read, one attempt at a time is made at another upstream, up to its first new event. Whichever goes on first has the stream; the other connection is dropped, which ends its work. If the attempt fails, the stream stays and is tried again after HANDOVER_PAUSE. If the silent replica breaks off meanwhile, the attempt in progress is awaited. It is the same before the first head of a stream. Each attempt takes one repeat of the budget before it is sent, and counts among the route's attempts from then on (`AttemptHistory::runs`), also if it is given up. `should_move` leaves out upstreams that were tried. Both answers are read in the caller's task, so that they end with it. Plain requests are as before.

The connecting and sending part of exchange.rs moves to gateway/send.rs. HANDOVER_PAUSE is 250 ms: callers leave after 2 s of silence and the shortest limit of silence is 0.3 s, so a few tries fit.

Test: gateway/tests/handover.rs.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -277,15 +277,21 @@
     }
 
     /// Whether a stream at `upstream` that has been silent for `silence` should move to another
-    /// upstream.
-    pub(crate) fn should_move(&self, upstream: &str, silence: Duration, now: Duration) -> bool {
+    /// upstream than those in `tried`.
+    pub(crate) fn should_move(
+        &self,
+        upstream: &str,
+        tried: &[Name],
+        silence: Duration,
+        now: Duration,
+    ) -> bool {
         // No entry knows the state of an upstream that has left the catalog, so its stream moves
         // even if no other upstream has a free slot.
         let Some(current) = self.upstreams.get(upstream) else { return silence >= SILENCE_UNKNOWN };
         let mut others = self.upstreams.values().filter(|u| u.service == current.service);
         let has_free_slot = |u: &Upstream| u.is_available(now) && u.running() < f64::from(u.slots);
         silence >= current.silence_limit(now)
-            && others.any(|u| u.id != current.id && has_free_slot(u))
+            && others.any(|u| u.id != current.id && !tried.contains(&u.id) && has_free_slot(u))
     }
 
     /// Removes a waiting request.
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -39,6 +39,13 @@
     Abandoned,
 }
 
+impl SendOutcome {
+    /// Whether no upstream received the request.
+    pub(crate) fn is_unsent(self) -> bool {
+        matches!(self, Self::Unreached | Self::Closed | Self::Stale)
+    }
+}
+
 /// State of one upstream, as one entry knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
--- a/papayaproxy/src/gateway/attempts.rs
+++ b/papayaproxy/src/gateway/attempts.rs
@@ -3,12 +3,14 @@
 use super::body::ResponseBody;
 use super::envelope::Verdict;
 use super::pool::Connection;
+use super::reader::StreamReader;
 use super::seats::SeatGuard;
 use crate::balance::{Refusal, SendOutcome};
 use crate::base::name::Name;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::time::Duration;
 
@@ -16,18 +18,14 @@
 #[derive(Default)]
 pub(crate) struct AttemptHistory {
     /// Upstreams that have been tried, oldest first.
-    pub(super) tried: Vec<Name>,
-    /// When the last attempt was sent, on the process clock; `None` before the first.
-    pub(super) sent_at: Option<Duration>,
-    /// When the answer of the last attempt began; `None` before its head.
-    pub(super) began: Option<Duration>,
-    /// Failed attempts in which the request may have run.
-    pub(crate) maybe_run: u32,
+    pub(super) tried: RefCell<Vec<Name>>,
+    /// Attempts in which the request may have run, those in progress included.
+    pub(super) runs: Cell<u32>,
     /// Failed attempts in which the request did not run.
-    pub(super) not_run: u32,
+    pub(super) not_run: Cell<u32>,
     /// Last response of an upstream that ran the request and failed. It is returned if all retries
     /// fail.
-    pub(super) last_failure: Option<Response<ResponseBody>>,
+    pub(super) last_failure: RefCell<Option<Response<ResponseBody>>>,
 }
 
 /// The head of a valid response and the connection that its body arrives on.
@@ -35,18 +33,32 @@
     pub(crate) parts: Parts,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
-    pub(crate) seat: SeatGuard,
     pub(crate) verdict: Verdict,
+    /// When the request was sent, on the process clock.
+    pub(crate) sent_at: Duration,
+    /// When the head arrived, on the process clock.
+    pub(crate) began: Duration,
+}
+
+/// A valid answer to a request.
+pub(crate) enum Answer {
+    /// Its head, and the seat that it takes.
+    Head(Box<ResponseHead>, SeatGuard),
+    /// A stream whose first events have been read.
+    Stream(Box<StreamReader>),
 }
 
 /// An attempt that brought no usable response.
 #[derive(Debug)]
 pub(crate) struct FailedAttempt {
+    pub(crate) upstream: Name,
     pub(crate) outcome: SendOutcome,
     /// Whether the upstream may have run the request.
     pub(crate) may_have_run: bool,
     /// Observed error, for the log.
     pub(crate) detail: String,
+    /// When the answer began, on the process clock; `None` before its head.
+    pub(crate) began: Option<Duration>,
 }
 
 /// Why no further attempt is made.
@@ -68,6 +80,8 @@
     PartBlocked,
     /// The next upstream answered a resumed stream with this status.
     Status(u16),
+    /// The attempt at the next upstream failed.
+    Failed(SendOutcome),
 }
 
 impl fmt::Display for StopReason {
@@ -81,17 +95,21 @@
             Self::BudgetSpent => f.write_str("retry budget used up"),
             Self::PartBlocked => f.write_str("part blocked"),
             Self::Status(status) => write!(f, "next upstream answered {status}"),
+            Self::Failed(outcome) => write!(f, "attempt ended as {outcome:?}"),
         }
     }
 }
 
-/// Releases the seat of a failed attempt.
-pub(crate) fn fail_attempt(
-    seat: SeatGuard,
-    outcome: SendOutcome,
-    may_have_run: bool,
-    detail: String,
-) -> FailedAttempt {
-    seat.finish(outcome);
-    FailedAttempt { outcome, may_have_run, detail }
+impl FailedAttempt {
+    /// An answer that began at `began` and did not end well. Releases its seat.
+    pub(crate) fn begun(
+        seat: SeatGuard,
+        began: Duration,
+        outcome: SendOutcome,
+        detail: String,
+    ) -> Self {
+        let upstream = seat.seat().upstream.clone();
+        seat.finish(outcome);
+        Self { upstream, outcome, may_have_run: true, detail, began: Some(began) }
+    }
 }
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -31,6 +31,8 @@
 pub(crate) const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval between checks on a silent upstream.
 pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Pause after a failed attempt to move a stream away from a silent upstream.
+pub(crate) const HANDOVER_PAUSE: Duration = Duration::from_millis(250);
 /// Silence after which a repeatable plain request is retried at another upstream, as a multiple of
 /// the latency target.
 pub(crate) const PLAIN_SILENCE_FACTOR: f64 = 3.0;
--- a/papayaproxy/src/gateway/crash.rs
+++ b/papayaproxy/src/gateway/crash.rs
@@ -9,6 +9,7 @@
 use crate::peers::message::digest;
 use crate::quarantine::{Crash, events, key_list};
 use std::rc::Rc;
+use std::time::Duration;
 
 impl Exchange {
     /// Whether the prompt has a part that crashes upstreams.
@@ -22,11 +23,14 @@
         self.shared.quarantine.borrow_mut().record_survival(&self.shared_parts, now);
     }
 
-    /// Checks whether `seat`'s upstream has crashed, after an answer broke off as it began.
-    pub(super) fn check_crash(&self, seat: &SeatGuard) {
+    /// Checks whether `seat`'s upstream has crashed, after an answer to what was sent at `sent_at`
+    /// broke off as it began.
+    pub(super) fn check_crash(&self, seat: &SeatGuard, sent_at: Duration) {
         let now = self.shared.clock.now();
         let is_suspect = self.shared.quarantine.borrow().is_suspect(&self.shared_parts, now);
-        let Some(sent_at) = self.history.sent_at.filter(|_| is_suspect) else { return };
+        if !is_suspect {
+            return;
+        }
         let crash = Crash {
             upstream: digest(&seat.seat().upstream),
             entry: self.shared.incarnation,
--- a/papayaproxy/src/gateway/events.rs
+++ b/papayaproxy/src/gateway/events.rs
@@ -16,4 +16,6 @@
     GATEWAY_STOPPING = 3010, "The graceful stop began. Fields: requests, grace_ms.";
     GATEWAY_STOPPED = 3011, "The entry stopped. Fields: requests.";
     BUFFERS_FULL = 3012, "A request was refused because the buffered bodies reach their limit. Fields: error.";
+    HANDOVER_FAILED = 3015, "A stream at a silent upstream was tried at another one without success; it stays, and is tried again while the upstream is silent. Fields: request, reason.";
+    HANDOVER_ENDED = 3016, "A silent upstream went on with its stream, so the attempt at another one was given up. Fields: request, upstream.";
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -1,32 +1,30 @@
 //! Forwards one request: attempts at upstreams, retry decisions and the final response.
 
-use super::attempts::{FailedAttempt, ResponseHead, StopReason, fail_attempt};
+use super::attempts::{Answer, FailedAttempt, ResponseHead, StopReason};
 use super::body::ResponseBody;
 use super::buffer::Buffered;
 use super::codes;
 use super::constants::{
-    ATTEMPT_TIME_MIN, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN, REFUSAL_BYTES_MAX,
-    REFUSAL_TIMEOUT, RESPONSE_BYTES_MAX, RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
+    ATTEMPT_TIME_MIN, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN, RESPONSE_BYTES_MAX,
+    RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
 };
 use super::envelope::{Envelope, Verdict};
 use super::events;
-use super::pool::{Connection, SendError};
+use super::handover::{Handover, Raced};
 use super::process::{InFlight, Shared};
+use super::reader::StreamReader;
 use super::refuse;
 use super::relay;
 use super::seats::SeatGuard;
-use crate::balance::{Balancer, SeatRequest, SendOutcome};
+use crate::balance::{SeatRequest, SendOutcome};
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::catalog::{Route, Workspace};
-use crate::platform::{replica, request};
 use crate::quarantine::PartKey;
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::{HeaderMap, Method, Response, Uri};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,16 +62,17 @@
 
 impl Exchange {
     /// Makes attempts until there is a response for the client.
-    pub(crate) async fn run(mut self) -> Response<ResponseBody> {
+    pub(crate) async fn run(self) -> Response<ResponseBody> {
         loop {
-            let head = match self.next_head(None).await {
-                Ok(head) => head,
+            let (head, seat) = match self.next_answer(None).await {
+                Ok(Answer::Head(head, seat)) => (head, seat),
+                Ok(Answer::Stream(reader)) => return relay::spawn(self, *reader),
                 Err(reason) => return self.final_response(reason),
             };
             if self.route.kind.is_stream() && head.parts.status.is_success() {
-                return relay::spawn(self, head);
+                return relay::spawn(self, StreamReader::new(*head, seat));
             }
-            match self.read_plain(head).await {
+            match self.read_plain(*head, seat).await {
                 Ok(response) => return response,
                 Err(failure) => {
                     if let Err(reason) = self.record_failure(&failure) {
@@ -86,10 +85,7 @@
 
     /// Makes attempts until a replica starts a valid response. `last_event` is the event after
     /// which a stream resumes.
-    pub(crate) async fn next_head(
-        &mut self,
-        last_event: Option<u64>,
-    ) -> Result<ResponseHead, StopReason> {
+    pub(crate) async fn next_answer(&self, last_event: Option<u64>) -> Result<Answer, StopReason> {
         loop {
             let now = self.shared.clock.now();
             if self.deadline.saturating_sub(now) < ATTEMPT_TIME_MIN {
@@ -98,7 +94,7 @@
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
             }
-            let resumed = self.history.maybe_run > 0 && self.route.kind.is_stream();
+            let resumed = self.history.runs.get() > 0 && self.route.kind.is_stream();
             let seat_wait = self.shared.seats.acquire(self.seat_request(resumed));
             let time_left = self.deadline.saturating_sub(now);
             let seat = match timeout(time_left, seat_wait).await {
@@ -108,7 +104,8 @@
             };
             // The entry may have begun to stop while the request waited. One that may have run goes
             // on, since only its answer can end it well.
-            if self.history.maybe_run == 0 && !self.shared.can_finish(&self.route, self.time_left())
+            if self.history.runs.get() == 0
+                && !self.shared.can_finish(&self.route, self.time_left())
             {
                 return Err(StopReason::Stopping);
             }
@@ -116,9 +113,53 @@
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
             }
-            match self.send(seat, last_event).await {
-                Ok(head) => return Ok(head),
-                Err(failure) => self.record_failure(&failure)?,
+            let failure = match self.attempt(seat, last_event).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            self.record_failure(&failure)?;
+        }
+    }
+
+    /// Makes one attempt. A stream's upstream that is silent is kept until another one has begun.
+    async fn attempt(
+        &self,
+        seat: SeatGuard,
+        last_event: Option<u64>,
+    ) -> Result<Answer, FailedAttempt> {
+        let is_stream = self.route.kind.is_stream();
+        let connection = match self.connect(&seat).await {
+            Ok(connection) => connection,
+            Err(failure) => {
+                seat.finish(failure.outcome);
+                return Err(failure);
+            }
+        };
+        let sent = self.send(&seat, connection, last_event, !is_stream);
+        let result = match is_stream {
+            false => sent.await,
+            true => {
+                let now = self.shared.clock.now();
+                let handover = Handover::new(&seat.seat().upstream, now);
+                match self.race(&handover, last_event, sent, Result::is_err).await {
+                    Raced::Kept(result) => result,
+                    Raced::Moved(reader, broken) => {
+                        let failure = broken.and_then(Result::err).unwrap_or_else(|| {
+                            let detail = "no response in time".into();
+                            self.fail(&seat, SendOutcome::Silent, true, detail)
+                        });
+                        seat.finish(failure.outcome);
+                        self.log_failure(&failure);
+                        return Ok(Answer::Stream(reader));
+                    }
+                }
+            }
+        };
+        match result {
+            Ok(head) => Ok(Answer::Head(Box::new(head), seat)),
+            Err(failure) => {
+                seat.finish(failure.outcome);
+                Err(failure)
             }
         }
     }
@@ -127,14 +168,45 @@
     ///
     /// # Errors
     /// No further attempt may follow.
-    pub(crate) fn record_failure(&mut self, failure: &FailedAttempt) -> Result<(), StopReason> {
+    pub(crate) fn record_failure(&self, failure: &FailedAttempt) -> Result<(), StopReason> {
+        self.log_failure(failure);
+        if failure.may_have_run && !self.may_run_again() {
+            return Err(StopReason::AttemptsUsed);
+        }
+        if !failure.may_have_run && self.history.not_run.get() > NOT_RUN_MAX {
+            return Err(StopReason::RefusalsUsed);
+        }
+        // If no upstream received the request, the retry needs no budget.
+        if failure.outcome.is_unsent() { Ok(()) } else { self.take_retry() }
+    }
+
+    /// Whether the request may run once more.
+    pub(super) fn may_run_again(&self) -> bool {
+        self.route.kind.is_repeatable() && self.history.runs.get() < self.route.max_attempts
+    }
+
+    /// Takes one retry from the budget of the service.
+    ///
+    /// # Errors
+    /// The budget is used up.
+    pub(super) fn take_retry(&self) -> Result<(), StopReason> {
+        let now = self.shared.clock.now();
+        if self.shared.seats.with_balancer(|balancer| balancer.try_retry(&self.service, now)) {
+            return Ok(());
+        }
+        let (event, service) = (events::REPEAT_DENIED, &self.service);
+        tracing::warn!(event, request = %self.envelope.id, %service, "retry budget exhausted");
+        Err(StopReason::BudgetSpent)
+    }
+
+    pub(super) fn log_failure(&self, failure: &FailedAttempt) {
         let id = &self.envelope.id;
         let now = self.shared.clock.now();
-        let began = self.history.began.map(|at| now.saturating_sub(at).as_millis() as u64);
+        let began = failure.began.map(|at| now.saturating_sub(at).as_millis() as u64);
         tracing::info!(
             event = events::SEND_ENDED,
             request = %id,
-            upstream = self.history.tried.last().map(Name::as_str),
+            upstream = %failure.upstream,
             end = ?failure.outcome,
             detail = failure.detail,
             took_ms = self.elapsed().as_millis() as u64,
@@ -143,31 +215,6 @@
             parts = self.envelope.prompt_parts.join(","),
             "attempt failed"
         );
-        if failure.may_have_run {
-            self.history.maybe_run += 1;
-            if !self.route.kind.is_repeatable() || self.history.maybe_run >= self.route.max_attempts
-            {
-                return Err(StopReason::AttemptsUsed);
-            }
-        } else {
-            self.history.not_run += 1;
-            if self.history.not_run > NOT_RUN_MAX {
-                return Err(StopReason::RefusalsUsed);
-            }
-        }
-        if matches!(
-            failure.outcome,
-            SendOutcome::Unreached | SendOutcome::Closed | SendOutcome::Stale
-        ) {
-            // No upstream received the request, so the retry needs no budget.
-            return Ok(());
-        }
-        if !self.shared.seats.with_balancer(|balancer| balancer.try_retry(&self.service, now)) {
-            let (event, service) = (events::REPEAT_DENIED, &self.service);
-            tracing::warn!(event, request = %self.envelope.id, %service, "retry budget exhausted");
-            return Err(StopReason::BudgetSpent);
-        }
-        Ok(())
     }
 
     /// Time since the request arrived.
@@ -180,12 +227,12 @@
         self.deadline.saturating_sub(self.shared.clock.now())
     }
 
-    fn seat_request(&self, resumed: bool) -> SeatRequest {
+    pub(super) fn seat_request(&self, resumed: bool) -> SeatRequest {
         SeatRequest {
             ticket: self.shared.seats.next_ticket(),
             request_id: self.envelope.id.clone(),
             service: self.service.clone(),
-            excluded: self.history.tried.clone(),
+            excluded: self.history.tried.borrow().clone(),
             arrived: self.arrived,
             deadline: self.deadline,
             latency_target: self.latency_target,
@@ -197,110 +244,18 @@
         }
     }
 
-    /// Makes one attempt: connects, sends the request and reads the head of the response.
-    async fn send(
-        &mut self,
-        seat: SeatGuard,
-        last_event: Option<u64>,
-    ) -> Result<ResponseHead, FailedAttempt> {
-        self.history.tried.push(seat.seat().upstream.clone());
-        (self.history.sent_at, self.history.began) = (Some(self.shared.clock.now()), None);
-        let repeatable = self.route.kind.is_repeatable();
-        let address = seat.seat().address;
-        let connection = self.shared.pool.connection(address, repeatable).await;
-        let mut connection = match connection {
-            Ok(connection) => connection,
-            Err(error) => {
-                let outcome =
-                    if error.is_unreachable { SendOutcome::Unreached } else { SendOutcome::Closed };
-                return Err(fail_attempt(seat, outcome, false, error.detail));
-            }
-        };
-        let request = self.build_request(&seat, last_event);
-        let upstream = seat.seat().upstream.clone();
-        let sent_at = self.shared.clock.now();
-        let response = match self.next_from(&upstream, sent_at, connection.send(request)).await {
-            Some(Ok(response)) => response,
-            Some(Err(SendError::Unsent(detail))) => {
-                return Err(fail_attempt(seat, SendOutcome::Stale, false, detail));
-            }
-            Some(Err(SendError::Lost(detail))) => {
-                return Err(fail_attempt(seat, SendOutcome::Lost, true, detail));
-            }
-            None => {
-                return Err(fail_attempt(
-                    seat,
-                    SendOutcome::Silent,
-                    true,
-                    "no response in time".into(),
-                ));
-            }
-        };
-        let (parts, body) = response.into_parts();
-        let is_reused = connection.is_reused();
-        let verdict = replica::verdict(&self.envelope.id, parts.status, &parts.headers, is_reused);
-        if !matches!(verdict, Verdict::Foreign | Verdict::NotRun { misdirected: true }) {
-            let limit = replica::rate_limit(&parts.headers);
-            let (now, draw) = (self.shared.clock.now(), rand::random());
-            let observe = |b: &mut Balancer| b.observe_limit(&upstream, limit, draw, now);
-            self.shared.seats.with_balancer(observe);
-        }
-        match verdict {
-            Verdict::NotRun { misdirected } => {
-                let outcome = if misdirected { SendOutcome::Foreign } else { SendOutcome::Full };
-                let detail = format!("{} without running the request", parts.status);
-                self.drain_body(body, connection, &parts.headers).await;
-                Err(fail_attempt(seat, outcome, false, detail))
-            }
-            Verdict::Foreign => {
-                let detail = format!("{} is not a valid response to this request", parts.status);
-                Err(fail_attempt(seat, SendOutcome::Lost, true, detail))
-            }
-            Verdict::Unproven => {
-                let detail = format!("{} does not state whether the request ran", parts.status);
-                Err(fail_attempt(seat, SendOutcome::Failed, true, detail))
-            }
-            verdict => {
-                self.history.began = Some(self.shared.clock.now());
-                Ok(ResponseHead { parts, body, connection, seat, verdict })
-            }
-        }
-    }
-
-    /// Reads the short body of a refusal, so that its connection can be reused.
-    async fn drain_body(&self, body: Incoming, connection: Connection, headers: &HeaderMap) {
-        let read = self.shared.buffers.collect(body, REFUSAL_BYTES_MAX);
-        if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, read).await {
-            self.shared.pool.put_back(connection, headers);
-        }
-    }
-
-    fn build_request(&self, seat: &SeatGuard, last_event: Option<u64>) -> Request<Full<Bytes>> {
-        let attempt = request::AttemptHeaders {
-            replica: &seat.seat().upstream,
-            workspace: self.workspace.as_ref().map(|w| w.name.as_str()),
-            time_left: Some(self.time_left()),
-            last_event,
-        };
-        let mut request = Request::new(Full::new(self.body.bytes.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = request::replica_headers(&self.headers, &attempt);
-        request
-    }
-
     /// Waits for `next`, which yields the next data from `upstream`. Returns `None` if the deadline
-    /// has passed, or if the upstream has brought nothing useful since `since`, for so long that a
-    /// repeatable request should move to another one.
+    /// has passed or, if it `may_leave`, if the upstream has brought nothing useful since `since`,
+    /// for so long that a repeatable request should move to another one.
     pub(crate) async fn next_from<T>(
         &self,
         upstream: &Name,
         since: Duration,
         next: impl Future<Output = T>,
+        may_leave: bool,
     ) -> Option<T> {
         let mut next = std::pin::pin!(next);
-        let has_attempts = self.history.maybe_run + 1 < self.route.max_attempts;
-        let may_move = has_attempts && self.route.kind.is_repeatable();
+        let may_move = may_leave && self.may_run_again();
         loop {
             // Data that never ends, or trickles, is always at hand, so the time is checked first.
             let now = self.shared.clock.now();
@@ -319,37 +274,36 @@
         }
     }
 
-    fn is_overdue(&self, upstream: &str, silence: Duration, now: Duration) -> bool {
+    pub(super) fn is_overdue(&self, upstream: &str, silence: Duration, now: Duration) -> bool {
         if self.route.kind.is_stream() {
+            let tried = self.history.tried.borrow();
             return self
                 .shared
                 .seats
-                .with_balancer(|balancer| balancer.should_move(upstream, silence, now));
+                .with_balancer(|balancer| balancer.should_move(upstream, &tried, silence, now));
         }
         silence >= self.latency_target.mul_f64(PLAIN_SILENCE_FACTOR).max(PLAIN_SILENCE_MIN)
     }
 
     /// Reads the complete body of a plain response.
     async fn read_plain(
-        &mut self,
+        &self,
         head: ResponseHead,
+        seat: SeatGuard,
     ) -> Result<Response<ResponseBody>, FailedAttempt> {
-        let ResponseHead { parts, body, connection, seat, verdict } = head;
+        let ResponseHead { parts, body, connection, verdict, sent_at, began } = head;
         let upstream = seat.seat().upstream.clone();
         let read = self.shared.buffers.collect(body, RESPONSE_BYTES_MAX);
-        let bytes = match self.next_from(&upstream, self.shared.clock.now(), read).await {
+        let bytes = match self.next_from(&upstream, self.shared.clock.now(), read, true).await {
             Some(Ok(buffered)) => buffered.bytes,
             Some(Err(error)) => {
-                self.check_crash(&seat);
-                return Err(fail_attempt(seat, SendOutcome::Lost, true, error.to_string()));
+                self.check_crash(&seat, sent_at);
+                let (outcome, detail) = (SendOutcome::Lost, error.to_string());
+                return Err(FailedAttempt::begun(seat, began, outcome, detail));
             }
             None => {
-                return Err(fail_attempt(
-                    seat,
-                    SendOutcome::Silent,
-                    true,
-                    "response body incomplete in time".into(),
-                ));
+                let (outcome, detail) = (SendOutcome::Silent, "response body incomplete in time");
+                return Err(FailedAttempt::begun(seat, began, outcome, detail.into()));
             }
         };
         self.shared.pool.put_back(connection, &parts.headers);
@@ -357,15 +311,14 @@
         if !failed {
             self.record_survival();
         }
-        seat.finish(if failed { SendOutcome::Failed } else { SendOutcome::Good });
         let status = parts.status;
         let response = self.client_response(parts, bytes);
-        let is_last = self.history.maybe_run + 1 >= self.route.max_attempts;
-        if failed && self.route.kind.is_repeatable() && !is_last {
-            self.history.last_failure = Some(response);
-            let detail = format!("upstream failed with {status}");
-            return Err(FailedAttempt { outcome: SendOutcome::Failed, may_have_run: true, detail });
+        if failed && self.may_run_again() {
+            self.history.last_failure.replace(Some(response));
+            let (outcome, detail) = (SendOutcome::Failed, format!("upstream failed with {status}"));
+            return Err(FailedAttempt::begun(seat, began, outcome, detail));
         }
+        seat.finish(if failed { SendOutcome::Failed } else { SendOutcome::Good });
         self.record_response(status.as_u16(), None, Some(&upstream));
         Ok(response)
     }
@@ -381,12 +334,12 @@
     }
 
     /// The response to a request for which no further attempt is made.
-    fn final_response(mut self, reason: StopReason) -> Response<ResponseBody> {
+    fn final_response(self, reason: StopReason) -> Response<ResponseBody> {
         if let Some(failure) = self.history.last_failure.take() {
             self.record_response(failure.status().as_u16(), None, None);
             return failure;
         }
-        let ran = self.history.maybe_run > 0;
+        let ran = self.history.runs.get() > 0;
         let (code, retry) = match reason {
             StopReason::DeadlinePassed if ran => (codes::ANSWER_LATE, None),
             _ if ran => (codes::ANSWER_LOST, None),
@@ -399,7 +352,8 @@
             StopReason::AttemptsUsed
             | StopReason::RefusalsUsed
             | StopReason::BudgetSpent
-            | StopReason::Status(_) => {
+            | StopReason::Status(_)
+            | StopReason::Failed(_) => {
                 (codes::TURNED_DOWN, Some(crate::balance::constants::RETRY_AFTER_MAX))
             }
         };
@@ -420,7 +374,7 @@
             status,
             code = code.map(|c| c.to_string()),
             upstream = upstream.map(Name::as_str),
-            sends = self.history.tried.len(),
+            sends = self.attempts(),
             took_ms = elapsed.as_millis() as u64,
             "request answered"
         );
@@ -428,6 +382,6 @@
 
     /// Number of attempts so far.
     pub(crate) fn attempts(&self) -> usize {
-        self.history.tried.len()
+        self.history.tried.borrow().len()
     }
 }
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod envelope;
 pub(crate) mod events;
 pub(crate) mod exchange;
+pub(crate) mod handover;
 pub(crate) mod hops;
 pub(crate) mod meters;
 pub(crate) mod pacing;
@@ -23,6 +24,7 @@
 pub(crate) mod refuse;
 pub(crate) mod relay;
 pub(crate) mod seats;
+pub(crate) mod send;
 pub(crate) mod settings;
 
 #[cfg(test)]
--- a/papayaproxy/src/gateway/reader.rs
+++ b/papayaproxy/src/gateway/reader.rs
@@ -11,10 +11,11 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
+use std::time::Duration;
 
 /// Whole events that the caller has not received yet, in order.
 #[derive(Debug, Default, PartialEq)]
-pub(super) struct Batch {
+pub(crate) struct Batch {
     pub(super) bytes: Bytes,
     /// Number of events.
     pub(super) events: u64,
@@ -23,7 +24,7 @@
 }
 
 /// What a replica brought next.
-pub(super) enum Step {
+pub(crate) enum Step {
     Events(Batch),
     /// The answer has ended properly.
     End,
@@ -31,7 +32,7 @@
 
 /// Why a replica brings no further events.
 #[derive(Debug)]
-pub(super) struct Broken {
+pub(crate) struct Broken {
     /// Observed error, for the log.
     pub(super) detail: String,
     /// Whether the end of the connection was seen, as after a crash.
@@ -39,7 +40,7 @@
 }
 
 /// A stream's answer by one replica.
-pub(super) struct StreamReader {
+pub(crate) struct StreamReader {
     pub(super) parts: Parts,
     pub(super) connection: Connection,
     pub(super) seat: SeatGuard,
@@ -52,16 +53,39 @@
     events: u64,
     /// Fault found behind the events that were returned last.
     fault: Option<Code>,
+    /// Events that were read ahead.
+    held: Option<Batch>,
+    /// When the request was sent, on the process clock.
+    pub(super) sent_at: Duration,
+    /// When the head arrived, on the process clock.
+    pub(super) began: Duration,
 }
 
 impl StreamReader {
-    pub(super) fn new(head: ResponseHead) -> Self {
-        let ResponseHead { parts, body, connection, seat, .. } = head;
+    pub(super) fn new(head: ResponseHead, seat: SeatGuard) -> Self {
+        let ResponseHead { parts, body, connection, sent_at, began, .. } = head;
         let headers = &parts.headers;
         let is_framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        let (splitter, events, fault) = (EventSplitter::default(), 0, None);
-        Self { parts, connection, seat, is_framed, body, splitter, events, fault }
+        let splitter = EventSplitter::default();
+        Self {
+            parts,
+            connection,
+            seat,
+            is_framed,
+            body,
+            splitter,
+            events: 0,
+            fault: None,
+            held: None,
+            sent_at,
+            began,
+        }
+    }
+
+    /// Gives events back, which [`StreamReader::next`] returns first.
+    pub(super) fn hold(&mut self, batch: Batch) {
+        self.held = Some(batch);
     }
 
     /// Waits for the events after `last_event`. Nothing is lost if it is dropped and called again.
@@ -69,6 +93,9 @@
     /// # Errors
     /// The answer has broken off, or it is not the rest of the stream.
     pub(super) async fn next(&mut self, last_event: Option<u64>) -> Result<Step, Broken> {
+        if let Some(batch) = self.held.take() {
+            return Ok(Step::Events(batch));
+        }
         loop {
             if let Some(code) = self.fault {
                 return Err(Broken { detail: code.to_string(), has_closed: false });
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -1,11 +1,12 @@
 //! Forwards the events of a stream as they arrive, and resumes an interrupted stream at another
 //! replica.
 
-use super::attempts::{FailedAttempt, ResponseHead, StopReason, fail_attempt};
+use super::attempts::{Answer, FailedAttempt, StopReason};
 use super::body::{RelayBody, RelayFrame, ResponseBody};
 use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
 use super::exchange::Exchange;
+use super::handover::{Handover, Raced};
 use super::hops::copy_end_to_end;
 use super::pacing::Pacer;
 use super::reader::{Step, StreamReader};
@@ -31,14 +32,16 @@
 enum RelayOutcome {
     /// The stream is complete.
     Complete,
-    /// The stream was interrupted, or the replica fell silent.
+    /// The stream was interrupted.
     Interrupted(FailedAttempt),
+    /// The replica was silent or broke off, and another one has begun to go on.
+    Moved(FailedAttempt, Box<StreamReader>),
     CallerLeft,
     DeadlinePassed,
 }
 
-/// Starts the relay of the stream that begins with `head`, and returns the response for the client.
-pub(crate) fn spawn(exchange: Exchange, head: ResponseHead) -> Response<ResponseBody> {
+/// Starts the relay of the stream that `reader` reads first, and returns the response for the client.
+pub(crate) fn spawn(exchange: Exchange, reader: StreamReader) -> Response<ResponseBody> {
     let (sender, frames) = channel(RELAY_QUEUE_FRAMES);
     let stop = CancellationToken::new();
     let shared = exchange.shared.clone();
@@ -46,11 +49,11 @@
     let in_flight = exchange.in_flight.clone();
     let body = RelayBody::new(frames, pacer, shared.clock, stop.clone().drop_guard(), in_flight);
     let mut response = Response::new(ResponseBody::Relay(body));
-    *response.status_mut() = head.parts.status;
-    copy_end_to_end(&head.parts.headers, response.headers_mut(), |n| n != CONTENT_LENGTH);
+    *response.status_mut() = reader.parts.status;
+    copy_end_to_end(&reader.parts.headers, response.headers_mut(), |n| n != CONTENT_LENGTH);
     let (id, arrived) = (exchange.envelope.id.clone(), exchange.arrived);
     tokio::task::spawn_local(async move {
-        let relayed = stop.run_until_cancelled(relay(exchange, head, sender)).await;
+        let relayed = stop.run_until_cancelled(relay(exchange, reader, sender)).await;
         if relayed.is_none() {
             let took_ms = shared.clock.now().saturating_sub(arrived).as_millis() as u64;
             tracing::info!(event = events::CALLER_LEFT, request = %id, took_ms, "caller left");
@@ -59,17 +62,11 @@
     response
 }
 
-async fn relay(mut exchange: Exchange, mut head: ResponseHead, sender: Sender<RelayFrame>) {
+async fn relay(exchange: Exchange, mut reader: StreamReader, sender: Sender<RelayFrame>) {
     let mut progress = Progress { last_event: exchange.envelope.last_event, events: 0 };
     loop {
-        let upstream = head.seat.seat().upstream.clone();
-        let failure = match forward_events(
-            &exchange,
-            StreamReader::new(head),
-            &mut progress,
-            &sender,
-        )
-        .await
+        let upstream = reader.seat.seat().upstream.clone();
+        let (failure, next) = match forward_events(&exchange, reader, &mut progress, &sender).await
         {
             RelayOutcome::Complete => {
                 // Fails if the caller has left, who needs no end then.
@@ -82,28 +79,29 @@
             RelayOutcome::DeadlinePassed => {
                 return log_stream_end(&exchange, &upstream, &progress, "late", None);
             }
-            RelayOutcome::Interrupted(failure) => failure,
-        };
-        let after = progress.last_event;
-        let next = match exchange.record_failure(&failure) {
-            Ok(()) => exchange.next_head(after).await,
-            Err(reason) => Err(reason),
+            RelayOutcome::Moved(failure, next) => {
+                exchange.log_failure(&failure);
+                (failure, Ok(*next))
+            }
+            RelayOutcome::Interrupted(failure) => {
+                let next = match exchange.record_failure(&failure) {
+                    Ok(()) => resume(&exchange, progress.last_event).await,
+                    Err(reason) => Err(reason),
+                };
+                (failure, next)
+            }
         };
-        let next = next.and_then(|head| match head.parts.status {
-            status if status.is_success() => Ok(head),
-            status => Err(StopReason::Status(status.as_u16())),
-        });
         match next {
             Ok(next) => {
                 tracing::info!(
                     event = events::STREAM_MOVED,
                     request = %exchange.envelope.id,
                     upstream = %next.seat.seat().upstream,
-                    after,
+                    after = progress.last_event,
                     detail = failure.detail,
                     "stream moved"
                 );
-                head = next;
+                reader = next;
             }
             Err(reason) => {
                 return log_stream_end(&exchange, &upstream, &progress, "cut", Some(reason));
@@ -112,6 +110,17 @@
     }
 }
 
+/// Makes attempts until a replica goes on with the stream after `last_event`.
+async fn resume(exchange: &Exchange, last_event: Option<u64>) -> Result<StreamReader, StopReason> {
+    match exchange.next_answer(last_event).await? {
+        Answer::Stream(reader) => Ok(*reader),
+        Answer::Head(head, seat) if head.parts.status.is_success() => {
+            Ok(StreamReader::new(*head, seat))
+        }
+        Answer::Head(head, _) => Err(StopReason::Status(head.parts.status.as_u16())),
+    }
+}
+
 /// Forwards the events that one replica sends.
 async fn forward_events(
     exchange: &Exchange,
@@ -123,14 +132,34 @@
     let mut previous: Option<Duration> = None;
     let (before, mut has_survived) = (progress.events, false);
     // Bytes that complete no event do not count: a stalled replica may send one now and then.
-    let mut progress_at = exchange.shared.clock.now();
+    let handover = Handover::new(&upstream, exchange.shared.clock.now());
+    let (began, sent_at) = (reader.began, reader.sent_at);
     loop {
-        let next = reader.next(progress.last_event);
-        let batch = match exchange.next_from(&upstream, progress_at, next).await {
+        let last = progress.last_event;
+        let next = exchange.next_from(&upstream, handover.since.get(), reader.next(last), false);
+        let is_broken = |next: &Option<Result<_, _>>| next.as_ref().is_some_and(Result::is_err);
+        let raced = exchange.race(&handover, last, next, is_broken).await;
+        let next = match raced {
+            Raced::Kept(next) => next,
+            Raced::Moved(next, broken) => {
+                let (outcome, detail) = match broken {
+                    Some(Some(Err(broken))) => {
+                        if broken.has_closed && !has_survived {
+                            exchange.check_crash(&reader.seat, sent_at);
+                        }
+                        (SendOutcome::Lost, broken.detail)
+                    }
+                    _ => (SendOutcome::Silent, "no event in the expected time".into()),
+                };
+                let failure = FailedAttempt::begun(reader.seat, began, outcome, detail);
+                return RelayOutcome::Moved(failure, next);
+            }
+        };
+        let batch = match next {
             Some(Ok(Step::Events(batch))) => batch,
             Some(Ok(Step::End)) => {
                 if !has_survived && !reader.is_framed {
-                    exchange.check_crash(&reader.seat);
+                    exchange.check_crash(&reader.seat, sent_at);
                 } else if !has_survived && progress.events > before {
                     exchange.record_survival();
                 }
@@ -140,20 +169,13 @@
             }
             Some(Err(broken)) => {
                 if broken.has_closed && !has_survived {
-                    exchange.check_crash(&reader.seat);
+                    exchange.check_crash(&reader.seat, sent_at);
                 }
-                let failed = fail_attempt(reader.seat, SendOutcome::Lost, true, broken.detail);
-                return RelayOutcome::Interrupted(failed);
-            }
-            None if exchange.time_left().is_zero() => return RelayOutcome::DeadlinePassed,
-            None => {
-                return RelayOutcome::Interrupted(fail_attempt(
-                    reader.seat,
-                    SendOutcome::Silent,
-                    true,
-                    "no event in the expected time".into(),
-                ));
+                let (outcome, detail) = (SendOutcome::Lost, broken.detail);
+                let failure = FailedAttempt::begun(reader.seat, began, outcome, detail);
+                return RelayOutcome::Interrupted(failure);
             }
+            None => return RelayOutcome::DeadlinePassed,
         };
         let now = exchange.shared.clock.now();
         match previous {
@@ -170,7 +192,7 @@
             }
         }
         previous = Some(now);
-        progress_at = now;
+        handover.since.set(now);
         let frame = RelayFrame::Events(batch.bytes, now);
         match timeout(exchange.time_left(), sender.send(frame)).await {
             Ok(Ok(())) => {}
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod deadly;
 mod endless;
+mod handover;
 mod log_lines;
 mod mutated;
 mod pacing;
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -214,11 +214,21 @@
 
     /// The same, with an address for its peers and the addresses of the first of them.
     pub(crate) async fn open_peers(replicas: &[&FakeServer], peers: &str, seeds: &str) -> Self {
+        Self::open_text(replicas, peers, seeds, "").await
+    }
+
+    /// The same as [`TestGateway::open`], with another slack of the retry budget.
+    pub(crate) async fn open_budget(replicas: &[&FakeServer], slack: &str) -> Self {
+        let more = format!("slack = {slack}\n");
+        Self::open_text(replicas, "127.0.0.1:0", "", &more).await
+    }
+
+    async fn open_text(replicas: &[&FakeServer], peers: &str, seeds: &str, budget: &str) -> Self {
         let server = fake_store(replicas.iter().map(|r| r.address).collect()).await;
         let text = format!(
             "[process]\nname = entry-1\nzone = a\n[gateway]\naddress = 127.0.0.1:0\n\
              ready = 127.0.0.1:0\npeers = {peers}\nseeds = {seeds}\n[ops]\naddress = 127.0.0.1:0\n\
-             [store]\naddress = {}\n[bounds]\ngrace = 1s\n[budget]\nwindow = 1ms\n",
+             [store]\naddress = {}\n[bounds]\ngrace = 1s\n[budget]\nwindow = 1ms\n{budget}",
             server.address
         );
         let settings = Reader::from_text("test", &text, TABLES).check(GatewaySettings::read);
--- a/papayaproxy/src/gateway/tests/streams.rs
+++ b/papayaproxy/src/gateway/tests/streams.rs
@@ -9,11 +9,11 @@
 
 pub(super) const EVENTS: u64 = 6;
 
-fn chunk(text: &str) -> String {
+pub(super) fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn event(id: u64) -> String {
+pub(super) fn event(id: u64) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
@@ -25,7 +25,7 @@
     )
 }
 
-fn first_missing(request: &ReceivedRequest) -> u64 {
+pub(super) fn first_missing(request: &ReceivedRequest) -> u64 {
     request.header("last-event-id").map_or(1, |id| id.parse::<u64>().unwrap() + 1)
 }
 
