What is no part of a stream neither enters it nor ends it

It can happen here in these forms, each shown by a case of call_stream_next_answer_no_part_cut: - a 200 of another media type, or without one, whose text has blank lines: the text is passed on as an event; - the head of an error, or an event without an id, within an event stream that is framed by chunks, a length or the end of its connection: the same; - a 200 with Content-Length 0, without any event, with a comment only, or that runs the request anew and ends early: the stream ends as complete; - the last event with the id of an older one: it is dropped as a repetition, and the stream ends as complete.

Cause: whatever a successful answer contains was taken for a part of the stream: its media type wasn't compared, text without an id counted as an event, an old id as a repetition anywhere, and any proper end as the end of the stream.

Change: a resumed answer must have the media type of the head that the caller has, and shows the end only if it brings events: a replica that is asked to go on and ends at once may have failed, and a stream that can't be shown complete must not look so. Such an answer is a failed attempt: another one follows if the route allows it, as after an error status, which ended the stream at once before.

Sound before, and kept: statuses 500, 404, 503, 429, 204 and refusals with a body (their text was never passed on, the stream was cut); ids that skip; `last_failure`, which only answers requests whose stream has not begun.

Test: gateway/tests/order.rs.

--- a/papayaproxy/src/gateway/attempts.rs
+++ b/papayaproxy/src/gateway/attempts.rs
@@ -7,9 +7,10 @@
 use super::seats::SeatGuard;
 use crate::balance::{Refusal, SendOutcome};
 use crate::base::name::Name;
-use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, Response};
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::time::Duration;
@@ -28,6 +29,28 @@
     pub(super) last_failure: RefCell<Option<Response<ResponseBody>>>,
 }
 
+/// Where an answer has to go on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ResumePoint {
+    /// Id of the last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// Media type of the head that the caller has; `None` before any head.
+    pub(crate) media_type: Option<Option<String>>,
+}
+
+impl ResumePoint {
+    /// Whether a body with `headers` may be part of the answer.
+    pub(super) fn fits(&self, headers: &HeaderMap) -> bool {
+        self.media_type.as_ref().is_none_or(|media_type| *media_type == media_type_of(headers))
+    }
+}
+
+/// The media type that `headers` state, without parameters.
+pub(super) fn media_type_of(headers: &HeaderMap) -> Option<String> {
+    let text = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    Some(text.split(';').next().unwrap_or_default().trim().to_ascii_lowercase())
+}
+
 /// The head of a valid response and the connection that its body arrives on.
 pub(crate) struct ResponseHead {
     pub(crate) parts: Parts,
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! Forwards one request: attempts at upstreams, retry decisions and the final response.
 
-use super::attempts::{Answer, FailedAttempt, ResponseHead, StopReason};
+use super::attempts::{Answer, FailedAttempt, ResponseHead, ResumePoint, StopReason};
 use super::body::ResponseBody;
 use super::buffer::Buffered;
 use super::codes;
@@ -64,13 +64,14 @@
     /// Makes attempts until there is a response for the client.
     pub(crate) async fn run(self) -> Response<ResponseBody> {
         loop {
-            let (head, seat) = match self.next_answer(None).await {
+            let (head, seat) = match self.next_answer(&ResumePoint::default()).await {
                 Ok(Answer::Head(head, seat)) => (head, seat),
                 Ok(Answer::Stream(reader)) => return relay::spawn(self, *reader),
                 Err(reason) => return self.final_response(reason),
             };
-            if self.route.kind.is_stream() && head.parts.status.is_success() {
-                return relay::spawn(self, StreamReader::new(*head, seat));
+            let kind = self.route.kind;
+            if kind.is_stream() && head.parts.status.is_success() {
+                return relay::spawn(self, StreamReader::new(*head, seat, kind));
             }
             match self.read_plain(*head, seat).await {
                 Ok(response) => return response,
@@ -83,9 +84,9 @@
         }
     }
 
-    /// Makes attempts until a replica starts a valid response. `last_event` is the event after
-    /// which a stream resumes.
-    pub(crate) async fn next_answer(&self, last_event: Option<u64>) -> Result<Answer, StopReason> {
+    /// Makes attempts until a replica starts a valid response. `point` is where a
+    /// stream resumes.
+    pub(crate) async fn next_answer(&self, point: &ResumePoint) -> Result<Answer, StopReason> {
         loop {
             let now = self.shared.clock.now();
             if self.deadline.saturating_sub(now) < ATTEMPT_TIME_MIN {
@@ -113,7 +114,7 @@
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
             }
-            let failure = match self.attempt(seat, last_event).await {
+            let failure = match self.attempt(seat, point).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
@@ -122,11 +123,7 @@
     }
 
     /// Makes one attempt. A stream's upstream that is silent is kept until another one has begun.
-    async fn attempt(
-        &self,
-        seat: SeatGuard,
-        last_event: Option<u64>,
-    ) -> Result<Answer, FailedAttempt> {
+    async fn attempt(&self, seat: SeatGuard, point: &ResumePoint) -> Result<Answer, FailedAttempt> {
         let is_stream = self.route.kind.is_stream();
         let connection = match self.connect(&seat).await {
             Ok(connection) => connection,
@@ -135,13 +132,13 @@
                 return Err(failure);
             }
         };
-        let sent = self.send(&seat, connection, last_event, !is_stream);
+        let sent = self.send(&seat, connection, point.last_event, !is_stream);
         let result = match is_stream {
             false => sent.await,
             true => {
                 let now = self.shared.clock.now();
                 let handover = Handover::new(&seat.seat().upstream, now);
-                match self.race(&handover, last_event, sent, Result::is_err).await {
+                match self.race(&handover, point, sent, Result::is_err).await {
                     Raced::Kept(result) => result,
                     Raced::Moved(reader, broken) => {
                         let failure = broken.and_then(Result::err).unwrap_or_else(|| {
--- a/papayaproxy/src/gateway/handover.rs
+++ b/papayaproxy/src/gateway/handover.rs
@@ -1,11 +1,11 @@
 //! Moves a stream away from a silent replica without giving up the replica first: its answer is read
 //! on until another replica's answer has begun.
 
-use super::attempts::{FailedAttempt, StopReason};
+use super::attempts::{FailedAttempt, ResumePoint, StopReason};
 use super::constants::{HANDOVER_PAUSE, NOT_RUN_MAX, SILENCE_CHECK_INTERVAL};
 use super::events;
 use super::exchange::Exchange;
-use super::reader::{Step, StreamReader};
+use super::reader::{OTHER_TYPE, Step, StreamReader};
 use crate::balance::SendOutcome;
 use crate::base::name::Name;
 use std::cell::Cell;
@@ -47,11 +47,11 @@
 
 impl Exchange {
     /// Waits for `primary`, the next data of a stream. Once it is overdue, the stream is tried at
-    /// other upstreams as well, from `last_event` on; whichever goes on first has it.
+    /// other upstreams as well, from `point` on; whichever goes on first has it.
     pub(super) async fn race<T>(
         &self,
         handover: &Handover,
-        last_event: Option<u64>,
+        point: &ResumePoint,
         primary: impl Future<Output = T>,
         is_broken: impl Fn(&T) -> bool,
     ) -> Raced<T> {
@@ -62,7 +62,7 @@
                 result = primary.as_mut() => return Raced::Kept(result),
                 () = self.wait_until_overdue(handover) => {}
             }
-            let mut attempt = pin!(self.try_elsewhere(handover, last_event));
+            let mut attempt = pin!(self.try_elsewhere(handover, point));
             let result = tokio::select! {
                 biased;
                 result = primary.as_mut() => result,
@@ -105,13 +105,13 @@
         self.may_run_again() && self.history.not_run.get() <= NOT_RUN_MAX
     }
 
-    /// Makes one attempt at another upstream, up to its first event after `last_event`.
+    /// Makes one attempt at another upstream, up to its first event after `point`.
     async fn try_elsewhere(
         &self,
         handover: &Handover,
-        last_event: Option<u64>,
+        point: &ResumePoint,
     ) -> Result<Box<StreamReader>, ()> {
-        self.open_elsewhere(handover, last_event).await.map_err(|reason| {
+        self.open_elsewhere(handover, point).await.map_err(|reason| {
             let (event, request) = (events::HANDOVER_FAILED, &self.envelope.id);
             tracing::info!(event, %request, %reason, "no other upstream went on");
         })
@@ -120,7 +120,7 @@
     async fn open_elsewhere(
         &self,
         handover: &Handover,
-        last_event: Option<u64>,
+        point: &ResumePoint,
     ) -> Result<Box<StreamReader>, StopReason> {
         let seat_wait = self.shared.seats.acquire(self.seat_request(true));
         let seat = match timeout(self.time_left(), seat_wait).await {
@@ -136,7 +136,7 @@
         }
         let upstream = seat.seat().upstream.clone();
         let sent = match self.connect(&seat).await {
-            Ok(connection) => self.send(&seat, connection, last_event, true).await,
+            Ok(connection) => self.send(&seat, connection, point.last_event, true).await,
             Err(failure) => Err(failure),
         };
         let head = match sent {
@@ -158,9 +158,13 @@
             self.log_failed_handover(&fail(SendOutcome::Failed, format!("answered {status}")));
             return Err(StopReason::Status(status.as_u16()));
         }
-        let mut reader = StreamReader::new(head, seat);
+        if !point.fits(&head.parts.headers) {
+            seat.finish(SendOutcome::Lost);
+            return Err(self.log_failed_handover(&fail(SendOutcome::Lost, OTHER_TYPE.into())));
+        }
+        let mut reader = StreamReader::new(head, seat, self.route.kind);
         let failure = loop {
-            let next = reader.next(last_event);
+            let next = reader.next(point.last_event);
             match self.next_from(&upstream, sent_at, next, true).await {
                 Some(Ok(Step::Events(batch))) if batch.events > 0 => {
                     reader.hold(batch);
--- a/papayaproxy/src/gateway/reader.rs
+++ b/papayaproxy/src/gateway/reader.rs
@@ -5,7 +5,8 @@
 use super::pool::Connection;
 use super::seats::SeatGuard;
 use crate::base::code::Code;
-use crate::streams::{EventSplitter, event_id};
+use crate::catalog::RouteKind;
+use crate::streams::{EventSplitter, event_id, is_comment};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -13,6 +14,9 @@
 use hyper::http::response::Parts;
 use std::time::Duration;
 
+/// What is logged of an answer whose head is not like the one that the caller has.
+pub(super) const OTHER_TYPE: &str = "media type differs from that of the stream";
+
 /// Whole events that the caller has not received yet, in order.
 #[derive(Debug, Default, PartialEq)]
 pub(crate) struct Batch {
@@ -49,6 +53,10 @@
     pub(super) is_framed: bool,
     body: Incoming,
     splitter: EventSplitter,
+    /// Whether each event must have an id, since the stream may be resumed after it.
+    is_numbered: bool,
+    /// Whether the answer goes on with a stream that broke off.
+    is_resumed: bool,
     /// Number of new events read so far.
     events: u64,
     /// Fault found behind the events that were returned last.
@@ -62,7 +70,7 @@
 }
 
 impl StreamReader {
-    pub(super) fn new(head: ResponseHead, seat: SeatGuard) -> Self {
+    pub(super) fn new(head: ResponseHead, seat: SeatGuard, kind: RouteKind) -> Self {
         let ResponseHead { parts, body, connection, sent_at, began, .. } = head;
         let headers = &parts.headers;
         let is_framed =
@@ -75,6 +83,8 @@
             is_framed,
             body,
             splitter,
+            is_numbered: kind.is_repeatable(),
+            is_resumed: false,
             events: 0,
             fault: None,
             held: None,
@@ -83,6 +93,12 @@
         }
     }
 
+    /// An answer that goes on with a stream that broke off. It shows the end of the stream only if it
+    /// brings events: one without any may be a failure that looks like an end.
+    pub(super) fn resume(head: ResponseHead, seat: SeatGuard, kind: RouteKind) -> Self {
+        Self { is_resumed: true, ..Self::new(head, seat, kind) }
+    }
+
     /// Gives events back, which [`StreamReader::next`] returns first.
     pub(super) fn hold(&mut self, batch: Batch) {
         self.held = Some(batch);
@@ -109,10 +125,15 @@
                     let detail = "stream ended within an event or before its first".into();
                     return Err(Broken { detail, has_closed: true });
                 }
+                None if self.is_resumed && self.events == 0 => {
+                    let detail = "resumed stream ended without an event".into();
+                    return Err(Broken { detail, has_closed: false });
+                }
                 None => return Ok(Step::End),
             };
             self.splitter.push(&data);
-            let (batch, fault) = take_events(&mut self.splitter, last_event);
+            let rule = EventRule { is_numbered: self.is_numbered, has_begun: self.events > 0 };
+            let (batch, fault) = take_events(&mut self.splitter, last_event, rule);
             self.fault = fault;
             self.events += batch.events;
             if !batch.bytes.is_empty() {
@@ -122,11 +143,21 @@
     }
 }
 
+/// Which events of a replica may follow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EventRule {
+    /// Whether each event must have an id.
+    pub(super) is_numbered: bool,
+    /// Whether the replica has sent a new event, so that it repeats no older ones from here on.
+    pub(super) has_begun: bool,
+}
+
 /// Takes the whole events after `last_event` out of `splitter`, up to the first one that does not
 /// follow.
 pub(super) fn take_events(
     splitter: &mut EventSplitter,
     last_event: Option<u64>,
+    rule: EventRule,
 ) -> (Batch, Option<Code>) {
     let mut bytes = BytesMut::new();
     let mut batch = Batch { last_event, ..Batch::default() };
@@ -136,14 +167,23 @@
             Ok(None) => break None,
             Err(code) => break Some(code),
         };
+        if is_comment(&event) {
+            bytes.extend_from_slice(&event);
+            continue;
+        }
         if let Some(id) = event_id(&event) {
             if batch.last_event.is_some_and(|last| id <= last) {
+                if rule.has_begun || batch.events > 0 {
+                    break Some(codes::EVENT_FOREIGN);
+                }
                 continue;
             }
             if batch.last_event.is_some_and(|last| id > last.saturating_add(1)) {
                 break Some(codes::EVENT_MISSING);
             }
             batch.last_event = Some(id);
+        } else if rule.is_numbered {
+            break Some(codes::EVENT_FOREIGN);
         }
         batch.events += 1;
         bytes.extend_from_slice(&event);
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Forwards the events of a stream as they arrive, and resumes an interrupted stream at another
 //! replica.
 
-use super::attempts::{Answer, FailedAttempt, StopReason};
+use super::attempts::{Answer, FailedAttempt, ResumePoint, StopReason, media_type_of};
 use super::body::{RelayBody, RelayFrame, ResponseBody};
 use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
@@ -9,7 +9,7 @@
 use super::handover::{Handover, Raced};
 use super::hops::copy_end_to_end;
 use super::pacing::Pacer;
-use super::reader::{Step, StreamReader};
+use super::reader::{OTHER_TYPE, Step, StreamReader};
 use crate::balance::SendOutcome;
 use crate::base::name::Name;
 use crate::quarantine::constants::SURVIVED_EVENTS;
@@ -22,8 +22,8 @@
 
 /// How much of a stream the caller has received.
 struct Progress {
-    /// Id of the last event sent to the caller.
-    last_event: Option<u64>,
+    /// What the caller has.
+    point: ResumePoint,
     /// Number of events sent to the caller.
     events: u64,
 }
@@ -63,7 +63,9 @@
 }
 
 async fn relay(exchange: Exchange, mut reader: StreamReader, sender: Sender<RelayFrame>) {
-    let mut progress = Progress { last_event: exchange.envelope.last_event, events: 0 };
+    let media_type = Some(media_type_of(&reader.parts.headers));
+    let point = ResumePoint { last_event: exchange.envelope.last_event, media_type };
+    let mut progress = Progress { point, events: 0 };
     loop {
         let upstream = reader.seat.seat().upstream.clone();
         let (failure, next) = match forward_events(&exchange, reader, &mut progress, &sender).await
@@ -85,7 +87,7 @@
             }
             RelayOutcome::Interrupted(failure) => {
                 let next = match exchange.record_failure(&failure) {
-                    Ok(()) => resume(&exchange, progress.last_event).await,
+                    Ok(()) => resume(&exchange, &progress.point).await,
                     Err(reason) => Err(reason),
                 };
                 (failure, next)
@@ -97,7 +99,7 @@
                     event = events::STREAM_MOVED,
                     request = %exchange.envelope.id,
                     upstream = %next.seat.seat().upstream,
-                    after = progress.last_event,
+                    after = progress.point.last_event,
                     detail = failure.detail,
                     "stream moved"
                 );
@@ -110,14 +112,26 @@
     }
 }
 
-/// Makes attempts until a replica goes on with the stream after `last_event`.
-async fn resume(exchange: &Exchange, last_event: Option<u64>) -> Result<StreamReader, StopReason> {
-    match exchange.next_answer(last_event).await? {
-        Answer::Stream(reader) => Ok(*reader),
-        Answer::Head(head, seat) if head.parts.status.is_success() => {
-            Ok(StreamReader::new(*head, seat))
+/// Makes attempts until a replica goes on with the stream.
+async fn resume(exchange: &Exchange, point: &ResumePoint) -> Result<StreamReader, StopReason> {
+    loop {
+        let (head, seat) = match exchange.next_answer(point).await? {
+            Answer::Stream(reader) => return Ok(*reader),
+            Answer::Head(head, seat) => (head, seat),
+        };
+        let (status, began) = (head.parts.status, head.began);
+        if status.is_success() && point.fits(&head.parts.headers) {
+            return Ok(StreamReader::resume(*head, seat, exchange.route.kind));
         }
-        Answer::Head(head, _) => Err(StopReason::Status(head.parts.status.as_u16())),
+        let (outcome, detail) = match status.is_success() {
+            true => (SendOutcome::Lost, OTHER_TYPE.to_owned()),
+            false => (SendOutcome::Failed, format!("answered {status}")),
+        };
+        let failure = FailedAttempt::begun(seat, began, outcome, detail);
+        exchange.record_failure(&failure).map_err(|reason| match reason {
+            StopReason::AttemptsUsed if !status.is_success() => StopReason::Status(status.as_u16()),
+            reason => reason,
+        })?;
     }
 }
 
@@ -135,10 +149,10 @@
     let handover = Handover::new(&upstream, exchange.shared.clock.now());
     let (began, sent_at) = (reader.began, reader.sent_at);
     loop {
-        let last = progress.last_event;
-        let next = exchange.next_from(&upstream, handover.since.get(), reader.next(last), false);
+        let next = reader.next(progress.point.last_event);
+        let next = exchange.next_from(&upstream, handover.since.get(), next, false);
         let is_broken = |next: &Option<Result<_, _>>| next.as_ref().is_some_and(Result::is_err);
-        let raced = exchange.race(&handover, last, next, is_broken).await;
+        let raced = exchange.race(&handover, &progress.point, next, is_broken).await;
         let next = match raced {
             Raced::Kept(next) => next,
             Raced::Moved(next, broken) => {
@@ -201,7 +215,7 @@
             Err(_) => return RelayOutcome::DeadlinePassed,
         }
         // Only what is in the caller's queue counts as sent, since a resumed stream goes on from it.
-        progress.last_event = batch.last_event;
+        progress.point.last_event = batch.last_event;
         progress.events += batch.events;
         if !has_survived && progress.events >= before + SURVIVED_EVENTS {
             has_survived = true;
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod log_lines;
 mod mutated;
+mod order;
 mod pacing;
 mod progress;
 mod stand_ins;
--- a/papayaproxy/src/streams/mod.rs
+++ b/papayaproxy/src/streams/mod.rs
@@ -14,4 +14,4 @@
 pub use assembler::{Assembler, Drops};
 pub use progress::{EventAction, Progress};
 pub use resume::{BreakCause, ModelRef, Recovery, RecoveryPlan, Replica};
-pub use splitter::{EngineEvent, EventSplitter, TextPiece, event_id, read_event};
+pub use splitter::{EngineEvent, EventSplitter, TextPiece, event_id, is_comment, read_event};
