--- a/papayaproxy/src/gateway/events.rs
+++ b/papayaproxy/src/gateway/events.rs
@@ -6,7 +6,7 @@
     REQUEST_TAKEN = 3000, "A request was accepted and its route is known. Fields: request, route, version, config_ms, kind, left_ms, back.";
     REQUEST_ANSWERED = 3001, "A request was answered. Fields: request, status, code, upstream, sends, took_ms.";
     SEND_ENDED = 3002, "An attempt at an upstream failed; began_ms is absent if no head of an answer had arrived. Fields: request, upstream, end, detail, took_ms, began_ms, workspace, parts.";
-    STREAM_ENDED = 3003, "A stream ended. Fields: request, upstream, events, sends, outcome, took_ms.";
+    STREAM_ENDED = 3003, "A stream ended; reason states why a stream that is cut was not resumed, stopping whether the entry stops. Fields: request, upstream, events, sends, outcome, reason, stopping, took_ms.";
     STREAM_MOVED = 3004, "A stream continues at another upstream. Fields: request, upstream, after, detail.";
     REPEAT_DENIED = 3005, "The retry budget allows no further attempt. Fields: request, service.";
     CALLER_LEFT = 3006, "The caller closed its connection before the response was complete. Fields: request, took_ms.";
@@ -16,4 +16,6 @@
     GATEWAY_STOPPING = 3010, "The graceful stop began. Fields: requests, grace_ms.";
     GATEWAY_STOPPED = 3011, "The entry stopped. Fields: requests.";
     BUFFERS_FULL = 3012, "A request was refused because the buffered bodies reach their limit. Fields: error.";
+    HANDOVER_FAILED = 3015, "A stream at a silent upstream was tried at another one without success; it stays, and is tried again while the upstream is silent. Fields: request, reason.";
+    HANDOVER_ENDED = 3016, "A silent upstream went on with its stream, so the attempt at another one was given up. Fields: request, upstream.";
 }
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! It runs on a single thread, since a host has a quarter of a core.
 
+pub(crate) mod attempts;
 pub(crate) mod body;
 pub(crate) mod buffer;
 pub(crate) mod codes;
@@ -11,16 +12,19 @@
 pub(crate) mod envelope;
 pub(crate) mod events;
 pub(crate) mod exchange;
+pub(crate) mod handover;
 pub(crate) mod hops;
 pub(crate) mod meters;
 pub(crate) mod pacing;
 pub(crate) mod pool;
 pub(crate) mod process;
 pub(crate) mod progress;
+pub(crate) mod reader;
 pub(crate) mod ready;
 pub(crate) mod refuse;
 pub(crate) mod relay;
 pub(crate) mod seats;
+pub(crate) mod send;
 pub(crate) mod settings;
 
 #[cfg(test)]
--- /dev/null
+++ b/papayaproxy/src/gateway/reader.rs
@@ -0,0 +1,193 @@
+//! Reads the part of a stream that one replica serves.
+
+use super::attempts::ResponseHead;
+use super::codes;
+use super::pool::Connection;
+use super::seats::SeatGuard;
+use crate::base::code::Code;
+use crate::catalog::RouteKind;
+use crate::streams::{EventSplitter, event_id, is_comment};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use std::time::Duration;
+
+/// What is logged of an answer whose head is not like the one that the caller has.
+pub(super) const OTHER_TYPE: &str = "media type differs from that of the stream";
+
+/// Whole events that the caller has not received yet, in order.
+#[derive(Debug, Default, PartialEq)]
+pub(crate) struct Batch {
+    pub(super) bytes: Bytes,
+    /// Number of events.
+    pub(super) events: u64,
+    /// Id of the last event that the caller has once it has received these.
+    pub(super) last_event: Option<u64>,
+}
+
+/// What a replica brought next.
+pub(crate) enum Step {
+    Events(Batch),
+    /// The answer has ended properly.
+    End,
+}
+
+/// Why a replica brings no further events.
+#[derive(Debug)]
+pub(crate) struct Broken {
+    /// Observed error, for the log.
+    pub(super) detail: String,
+    /// Whether the end of the connection was seen, as after a crash.
+    pub(super) has_closed: bool,
+}
+
+/// A stream's answer by one replica.
+pub(crate) struct StreamReader {
+    pub(super) parts: Parts,
+    pub(super) connection: Connection,
+    pub(super) seat: SeatGuard,
+    /// Whether the answer has a length or chunks. Otherwise the end of the connection ends it, also
+    /// after a crash.
+    pub(super) is_framed: bool,
+    body: Incoming,
+    splitter: EventSplitter,
+    /// Whether each event must have an id, since the stream may be resumed after it.
+    is_numbered: bool,
+    /// Whether the answer goes on with a stream that broke off.
+    is_resumed: bool,
+    /// Number of new events read so far.
+    events: u64,
+    /// Fault found behind the events that were returned last.
+    fault: Option<Code>,
+    /// Events that were read ahead.
+    held: Option<Batch>,
+    /// When the request was sent, on the process clock.
+    pub(super) sent_at: Duration,
+    /// When the head arrived, on the process clock.
+    pub(super) began: Duration,
+}
+
+impl StreamReader {
+    pub(super) fn new(head: ResponseHead, seat: SeatGuard, kind: RouteKind) -> Self {
+        let ResponseHead { parts, body, connection, sent_at, began, .. } = head;
+        let headers = &parts.headers;
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let splitter = EventSplitter::default();
+        Self {
+            parts,
+            connection,
+            seat,
+            is_framed,
+            body,
+            splitter,
+            is_numbered: kind.is_repeatable(),
+            is_resumed: false,
+            events: 0,
+            fault: None,
+            held: None,
+            sent_at,
+            began,
+        }
+    }
+
+    /// An answer that goes on with a stream that broke off. It shows the end of the stream only if it
+    /// brings events: one without any may be a failure that looks like an end.
+    pub(super) fn resume(head: ResponseHead, seat: SeatGuard, kind: RouteKind) -> Self {
+        Self { is_resumed: true, ..Self::new(head, seat, kind) }
+    }
+
+    /// Gives events back, which [`StreamReader::next`] returns first.
+    pub(super) fn hold(&mut self, batch: Batch) {
+        self.held = Some(batch);
+    }
+
+    /// Waits for the events after `last_event`. Nothing is lost if it is dropped and called again.
+    ///
+    /// # Errors
+    /// The answer has broken off, or it is not the rest of the stream.
+    pub(super) async fn next(&mut self, last_event: Option<u64>) -> Result<Step, Broken> {
+        if let Some(batch) = self.held.take() {
+            return Ok(Step::Events(batch));
+        }
+        loop {
+            if let Some(code) = self.fault {
+                return Err(Broken { detail: code.to_string(), has_closed: false });
+            }
+            let data = match self.body.frame().await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => {
+                    return Err(Broken { detail: error.to_string(), has_closed: true });
+                }
+                None if self.splitter.is_partial() || (!self.is_framed && self.events == 0) => {
+                    let detail = "stream ended within an event or before its first".into();
+                    return Err(Broken { detail, has_closed: true });
+                }
+                None if self.is_resumed && self.events == 0 => {
+                    let detail = "resumed stream ended without an event".into();
+                    return Err(Broken { detail, has_closed: false });
+                }
+                None => return Ok(Step::End),
+            };
+            self.splitter.push(&data);
+            let rule = EventRule { is_numbered: self.is_numbered, has_begun: self.events > 0 };
+            let (batch, fault) = take_events(&mut self.splitter, last_event, rule);
+            self.fault = fault;
+            self.events += batch.events;
+            if !batch.bytes.is_empty() {
+                return Ok(Step::Events(batch));
+            }
+        }
+    }
+}
+
+/// Which events of a replica may follow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EventRule {
+    /// Whether each event must have an id.
+    pub(super) is_numbered: bool,
+    /// Whether the replica has sent a new event, so that it repeats no older ones from here on.
+    pub(super) has_begun: bool,
+}
+
+/// Takes the whole events after `last_event` out of `splitter`, up to the first one that does not
+/// follow.
+pub(super) fn take_events(
+    splitter: &mut EventSplitter,
+    last_event: Option<u64>,
+    rule: EventRule,
+) -> (Batch, Option<Code>) {
+    let mut bytes = BytesMut::new();
+    let mut batch = Batch { last_event, ..Batch::default() };
+    let fault = loop {
+        let event = match splitter.next_event() {
+            Ok(Some(event)) => event,
+            Ok(None) => break None,
+            Err(code) => break Some(code),
+        };
+        if is_comment(&event) {
+            bytes.extend_from_slice(&event);
+            continue;
+        }
+        if let Some(id) = event_id(&event) {
+            if batch.last_event.is_some_and(|last| id <= last) {
+                if rule.has_begun || batch.events > 0 {
+                    break Some(codes::EVENT_FOREIGN);
+                }
+                continue;
+            }
+            if batch.last_event.is_some_and(|last| id > last.saturating_add(1)) {
+                break Some(codes::EVENT_MISSING);
+            }
+            batch.last_event = Some(id);
+        } else if rule.is_numbered {
+            break Some(codes::EVENT_FOREIGN);
+        }
+        batch.events += 1;
+        bytes.extend_from_slice(&event);
+    };
+    batch.bytes = bytes.freeze();
+    (batch, fault)
+}
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -1,21 +1,20 @@
 //! Forwards the events of a stream as they arrive, and resumes an interrupted stream at another
 //! replica.
 
+use super::attempts::{Answer, FailedAttempt, ResumePoint, StopReason, media_type_of};
 use super::body::{RelayBody, RelayFrame, ResponseBody};
-use super::codes;
 use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
-use super::exchange::{Exchange, FailedAttempt, ResponseHead, fail_attempt};
+use super::exchange::Exchange;
+use super::handover::{Handover, Raced};
 use super::hops::copy_end_to_end;
 use super::pacing::Pacer;
+use super::reader::{OTHER_TYPE, Step, StreamReader};
 use crate::balance::SendOutcome;
 use crate::base::name::Name;
 use crate::quarantine::constants::SURVIVED_EVENTS;
-use crate::streams::{EventSplitter, event_id};
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::CONTENT_LENGTH;
 use std::time::Duration;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::timeout;
@@ -23,8 +22,8 @@
 
 /// How much of a stream the caller has received.
 struct Progress {
-    /// Id of the last event sent to the caller.
-    last_event: Option<u64>,
+    /// What the caller has.
+    point: ResumePoint,
     /// Number of events sent to the caller.
     events: u64,
 }
@@ -33,14 +32,16 @@
 enum RelayOutcome {
     /// The stream is complete.
     Complete,
-    /// The stream was interrupted, or the replica fell silent.
+    /// The stream was interrupted.
     Interrupted(FailedAttempt),
+    /// The replica was silent or broke off, and another one has begun to go on.
+    Moved(FailedAttempt, Box<StreamReader>),
     CallerLeft,
     DeadlinePassed,
 }
 
-/// Starts the relay of the stream that begins with `head`, and returns the response for the client.
-pub(crate) fn spawn(exchange: Exchange, head: ResponseHead) -> Response<ResponseBody> {
+/// Starts the relay of the stream that `reader` reads first, and returns the response for the client.
+pub(crate) fn spawn(exchange: Exchange, reader: StreamReader) -> Response<ResponseBody> {
     let (sender, frames) = channel(RELAY_QUEUE_FRAMES);
     let stop = CancellationToken::new();
     let shared = exchange.shared.clone();
@@ -48,11 +49,11 @@
     let in_flight = exchange.in_flight.clone();
     let body = RelayBody::new(frames, pacer, shared.clock, stop.clone().drop_guard(), in_flight);
     let mut response = Response::new(ResponseBody::Relay(body));
-    *response.status_mut() = head.parts.status;
-    copy_end_to_end(&head.parts.headers, response.headers_mut(), |n| n != CONTENT_LENGTH);
+    *response.status_mut() = reader.parts.status;
+    copy_end_to_end(&reader.parts.headers, response.headers_mut(), |n| n != CONTENT_LENGTH);
     let (id, arrived) = (exchange.envelope.id.clone(), exchange.arrived);
     tokio::task::spawn_local(async move {
-        let relayed = stop.run_until_cancelled(relay(exchange, head, sender)).await;
+        let relayed = stop.run_until_cancelled(relay(exchange, reader, sender)).await;
         if relayed.is_none() {
             let took_ms = shared.clock.now().saturating_sub(arrived).as_millis() as u64;
             tracing::info!(event = events::CALLER_LEFT, request = %id, took_ms, "caller left");
@@ -61,127 +62,135 @@
     response
 }
 
-async fn relay(mut exchange: Exchange, mut head: ResponseHead, sender: Sender<RelayFrame>) {
-    let mut progress = Progress { last_event: exchange.envelope.last_event, events: 0 };
+async fn relay(exchange: Exchange, mut reader: StreamReader, sender: Sender<RelayFrame>) {
+    let media_type = Some(media_type_of(&reader.parts.headers));
+    let point = ResumePoint { last_event: exchange.envelope.last_event, media_type };
+    let mut progress = Progress { point, events: 0 };
     loop {
-        let upstream = head.seat.seat().upstream.clone();
-        let failure = match forward_events(&exchange, head, &mut progress, &sender).await {
+        let upstream = reader.seat.seat().upstream.clone();
+        let (failure, next) = match forward_events(&exchange, reader, &mut progress, &sender).await
+        {
             RelayOutcome::Complete => {
                 // Fails if the caller has left, who needs no end then.
                 let _ = timeout(exchange.time_left(), sender.send(RelayFrame::End)).await;
-                return log_stream_end(&exchange, &upstream, &progress, "whole");
+                return log_stream_end(&exchange, &upstream, &progress, "whole", None);
             }
             RelayOutcome::CallerLeft => {
-                return log_stream_end(&exchange, &upstream, &progress, "caller left");
+                return log_stream_end(&exchange, &upstream, &progress, "caller left", None);
             }
             RelayOutcome::DeadlinePassed => {
-                return log_stream_end(&exchange, &upstream, &progress, "late");
+                return log_stream_end(&exchange, &upstream, &progress, "late", None);
+            }
+            RelayOutcome::Moved(failure, next) => {
+                exchange.log_failure(&failure);
+                (failure, Ok(*next))
+            }
+            RelayOutcome::Interrupted(failure) => {
+                let next = match exchange.record_failure(&failure) {
+                    Ok(()) => resume(&exchange, &progress.point).await,
+                    Err(reason) => Err(reason),
+                };
+                (failure, next)
             }
-            RelayOutcome::Interrupted(failure) => failure,
-        };
-        let after = progress.last_event;
-        let next = match exchange.record_failure(&failure) {
-            true => exchange.next_head(after).await.ok(),
-            false => None,
         };
-        match next.filter(|h| h.parts.status.is_success()) {
-            Some(next) => {
+        match next {
+            Ok(next) => {
                 tracing::info!(
                     event = events::STREAM_MOVED,
                     request = %exchange.envelope.id,
                     upstream = %next.seat.seat().upstream,
-                    after,
+                    after = progress.point.last_event,
                     detail = failure.detail,
                     "stream moved"
                 );
-                head = next;
+                reader = next;
             }
-            None => {
-                return log_stream_end(&exchange, &upstream, &progress, "cut");
+            Err(reason) => {
+                return log_stream_end(&exchange, &upstream, &progress, "cut", Some(reason));
             }
         }
     }
 }
 
+/// Makes attempts until a replica goes on with the stream.
+async fn resume(exchange: &Exchange, point: &ResumePoint) -> Result<StreamReader, StopReason> {
+    loop {
+        let (head, seat) = match exchange.next_answer(point).await? {
+            Answer::Stream(reader) => return Ok(*reader),
+            Answer::Head(head, seat) => (head, seat),
+        };
+        let (status, began) = (head.parts.status, head.began);
+        if status.is_success() && point.fits(&head.parts.headers) {
+            return Ok(StreamReader::resume(*head, seat, exchange.route.kind));
+        }
+        let (outcome, detail) = match status.is_success() {
+            true => (SendOutcome::Lost, OTHER_TYPE.to_owned()),
+            false => (SendOutcome::Failed, format!("answered {status}")),
+        };
+        let failure = FailedAttempt::begun(seat, began, outcome, detail);
+        exchange.record_failure(&failure).map_err(|reason| match reason {
+            StopReason::AttemptsUsed if !status.is_success() => StopReason::Status(status.as_u16()),
+            reason => reason,
+        })?;
+    }
+}
+
 /// Forwards the events that one replica sends.
 async fn forward_events(
     exchange: &Exchange,
-    head: ResponseHead,
+    mut reader: StreamReader,
     progress: &mut Progress,
     sender: &Sender<RelayFrame>,
 ) -> RelayOutcome {
-    let ResponseHead { parts, mut body, connection, mut seat, .. } = head;
-    let upstream = seat.seat().upstream.clone();
-    let mut splitter = EventSplitter::default();
+    let upstream = reader.seat.seat().upstream.clone();
     let mut previous: Option<Duration> = None;
     let (before, mut has_survived) = (progress.events, false);
-    // Without a length or chunks, the end of the connection ends the answer, also after a crash.
-    let is_framed =
-        parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
     // Bytes that complete no event do not count: a stalled replica may send one now and then.
-    let mut progress_at = exchange.shared.clock.now();
+    let handover = Handover::new(&upstream, exchange.shared.clock.now());
+    let (began, sent_at) = (reader.began, reader.sent_at);
     loop {
-        let frame = match exchange.next_from(&upstream, progress_at, body.frame()).await {
-            Some(Some(Ok(frame))) => frame,
-            Some(Some(Err(error))) => {
-                if !has_survived {
-                    exchange.check_crash(&seat);
-                }
-                return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
-                    SendOutcome::Lost,
-                    true,
-                    error.to_string(),
-                ));
-            }
-            Some(None) if splitter.is_partial() || (!is_framed && progress.events == before) => {
-                if !has_survived {
-                    exchange.check_crash(&seat);
-                }
-                let detail = "stream ended within an event or before its first".into();
-                return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
-                    SendOutcome::Lost,
-                    true,
-                    detail,
-                ));
+        let next = reader.next(progress.point.last_event);
+        let next = exchange.next_from(&upstream, handover.since.get(), next, false);
+        let is_broken = |next: &Option<Result<_, _>>| next.as_ref().is_some_and(Result::is_err);
+        let raced = exchange.race(&handover, &progress.point, next, is_broken).await;
+        let next = match raced {
+            Raced::Kept(next) => next,
+            Raced::Moved(next, broken) => {
+                let (outcome, detail) = match broken {
+                    Some(Some(Err(broken))) => {
+                        if broken.has_closed && !has_survived {
+                            exchange.check_crash(&reader.seat, sent_at);
+                        }
+                        (SendOutcome::Lost, broken.detail)
+                    }
+                    _ => (SendOutcome::Silent, "no event in the expected time".into()),
+                };
+                let failure = FailedAttempt::begun(reader.seat, began, outcome, detail);
+                return RelayOutcome::Moved(failure, next);
             }
-            Some(None) => {
-                if !has_survived && !is_framed {
-                    exchange.check_crash(&seat);
+        };
+        let batch = match next {
+            Some(Ok(Step::Events(batch))) => batch,
+            Some(Ok(Step::End)) => {
+                if !has_survived && !reader.is_framed {
+                    exchange.check_crash(&reader.seat, sent_at);
                 } else if !has_survived && progress.events > before {
                     exchange.record_survival();
                 }
-                seat.finish(SendOutcome::Good);
-                exchange.shared.pool.put_back(connection, &parts.headers);
+                reader.seat.finish(SendOutcome::Good);
+                exchange.shared.pool.put_back(reader.connection, &reader.parts.headers);
                 return RelayOutcome::Complete;
             }
-            None if exchange.time_left().is_zero() => return RelayOutcome::DeadlinePassed,
-            None => {
-                return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
-                    SendOutcome::Silent,
-                    true,
-                    "no event in the expected time".into(),
-                ));
-            }
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        splitter.push(&data);
-        let bytes = match new_events(&mut splitter, progress) {
-            Ok(bytes) => bytes,
-            Err(code) => {
-                return RelayOutcome::Interrupted(fail_attempt(
-                    seat,
-                    SendOutcome::Lost,
-                    true,
-                    code.to_string(),
-                ));
+            Some(Err(broken)) => {
+                if broken.has_closed && !has_survived {
+                    exchange.check_crash(&reader.seat, sent_at);
+                }
+                let (outcome, detail) = (SendOutcome::Lost, broken.detail);
+                let failure = FailedAttempt::begun(reader.seat, began, outcome, detail);
+                return RelayOutcome::Interrupted(failure);
             }
+            None => return RelayOutcome::DeadlinePassed,
         };
-        if bytes.is_empty() {
-            continue;
-        }
         let now = exchange.shared.clock.now();
         match previous {
             Some(previous) => {
@@ -192,48 +201,37 @@
                     .with_balancer(|balancer| balancer.observe_gap(&upstream, gap));
             }
             None => {
-                seat.response_started();
+                reader.seat.response_started();
                 exchange.shared.meters.record_first_event(exchange.elapsed());
             }
         }
         previous = Some(now);
-        progress_at = now;
-        if !has_survived && progress.events >= before + SURVIVED_EVENTS {
-            has_survived = true;
-            exchange.record_survival();
-        }
-        match timeout(exchange.time_left(), sender.send(RelayFrame::Events(bytes, now))).await {
+        handover.since.set(now);
+        let frame = RelayFrame::Events(batch.bytes, now);
+        match timeout(exchange.time_left(), sender.send(frame)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return RelayOutcome::CallerLeft,
             // The caller reads too slowly.
             Err(_) => return RelayOutcome::DeadlinePassed,
         }
-    }
-}
-
-/// Returns the complete events in `splitter` that the caller has not received yet.
-fn new_events(
-    splitter: &mut EventSplitter,
-    progress: &mut Progress,
-) -> Result<Bytes, crate::base::code::Code> {
-    let mut bytes = BytesMut::new();
-    while let Some(event) = splitter.next_event()? {
-        if let Some(id) = event_id(&event) {
-            if progress.last_event.is_some_and(|last| id <= last) {
-                continue;
-            }
-            if progress.last_event.is_some_and(|last| id > last.saturating_add(1)) {
-                return Err(codes::EVENT_MISSING);
-            }
-            progress.last_event = Some(id);
+        // Only what is in the caller's queue counts as sent, since a resumed stream goes on from it.
+        progress.point.last_event = batch.last_event;
+        progress.events += batch.events;
+        if !has_survived && progress.events >= before + SURVIVED_EVENTS {
+            has_survived = true;
+            exchange.record_survival();
         }
-        progress.events += 1;
-        bytes.extend_from_slice(&event);
     }
-    Ok(bytes.freeze())
 }
 
-fn log_stream_end(exchange: &Exchange, upstream: &Name, progress: &Progress, outcome: &str) {
+/// Logs the end of a stream. `reason` states why a stream that is cut was not resumed.
+fn log_stream_end(
+    exchange: &Exchange,
+    upstream: &Name,
+    progress: &Progress,
+    outcome: &str,
+    reason: Option<StopReason>,
+) {
     let took = exchange.elapsed();
     exchange.shared.meters.record_response(200, took);
     tracing::info!(
@@ -243,6 +241,8 @@
         events = progress.events,
         sends = exchange.attempts(),
         outcome,
+        reason = reason.map(|r| r.to_string()),
+        stopping = exchange.shared.is_stopping(),
         took_ms = took.as_millis() as u64,
         "stream ended"
     );
