Lab: a seeded soak of entries as processes

First state: entries, stand-ins of store and replicas, clients, load balancer, faults and checks of LOST, BUDGET, TWICE, REFUSED, ORDER, MIXED, UNASKED, DRAIN and CONFIG.

--- a/papaya-lab/src/lib.rs
+++ b/papaya-lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub(crate) mod ports;
 mod routing;
 mod slopes;
+pub mod soak;
 mod spread;
 
 use clap::{ArgMatches, Command};
@@ -45,6 +46,7 @@
     Subcommand { command: spread::command, run: spread::run },
     Subcommand { command: experts::command, run: experts::execute },
     Subcommand { command: slopes::command, run: slopes::run },
+    Subcommand { command: soak::command, run: soak::run },
 ];
 
 /// Parses `args` and runs the subcommand that they name.
