--- a/papaya-lab/src/soak/checks.rs
+++ b/papaya-lab/src/soak/checks.rs
@@ -67,8 +67,8 @@
     /// Whether the entry is the one that broke off, and had time left.
     pub(super) fn is_own_cut(&self, id: &str, request: &Request) -> bool {
         let runs = self.of(id);
-        let is_replica =
-            runs.last().is_some_and(|a| matches!(a.fate, Fate::BrokeOff | Fate::Crashed));
+        let last = runs.iter().rev().find(|a| a.ran());
+        let is_replica = last.is_some_and(|a| matches!(a.fate, Fate::BrokeOff | Fate::Crashed));
         let is_late = request.ended + NOTE_SLACK >= request.sent + Self::timeout(request);
         let is_passed = runs.iter().any(|a| a.at <= request.ended);
         // Data that was left unread makes the kernel reset the connection.
