--- a/papaya-lab/src/soak/entry.rs
+++ b/papaya-lab/src/soak/entry.rs
@@ -23,7 +23,7 @@
 const OPS_PORT: u16 = 7340;
 
 /// Entries that the settings name as seeds.
-const SEEDS_MAX: usize = 3;
+pub(super) const SEEDS_MAX: usize = 3;
 
 /// First and last of the second bytes of the addresses.
 const SECOND_FIRST: u8 = 80;
--- a/papaya-lab/src/soak/faults.rs
+++ b/papaya-lab/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! Carries out the plan of faults.
 
+use super::entry::SEEDS_MAX;
 use super::plan::Fault;
 use super::record::{Act, Service};
 use super::replica::{Manner, Replica};
@@ -49,6 +50,21 @@
             let all: Vec<_> = (0..world.entries.len()).collect();
             each(&world, &all, Duration::ZERO, false).await
         }
+        Fault::Cold(service, time) => {
+            let (mut running, all) = (JoinSet::new(), world.entries.len());
+            for entry in 0..all {
+                let world = world.clone();
+                running.spawn(async move {
+                    let is_seed = entry < SEEDS_MAX && all > SEEDS_MAX;
+                    let entry = &world.entries[entry];
+                    if is_seed { entry.freeze(time).await } else { entry.kill().await }
+                });
+            }
+            let all = fleet.replicas(service);
+            let count = all.len() * 4 / 5;
+            fleet.upset(&some(all, count), Manner::Refuses, time).await;
+            join(running).await
+        }
         Fault::Freeze(entry, time) => world.entries[entry].freeze(time).await,
         Fault::Reload(entry) => world.entries[entry].reload().await,
         Fault::Store(machine, manner, time) => {
--- a/papaya-lab/src/soak/plan.rs
+++ b/papaya-lab/src/soak/plan.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 /// Names of all faults.
-pub(super) const NAMES: [&str; 18] = [
-    "term", "roll", "kill", "series", "herd", "freeze", "hup", "store", "config", "release",
-    "crash", "group", "fail", "refuse", "stall", "lose", "cut", "hang",
+pub(super) const NAMES: [&str; 19] = [
+    "term", "roll", "kill", "series", "herd", "cold", "freeze", "hup", "store", "config",
+    "release", "crash", "group", "fail", "refuse", "stall", "lose", "cut", "hang",
 ];
 
 /// Time without faults at the start, so that the entries are in touch.
@@ -35,6 +35,8 @@
     Series(Vec<usize>, Duration),
     /// SIGKILL to all entries.
     Herd,
+    /// SIGKILL to all entries but the seeds, which are frozen, while most replicas refuse.
+    Cold(Service, Duration),
     Freeze(usize, Duration),
     Reload(usize),
     /// The store treats one machine, or all, in a manner.
@@ -110,6 +112,7 @@
             Fault::Series(row, ms(rng, 400, 2000))
         }
         "herd" => Fault::Herd,
+        "cold" => Fault::Cold(service, ms(rng, 4000, 9000)),
         "freeze" => Fault::Freeze(one, ms(rng, 300, 4000)),
         "hup" => Fault::Reload(one),
         "config" => Fault::Config,
--- a/papaya-lab/src/soak/replica.rs
+++ b/papaya-lab/src/soak/replica.rs
@@ -326,7 +326,7 @@
             wire.send(&whole[half..]).await?;
         } else {
             self.stand(wire, Manner::Stalls).await?;
-            self.stream(head, wire, id, &stamp(200), is_cut, end).await?;
+            self.stream(head, wire, &stamp(200), is_cut, end).await?;
         }
         drop(permit);
         Ok(Fate::Answered(status))
@@ -336,11 +336,11 @@
         &self,
         head: &Head,
         wire: &mut Wire,
-        id: &str,
         stamp: &str,
         is_cut: bool,
         end: Instant,
     ) -> Result<(), Cut> {
+        let id = head.get("x-request-id").unwrap_or("");
         let tokens = head.get("x-token-usage").and_then(|t| t.split_once(','));
         let total = tokens.and_then(|(_, t)| t.parse::<u64>().ok()).unwrap_or(0) / EVENT_TOKENS;
         let first = head.get("last-event-id").and_then(|e| e.parse().ok()).unwrap_or(0) + 1;
