Retry budget: a log line and a count for each decision

Callers saw nothing.

- Event 3017 for a granted and 3005 for a denied repeat, both with the service, the entry's requests and repeats in the window, the entries that the slack is divided by, and the entry's part of the slack, which holds the share of uptime.
- papaya_gateway_repeats_total by service and result; 'free' counts repeats that need no budget because no upstream was reached.

New test: gateway::tests::repeats::record_counted_by_service_and_result. Existing test budget::spend reads the decision's is_granted, which was the returned bool.

--- a/papayaproxy/src/balance/budget.rs
+++ b/papayaproxy/src/balance/budget.rs
@@ -16,6 +16,20 @@
     pub(crate) window: Duration,
 }
 
+/// Whether a retry is allowed, and what decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct BudgetDecision {
+    pub(crate) is_granted: bool,
+    /// Requests of this entry in the window.
+    pub(crate) requests: usize,
+    /// Retries of this entry in the window, this one included if granted.
+    pub(crate) retries: usize,
+    /// Entries that the slack is divided by.
+    pub(crate) entries: usize,
+    /// This entry's part of the slack, in retries.
+    pub(crate) slack: f64,
+}
+
 /// One entry's share of the retry budget of one service.
 #[derive(Clone, Debug)]
 pub(crate) struct Budget {
@@ -36,26 +50,22 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry if the share of one entry among `entries` allows it.
-    pub(crate) fn try_take(&mut self, entries: usize, now: Duration) -> bool {
-        let is_allowed = self.remaining(entries, now) >= 1.0;
-        if is_allowed {
-            self.retries.push_back(now);
-        }
-        is_allowed
-    }
-
-    /// Retries left in the current window; may be negative. `now` counts from the start of the
-    /// process.
-    pub(crate) fn remaining(&mut self, entries: usize, now: Duration) -> f64 {
+    /// Takes one retry if the share of one entry among `entries` allows it. `now` counts from the
+    /// start of the process.
+    pub(crate) fn try_take(&mut self, entries: usize, now: Duration) -> BudgetDecision {
         self.expire(now);
-        let entries = entries.max(SHARING_ENTRIES_MIN) as f64;
+        let entries = entries.max(SHARING_ENTRIES_MIN);
         // Retries made before a restart of this process are unknown, but still count in the window.
         // The slack therefore grows from zero over the first window.
         let elapsed = (now.as_secs_f64() / self.rule.window.as_secs_f64()).min(1.0);
-        let slack = self.rule.slack / entries * elapsed;
-        let share = self.rule.ratio * self.requests.len() as f64 + slack;
-        share * BUDGET_RATIO - self.retries.len() as f64
+        let slack = self.rule.slack / entries as f64 * elapsed * BUDGET_RATIO;
+        let share = self.rule.ratio * self.requests.len() as f64 * BUDGET_RATIO + slack;
+        let is_granted = share - self.retries.len() as f64 >= 1.0;
+        if is_granted {
+            self.retries.push_back(now);
+        }
+        let (requests, retries) = (self.requests.len(), self.retries.len());
+        BudgetDecision { is_granted, requests, retries, entries, slack }
     }
 
     fn expire(&mut self, now: Duration) {
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -1,7 +1,7 @@
 //! The load balancer's core: gives each request a seat at an upstream, queues it or refuses it.
 
 use super::ask::{QueueStage, Refusal, Seat, SeatDecision, SeatRequest};
-use super::budget::BudgetRule;
+use super::budget::{BudgetDecision, BudgetRule};
 use super::constants::{
     BROKEN_WAIT, FIRST_EVENT_WEIGHT, RETRY_AFTER_MIN, SCORE_NOISE, SILENCE_UNKNOWN, ZONE_BACKOFF,
     ZONE_FAILURES, ZONE_PENALTY, ZONE_PENALTY_PLAIN,
@@ -160,11 +160,11 @@
         }
     }
 
-    /// Takes one retry from the budget of a service; `false` if the budget is spent.
-    pub(crate) fn try_retry(&mut self, service: &str, now: Duration) -> bool {
+    /// Takes one retry from the budget of a service, if that allows it; `None` if the service is
+    /// unknown.
+    pub(crate) fn try_retry(&mut self, service: &str, now: Duration) -> Option<BudgetDecision> {
         let entries = self.entries;
-        let service = self.services.get_mut(service);
-        service.is_some_and(|s| s.budget.try_take(entries, now))
+        self.services.get_mut(service).map(|s| s.budget.try_take(entries, now))
     }
 
     /// Decides on a request that just arrived or needs another upstream.
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -18,5 +18,6 @@
 mod tests;
 
 pub(crate) use ask::{Refusal, Seat, SeatDecision, SeatRequest};
+pub(crate) use budget::BudgetDecision;
 pub(crate) use desk::Balancer;
 pub(crate) use upstream::SendOutcome;
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 use super::process::{InFlight, Shared};
 use super::refuse;
 use super::relay;
+use super::repeats;
 use super::seats::SeatGuard;
 use crate::balance::{Balancer, Refusal, SeatRequest, SendOutcome};
 use crate::base::code::Code;
@@ -209,15 +210,11 @@
             SendOutcome::Unreached | SendOutcome::Closed | SendOutcome::Stale
         ) {
             // No upstream received the request, so the retry needs no budget.
+            self.shared.meters.record_repeat(&self.service, "free");
             return true;
         }
-        let allowed =
-            self.shared.seats.with_balancer(|balancer| balancer.try_retry(&self.service, now));
-        if !allowed {
-            let (event, service) = (events::REPEAT_DENIED, &self.service);
-            tracing::warn!(event, request = %self.envelope.id, %service, "retry budget exhausted");
-        }
-        allowed
+        let decision = self.shared.seats.with_balancer(|b| b.try_retry(&self.service, now));
+        repeats::record(&self.shared.meters, id, &self.service, decision)
     }
 
     /// Time since the request arrived.
--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -13,6 +13,7 @@
     duration: Histogram<f64>,
     first_event: Histogram<f64>,
     connections: Counter<u64>,
+    repeats: Counter<u64>,
 }
 
 impl Meters {
@@ -37,6 +38,10 @@
                 .u64_counter("papaya_gateway_connections")
                 .with_description("Connections opened to upstreams")
                 .build(),
+            repeats: meter
+                .u64_counter("papaya_gateway_repeats")
+                .with_description("Further attempts decided on, by service and result")
+                .build(),
         }
     }
 
@@ -45,6 +50,13 @@
         self.connections.add(connections, &[]);
     }
 
+    /// Records the decision on a further attempt of a request.
+    pub(crate) fn record_repeat(&self, service: &str, result: &'static str) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("result", result)];
+        self.repeats.add(1, &labels);
+    }
+
     /// Records a response and the time it took.
     pub(crate) fn record_response(&self, status: u16, took: Duration) {
         self.requests.add(1, &[KeyValue::new("status", i64::from(status))]);
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) mod ready;
 pub(crate) mod refuse;
 pub(crate) mod relay;
+mod repeats;
 pub(crate) mod seats;
 pub(crate) mod settings;
 
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -8,5 +8,6 @@
 mod mutated;
 mod pacing;
 mod progress;
+mod repeats;
 mod stand_ins;
 mod streams;
