--- a/papayaproxy/src/balance/budget.rs
+++ b/papayaproxy/src/balance/budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget of a service, shared by all entries without messages between them: each counts its
 //! own requests and uses an equal part of the slack.
 
-use super::constants::{BUDGET_RATIO, SHARING_ENTRIES_MIN};
+use super::constants::{BUDGET_RATIO, FIRST_WINDOW_RATIO, SHARING_ENTRIES_MIN};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -55,11 +55,13 @@
     pub(crate) fn try_take(&mut self, entries: usize, now: Duration) -> BudgetDecision {
         self.expire(now);
         let entries = entries.max(SHARING_ENTRIES_MIN);
-        // Retries made before a restart of this process are unknown, but still count in the window.
-        // The slack therefore grows from zero over the first window.
-        let elapsed = (now.as_secs_f64() / self.rule.window.as_secs_f64()).min(1.0);
-        let slack = self.rule.slack / entries as f64 * elapsed * BUDGET_RATIO;
-        let share = self.rule.ratio * self.requests.len() as f64 * BUDGET_RATIO + slack;
+        // What the run before has used is not known, but stays in the window: in the worst case all
+        // that its requests and its part of the slack allowed, right before its end.
+        let (used, slack) = match now < self.rule.window {
+            true => (FIRST_WINDOW_RATIO, 0.0),
+            false => (BUDGET_RATIO, self.rule.slack / entries as f64 * BUDGET_RATIO),
+        };
+        let share = self.rule.ratio * self.requests.len() as f64 * used + slack;
         let is_granted = share - self.retries.len() as f64 >= 1.0;
         if is_granted {
             self.retries.push_back(now);
--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -84,6 +84,9 @@
 
 /// Fraction of the allowed retries that is used, since entries may learn of each other late.
 pub(crate) const BUDGET_RATIO: f64 = 0.8;
+/// The same for retries by the ratio during the first window of a process, which has none of the
+/// slack then. With [`BUDGET_RATIO`] for the run before, it must not exceed 1.
+pub(crate) const FIRST_WINDOW_RATIO: f64 = 0.2;
 /// Smallest number of entries that a budget or a rate limit is divided by, until more are known.
 pub(crate) const SHARING_ENTRIES_MIN: usize = 6;
 
--- a/papayaproxy/src/balance/tests/budget.rs
+++ b/papayaproxy/src/balance/tests/budget.rs
@@ -33,6 +33,19 @@
     assert!((spent + retried) as f64 <= allowed, "{spent} and {retried} of {allowed}");
 }
 
+/// All entries are killed right after they have used their shares, and use them again as soon as
+/// they may. No window may hold more than the rule allows.
+#[test]
+fn budget_restart_after_burst() {
+    let before = Duration::from_secs(30);
+    let spent: usize = (0..ENTRIES).map(|_| spend(&mut Budget::new(RULE), 60, before)).sum();
+    let after = RULE.window - Duration::from_millis(100);
+    let retried: usize = (0..ENTRIES).map(|_| spend(&mut Budget::new(RULE), 60, after)).sum();
+    // The requests before are in another window than the retries after.
+    let allowed = RULE.ratio * 480.0 + RULE.slack;
+    assert!((spent + retried) as f64 <= allowed, "{spent} and {retried} of {allowed}");
+}
+
 #[test]
 fn budget_window_over_renewed() {
     let mut budget = Budget::new(RULE);
--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod budget;
+mod budget_fleet;
 mod limits;
 mod patterns;
 mod spread;
