--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -1,7 +1,7 @@
 //! The load balancer's core: gives each request a seat at an upstream, queues it or refuses it.
 
 use super::ask::{QueueStage, Refusal, Seat, SeatDecision, SeatRequest};
-use super::budget::BudgetRule;
+use super::budget::{BudgetDecision, BudgetRule};
 use super::constants::{
     BROKEN_WAIT, FIRST_EVENT_WEIGHT, RETRY_AFTER_MIN, SCORE_NOISE, SILENCE_UNKNOWN, ZONE_BACKOFF,
     ZONE_FAILURES, ZONE_PENALTY, ZONE_PENALTY_PLAIN,
@@ -33,6 +33,8 @@
     pub(super) records: u64,
     pub(super) services: IndexMap<Name, Service>,
     pub(super) entries: usize,
+    /// Entries that share the slack of the retry budgets; `None` while their number is unknown.
+    sharing: Option<usize>,
     /// Whether each lock-step group runs passes, by service and group name.
     groups: IndexMap<(Name, Name), bool>,
     /// Per availability zone: consecutive failed connections, and until when it gets no request.
@@ -53,6 +55,7 @@
             records: 0,
             services: IndexMap::new(),
             entries: 1,
+            sharing: None,
             groups: IndexMap::new(),
             zones: IndexMap::new(),
             reported_at: Duration::ZERO,
@@ -74,6 +77,11 @@
         }
     }
 
+    /// Updates the number of entries that share the retry budgets; `None` if it is unknown.
+    pub(crate) fn share_budgets(&mut self, entries: Option<usize>) {
+        self.sharing = entries;
+    }
+
     /// Updates the upstreams of a lock-step group from the status that its lead reports.
     pub(crate) fn observe_group(&mut self, status: &GroupStatus, now: Duration) {
         let open = self.groups.insert(status.group.clone(), status.open);
@@ -132,11 +140,11 @@
         }
     }
 
-    /// Takes one retry from the budget of a service; `false` if the budget is spent.
-    pub(crate) fn try_retry(&mut self, service: &str, now: Duration) -> bool {
-        let entries = self.entries;
-        let service = self.services.get_mut(service);
-        service.is_some_and(|s| s.budget.try_take(entries, now))
+    /// Takes one retry from the budget of a service, if that allows it; `None` if the service is
+    /// unknown.
+    pub(crate) fn try_retry(&mut self, service: &str, now: Duration) -> Option<BudgetDecision> {
+        let entries = self.sharing;
+        self.services.get_mut(service).map(|s| s.budget.try_take(entries, now))
     }
 
     /// Decides on a request that just arrived or needs another upstream.
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 use super::reader::StreamReader;
 use super::refuse;
 use super::relay;
+use super::repeats;
 use super::seats::SeatGuard;
 use crate::balance::{SeatRequest, SendOutcome};
 use crate::base::code::Code;
@@ -174,7 +175,11 @@
             return Err(StopReason::RefusalsUsed);
         }
         // If no upstream received the request, the retry needs no budget.
-        if failure.outcome.is_unsent() { Ok(()) } else { self.take_retry() }
+        if failure.outcome.is_unsent() {
+            self.shared.meters.record_repeat(&self.service, "free");
+            return Ok(());
+        }
+        self.take_retry()
     }
 
     /// Whether the request may run once more.
@@ -187,13 +192,12 @@
     /// # Errors
     /// The budget is used up.
     pub(super) fn take_retry(&self) -> Result<(), StopReason> {
-        let now = self.shared.clock.now();
-        if self.shared.seats.with_balancer(|balancer| balancer.try_retry(&self.service, now)) {
-            return Ok(());
+        let (id, service, now) = (&self.envelope.id, &self.service, self.shared.clock.now());
+        let decision = self.shared.seats.with_balancer(|b| b.try_retry(service, now));
+        match repeats::record(&self.shared.meters, id, service, decision) {
+            true => Ok(()),
+            false => Err(StopReason::BudgetSpent),
         }
-        let (event, service) = (events::REPEAT_DENIED, &self.service);
-        tracing::warn!(event, request = %self.envelope.id, %service, "retry budget exhausted");
-        Err(StopReason::BudgetSpent)
     }
 
     pub(super) fn log_failure(&self, failure: &FailedAttempt) {
--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -14,6 +14,7 @@
     first_event: Histogram<f64>,
     connections: Counter<u64>,
     lost_seats: Gauge<i64>,
+    repeats: Counter<u64>,
 }
 
 impl Meters {
@@ -42,6 +43,10 @@
                 .i64_gauge("papaya_gateway_lost_seats")
                 .with_description("Seats counted at upstreams that no request holds; 0 if sound")
                 .build(),
+            repeats: meter
+                .u64_counter("papaya_gateway_repeats")
+                .with_description("Further attempts decided on, by service and result")
+                .build(),
         }
     }
 
@@ -55,6 +60,13 @@
         self.lost_seats.record(seats, &[]);
     }
 
+    /// Records the decision on a further attempt of a request.
+    pub(crate) fn record_repeat(&self, service: &str, result: &'static str) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("result", result)];
+        self.repeats.add(1, &labels);
+    }
+
     /// Records a response and the time it took.
     pub(crate) fn record_response(&self, status: u16, took: Duration) {
         self.requests.add(1, &[KeyValue::new("status", i64::from(status))]);
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod ready;
 pub(crate) mod refuse;
 pub(crate) mod relay;
+mod repeats;
 pub(crate) mod seats;
 pub(crate) mod send;
 pub(crate) mod settings;
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -12,6 +12,7 @@
 mod order;
 mod pacing;
 mod progress;
+mod repeats;
 mod seats;
 pub(crate) mod stand_ins;
 mod streams;
