--- a/papayaproxy/src/balance/tests/budget_fleet.rs
+++ b/papayaproxy/src/balance/tests/budget_fleet.rs
@@ -251,7 +251,7 @@
             entry.table.expire(now);
             entry.table.take_new_addresses();
             entry.next_heartbeat = now + entry.table.heartbeat_interval();
-            let (to, with_peers) = (entry.table.addresses(), entry.sequence % 5 == 0);
+            let (to, with_peers) = (entry.table.addresses(), entry.sequence.is_multiple_of(5));
             self.send(index, to, with_peers, false, now);
         }
     }
