Lab: a soak's breach of BUDGET names the processes that spent it

What each process spent tells a share that is too large from one that is granted anew with each start. A replica's fault that ends leaves a later one of another manner that still lasts. 7 tests of soak:: pass, clippy is clean on papaya-lab.

--- a/papaya-lab/src/soak/budget.rs
+++ b/papaya-lab/src/soak/budget.rs
@@ -2,8 +2,8 @@
 
 use super::checks::View;
 use super::constants::{BUDGET_RATIO, BUDGET_WINDOW};
-use super::record::{Breach, Service};
-use std::collections::HashSet;
+use super::record::{Act, Breach, Service};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// The window of a service whose repeats come closest to what is allowed, or exceed it most.
@@ -77,7 +77,8 @@
             return None;
         }
         let from = worst.end.saturating_sub(BUDGET_WINDOW);
-        let mut by_entry = vec![0; view.spans.entries()];
+        // What each process spent tells a share that is too large from one that is granted anew.
+        let mut spent: HashMap<_, usize> = HashMap::new();
         let mut met = HashSet::new();
         for arrival in view.seen.arrivals.iter().filter(|a| a.service == self.service) {
             let is_repeat = !met.insert(arrival.id.as_str());
@@ -85,16 +86,24 @@
                 && is_repeat
                 && (arrival.at > from && arrival.at <= worst.end)
             {
-                by_entry[request.entry] += 1;
+                let starts =
+                    view.seen.acts.iter().filter(|(at, act)| {
+                        *act == Act::Started(request.entry) && *at <= arrival.at
+                    });
+                *spent.entry((request.entry, starts.count())).or_default() += 1;
             }
         }
+        let entries: HashSet<_> = spent.keys().map(|(entry, _)| *entry).collect();
         let seen = format!(
-            "{}: {} repeats in the window that ends at {:.3} s, {:.1} are allowed for {} requests; by entry {by_entry:?}",
+            "{}: {} repeats in the window that ends at {:.3} s, {:.1} are allowed for {} requests; by {} processes of {} entries, at most {} by one process",
             self.service.name(),
             worst.repeats,
             worst.end.as_secs_f64(),
             worst.allowed,
             worst.requests,
+            spent.len(),
+            entries.len(),
+            spent.values().max().unwrap_or(&0),
         );
         Some(Breach { rule: "BUDGET", at: worst.end, entry: None, id: "-".to_owned(), seen })
     }
--- a/papaya-lab/src/soak/fleet.rs
+++ b/papaya-lab/src/soak/fleet.rs
@@ -86,14 +86,20 @@
     pub(super) async fn upset(&self, replicas: &[Arc<Replica>], manner: Manner, time: Duration) {
         let ids: Vec<_> = replicas.iter().map(|r| r.id.as_str()).collect();
         self.record.act(Act::Replica(format!("{manner:?} for {time:?}: {}", ids.join(" "))));
-        let behave = |manner| {
-            for replica in replicas {
-                replica.manner.send_replace(manner);
-            }
-        };
-        behave(manner);
+        for replica in replicas {
+            replica.manner.send_replace(manner);
+        }
         sleep(time).await;
-        behave(Manner::Fine);
+        for replica in replicas {
+            // A later fault that still lasts stays.
+            replica.manner.send_if_modified(|now| {
+                let is_own = *now == manner;
+                if is_own {
+                    *now = Manner::Fine;
+                }
+                is_own
+            });
+        }
     }
 
     /// Crashes a replica; another takes its place.
--- a/papaya-lab/src/soak/spans.rs
+++ b/papaya-lab/src/soak/spans.rs
@@ -54,10 +54,6 @@
         spans
     }
 
-    pub(super) fn entries(&self) -> usize {
-        self.entries.len()
-    }
-
     /// Whether the entry and the store were undisturbed from a stable window before `from` to `to`.
     pub(super) fn is_in_touch(&self, entry: usize, from: Duration, to: Duration) -> bool {
         let from = from.saturating_sub(STABLE_WINDOW);
