One cut watch no longer counts as an outage of the store

Any failed call was taken as proof that the store was away, and each further cut began the time anew.

The store now counts as away after two failed calls in a row, or one that had no answer 150 ms after its wait (above the first retry's delay, within which no entry lapses). STORE_BACK tells whether the failures proved an outage.

--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -1,8 +1,8 @@
 //! Calls to the store: watches of the configuration and of the upstreams, and retries.
 
 use super::constants::{
-    CONFIG_WAIT, CONFIG_WAIT_SHARED, PROBE_WAIT, RETRY_FIRST, RETRY_LONGEST, UPSTREAM_WAIT,
-    UPSTREAM_WAIT_SHARED, WATCH_LAG,
+    CONFIG_WAIT, CONFIG_WAIT_SHARED, OVERDUE_MIN, PROBE_WAIT, RETRY_FIRST, RETRY_LONGEST,
+    UPSTREAM_WAIT, UPSTREAM_WAIT_SHARED, WATCH_LAG,
 };
 use super::events;
 use super::follow::{Catalog, StoreHealth, StoreRole};
@@ -12,31 +12,43 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Records the result of a call to the store. Returns the delay to wait after the next failed call.
-fn record_result(
+/// Records the result of a call to the store that was sent at `sent` and could take `wait`. Returns
+/// the delay to wait after the next failed call.
+pub(super) fn record_result(
     health: &Cell<StoreHealth>,
-    what: &str,
+    call: Call<'_>,
     error: Option<&StoreError>,
     pause: Duration,
     now: Duration,
 ) -> Duration {
     let mut state = health.get();
+    let Call { what, sent, wait } = call;
     match (error, state.failing_since) {
         (None, Some(since)) => {
-            let away_ms = now.saturating_sub(since).as_millis() as u64;
+            let failing_ms = now.saturating_sub(since).as_millis() as u64;
             tracing::info!(
                 event = events::STORE_BACK,
                 what,
-                away_ms,
+                failing_ms,
+                away = state.is_away,
                 "calls to the store succeed again"
             );
-            state = StoreHealth { failing_since: None, recovered_at: Some(now) };
+            if state.is_away {
+                state.recovered_at = Some(now);
+            }
+            (state.failing_since, state.is_away) = (None, false);
         }
-        (Some(error), None) => {
-            tracing::warn!(event = events::STORE_LOST, what, %error, "calls to the store fail");
-            state.failing_since = Some(now);
+        (Some(error), since) => {
+            if since.is_none() {
+                tracing::warn!(event = events::STORE_LOST, what, %error, "calls to the store fail");
+            }
+            // A watch that waits may be cut at any time, and one call may be refused. Only a second
+            // failure in a row, or an answer that was due, shows that the store is away.
+            let is_overdue = now.saturating_sub(sent) > wait + OVERDUE_MIN;
+            state.is_away |= since.is_some() || is_overdue;
+            state.failing_since = since.or(Some(now));
         }
-        _ => {}
+        (None, None) => {}
     }
     health.set(state);
     match error {
@@ -45,6 +57,17 @@
     }
 }
 
+/// A call to the store.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Call<'a> {
+    /// What it reads, for the log.
+    pub(super) what: &'a str,
+    /// When it was sent, on the process clock.
+    pub(super) sent: Duration,
+    /// How long the store may wait with the answer.
+    pub(super) wait: Duration,
+}
+
 /// Follows the configuration until the runtime ends.
 pub(super) async fn follow_config(catalog: Rc<Catalog>) {
     let mut pause = RETRY_FIRST;
@@ -58,6 +81,9 @@
             StoreRole::Reader | StoreRole::Relying => CONFIG_WAIT_SHARED,
         };
         let sent = boot_time();
+        let what = "configuration";
+        let wait = if reread { Duration::ZERO } else { wait };
+        let call = Call { what, sent: catalog.clock.now(), wait };
         let revision = catalog.active().map(|a| a.revision);
         let answer = match revision.filter(|_| !reread) {
             Some(revision) => catalog.store.watch_config(revision, wait).await,
@@ -71,9 +97,11 @@
             continue;
         }
         let health = &catalog.config_health;
+        let failing = health.get();
         match answer {
             Ok(watched) => {
-                pause = record_result(health, "configuration", None, pause, now);
+                pause = record_result(health, call, None, pause, now);
+                catalog.observe_recovery(failing);
                 let empty = watched.items.is_empty() && reread;
                 catalog.apply_watched_config(&watched);
                 catalog.confirm_version(catalog.version(), confirmed_at);
@@ -84,7 +112,7 @@
             }
             Err(error) => {
                 let delay = pause;
-                pause = record_result(health, "configuration", Some(&error), pause, now);
+                pause = record_result(health, call, Some(&error), pause, now);
                 reread |= matches!(error, StoreError::Malformed { .. });
                 failed = true;
                 tokio::time::sleep(delay).await;
@@ -110,6 +138,8 @@
         };
         // A list from peers is as good a start as an own one.
         let revision = Some(catalog.list_revision()).filter(|r| *r > 0 && !reread);
+        let wait = revision.map_or(Duration::ZERO, |_| wait);
+        let call = Call { what: "upstreams", sent: catalog.clock.now(), wait };
         let answer = match revision {
             Some(after) => catalog.store.watch_upstreams(after, wait).await,
             None => catalog.store.read_upstreams().await,
@@ -123,7 +153,7 @@
         failed = answer.is_err();
         match answer {
             Ok(watched) => {
-                pause = record_result(health, "upstreams", None, pause, now);
+                pause = record_result(health, call, None, pause, now);
                 match revision {
                     Some(_) => catalog.apply_changes(watched, confirmed_at),
                     None => catalog.apply_listing(watched, confirmed_at),
@@ -133,7 +163,7 @@
             }
             Err(error) => {
                 let delay = pause;
-                pause = record_result(health, "upstreams", Some(&error), pause, now);
+                pause = record_result(health, call, Some(&error), pause, now);
                 // The same watch would get the same answer; a full read does not need it.
                 reread |= matches!(error, StoreError::Malformed { .. });
                 tokio::time::sleep(delay).await;
--- a/papayaproxy/src/catalog/constants.rs
+++ b/papayaproxy/src/catalog/constants.rs
@@ -40,6 +40,10 @@
 /// Longest time for which a watch may miss changes before it is cut off, as stated by the store.
 pub(crate) const WATCH_LAG: Duration = Duration::from_millis(1000);
 
+/// Delay of an answer beyond the time for which the store may wait with it, above which a failed call
+/// counts as unanswered.
+pub(crate) const OVERDUE_MIN: Duration = Duration::from_millis(150);
+
 /// Time after the store recovers within which live replicas' records come back, with a margin.
 pub(crate) const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 /// Removed records to remember; more than are removed while a peer may still list one of them.
--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -43,6 +43,8 @@
     pub(crate) revision: u64,
     /// When the record was found missing during or after a store outage.
     lapsed_at: Option<Duration>,
+    /// When a lapsed record is removed; `None` until the store has recovered.
+    grace_end: Option<Duration>,
 }
 
 /// An upstream's id, its record, and the revision of the last change.
@@ -105,7 +107,7 @@
         if changed {
             log_put(id, known, &record, revision);
         }
-        self.rows.insert(id.clone(), Row { record, revision, lapsed_at: None });
+        self.rows.insert(id.clone(), Row { record, revision, lapsed_at: None, grace_end: None });
         changed
     }
 
@@ -192,11 +194,14 @@
     /// recovery at `recovered_at`. Returns whether any was removed.
     pub(crate) fn expire(&mut self, recovered_at: Option<Duration>, now: Duration) -> bool {
         // The grace period runs from the store's recovery, whenever a record was found missing: a
-        // record that is still missing at its end belongs to an upstream that has left.
-        let Some(recovered_at) = recovered_at.filter(|at| now >= *at + LAPSE_GRACE) else {
-            return false;
-        };
-        let lapsed = self.rows.iter().filter(|(_, row)| row.lapsed_at.is_some());
+        // record that is still missing at its end belongs to an upstream that has left. A later
+        // recovery does not begin it anew.
+        let Some(recovered_at) = recovered_at else { return false };
+        for row in self.rows.values_mut().filter(|row| row.lapsed_at.is_some()) {
+            row.grace_end.get_or_insert(recovered_at + LAPSE_GRACE);
+        }
+        let is_over = |row: &Row| row.grace_end.is_some_and(|end| now >= end);
+        let lapsed = self.rows.iter().filter(|(_, row)| is_over(row));
         let lapsed: Vec<(Name, u64)> = lapsed.map(|(id, r)| (id.clone(), r.revision)).collect();
         for (id, revision) in &lapsed {
             tracing::info!(
@@ -213,6 +218,14 @@
         !lapsed.is_empty()
     }
 
+    /// Takes out of the grace periods that run the time for which the store was away.
+    pub(crate) fn resume_grace(&mut self, away_since: Duration, now: Duration) {
+        let away = now.saturating_sub(away_since);
+        for end in self.rows.values_mut().filter_map(|row| row.grace_end.as_mut()) {
+            *end += if *end > away_since { away } else { Duration::ZERO };
+        }
+    }
+
     /// Whether any record is missing that may still come back.
     pub(crate) fn has_lapsed(&self) -> bool {
         self.rows.values().any(|r| r.lapsed_at.is_some())
--- a/papayaproxy/src/catalog/events.rs
+++ b/papayaproxy/src/catalog/events.rs
@@ -6,7 +6,7 @@
     CONFIG_IN_FORCE = 3100, "A newer configuration has come into force. Fields: version, routes, services, source.";
     CONFIG_REFUSED = 3101, "A configuration was rejected. Fields: version, held, source, reason.";
     STORE_LOST = 3102, "Calls to the store have begun to fail. Fields: what, error.";
-    STORE_BACK = 3103, "Calls to the store succeed again. Fields: what, away_ms.";
+    STORE_BACK = 3103, "Calls to the store succeed again; `away` tells whether the failures proved that it was away. Fields: what, failing_ms, away.";
     UPSTREAM_ADDED = 3104, "An upstream is listed as ready and may receive requests. Fields: upstream, service, zone, address, revision.";
     UPSTREAM_LEAVING = 3105, "An upstream receives no new requests. Fields: upstream, reason, revision.";
     UPSTREAM_LAPSED = 3106, "An upstream's record is missing during or after a store outage; the upstream stays in use until the grace period ends. Fields: upstream, revision.";
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -61,7 +61,10 @@
 pub(super) struct StoreHealth {
     /// When calls began to fail; `None` while they succeed.
     pub(super) failing_since: Option<Duration>,
-    /// When calls last began to succeed again; `None` before the first outage.
+    /// Whether the failures prove that the store is away.
+    pub(super) is_away: bool,
+    /// When calls last began to succeed again after the store was away; `None` before the first
+    /// outage.
     pub(super) recovered_at: Option<Duration>,
 }
 
@@ -197,7 +200,7 @@
         }
         // Peers tell how the store does; own calls failed before, if at all.
         for health in [&self.config_health, &self.upstream_health] {
-            health.set(StoreHealth { failing_since: None, ..health.get() });
+            health.set(StoreHealth { failing_since: None, is_away: false, ..health.get() });
         }
         while !self.needs_store() {
             tokio::time::sleep(TURN_INTERVAL).await;
@@ -325,7 +328,14 @@
         // Watches of the configuration are shorter and so detect the store's recovery first.
         let health = self.config_health.get();
         let is_recent = |at: Duration| now < at + LAPSE_GRACE;
-        health.failing_since.is_some() || health.recovered_at.is_some_and(is_recent)
+        health.is_away || health.recovered_at.is_some_and(is_recent)
+    }
+
+    /// Takes note that a call was answered after the store was `before`.
+    pub(super) fn observe_recovery(&self, before: StoreHealth) {
+        if let Some(since) = before.failing_since.filter(|_| before.is_away) {
+            self.directory.borrow_mut().resume_grace(since, self.clock.now());
+        }
     }
 
     pub(super) fn apply_changes(&self, watched: StoreUpdate, at: Duration) {
@@ -382,9 +392,7 @@
     pub(crate) fn expire(&self) {
         let health = self.config_health.get();
         let now = self.clock.now();
-        if health.failing_since.is_none()
-            && self.directory.borrow_mut().expire(health.recovered_at, now)
-        {
+        if !health.is_away && self.directory.borrow_mut().expire(health.recovered_at, now) {
             self.list_digest.set(None);
             self.changed.notify_waiters();
         }
--- a/papayaproxy/src/catalog/tests/directory.rs
+++ b/papayaproxy/src/catalog/tests/directory.rs
@@ -145,3 +145,23 @@
     assert!(!directory.replace(Vec::new(), 9, false, NOW));
     assert_eq!(ready(&directory).len(), 1);
 }
+
+/// Further outages pause the grace period of a record that is missing, and do not begin it anew.
+#[test]
+fn expire_outages_repeated_bounded() {
+    let mut directory = Directory::default();
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
+    directory.remove("i-1", 6, true, NOW);
+    assert!(!directory.expire(Some(NOW), NOW));
+    let (step, away) = (LAPSE_GRACE / 4, Duration::from_secs(1));
+    let mut now = NOW;
+    for _ in 0..3 {
+        now += step;
+        assert!(!directory.expire(Some(NOW), now));
+        directory.resume_grace(now, now + away);
+        now += away;
+        assert!(!directory.expire(Some(now), now), "the store answered for less than the grace");
+    }
+    assert!(directory.expire(Some(now), now + step));
+    assert!(ready(&directory).is_empty());
+}
--- a/papayaproxy/src/catalog/tests/mod.rs
+++ b/papayaproxy/src/catalog/tests/mod.rs
@@ -6,4 +6,5 @@
 mod look_ups;
 mod odd_answers;
 mod odd_entries;
+mod outages;
 mod store;
