Lab: a soak's cut is the replica's if the run that ended last broke off

The new test failed before with 'assertion failed: View::new(&seen, 1).lost().0.is_empty()' and holds the other direction, too.

--- a/papaya-lab/src/soak/checks.rs
+++ b/papaya-lab/src/soak/checks.rs
@@ -67,7 +67,8 @@
     /// Whether the entry is the one that broke off, and had time left.
     pub(super) fn is_own_cut(&self, id: &str, request: &Request) -> bool {
         let runs = self.of(id);
-        let last = runs.iter().rev().find(|a| a.ran());
+        // Two replicas may run it side by side; the one that ended last is the one that served.
+        let last = runs.iter().filter(|a| a.ran()).max_by_key(|a| a.ended.unwrap_or(Duration::MAX));
         let is_replica = last.is_some_and(|a| matches!(a.fate, Fate::BrokeOff | Fate::Crashed));
         let is_late = request.ended + NOTE_SLACK >= request.sent + Self::timeout(request);
         let is_passed = runs.iter().any(|a| a.at <= request.ended);
--- a/papaya-lab/src/soak/tests.rs
+++ b/papaya-lab/src/soak/tests.rs
@@ -84,6 +84,19 @@
     assert!(View::new(&last, 1).lost().0.is_empty());
 }
 
+// Guards against a break-off of the serving replica that is missed because a second run began later
+// and ended earlier, and against one that hides a cut of the replica that took over.
+#[test]
+fn lost_run_that_ended_last_decides() {
+    let mut seen = cut_stream();
+    seen.arrivals[0].fate = Fate::BrokeOff;
+    seen.arrivals.push(arrival("a", Kind::Stream, 22_000, 22_500, Fate::Dropped));
+    assert!(View::new(&seen, 1).lost().0.is_empty());
+    seen.arrivals[0].ended = Some(ms(22_100));
+    seen.arrivals[1].ended = Some(ms(23_000));
+    assert_eq!(View::new(&seen, 1).lost().0.len(), 1);
+}
+
 // Guards against an exception that is applied to requests sent later than 3 s after SIGTERM.
 #[test]
 fn lost_late_request_in_last_sixth() {
