Entry: log what a stop cuts, and what a stopping entry compares when it refuses

An entry that exits logs a number, not the requests, and a refusal while stopping doesn't tell what it compared.

Change: event 3013 names each request in progress as the process exits (route, upstream if sent, age, time since SIGTERM; 50 lines at most); event 3014 names the duration expected of a refused request and the time left. Progress keeps the id and the upstream of each request.

No change of behaviour.

--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -87,3 +87,5 @@
 pub(crate) const STOP_END_FRACTION: f64 = 0.96;
 /// Refused requests after which a connection is not kept, since their ids are remembered with it.
 pub(crate) const REFUSED_IDS_MAX: usize = 64;
+/// Most requests that an exiting process logs as unfinished.
+pub(crate) const UNFINISHED_LOGGED_MAX: usize = 50;
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -128,7 +128,7 @@
     };
     let client_timeout = envelope.timeout.unwrap_or(DEADLINE_DEFAULT);
     let time_limit = route.timeout.map_or(client_timeout, |t| t.min(client_timeout));
-    if !shared.can_finish(&route, time_limit) {
+    if !shared.can_finish(&envelope.id, &route, time_limit) {
         return Err(reject(codes::STOPPING, Some(RETRY_AFTER_STOPPING)));
     }
     let workspace = match find_workspace(shared, &config, &route, &envelope) {
@@ -160,7 +160,7 @@
     Ok(Exchange {
         shared: shared.clone(),
         shared_parts: shared_keys(&service, &envelope.prompt_parts),
-        in_flight: Rc::new(shared.track_request(&route)),
+        in_flight: Rc::new(shared.track_request(&envelope.id, &route)),
         latency_target: route.latency_target.unwrap_or(LATENCY_TARGET_DEFAULT),
         envelope,
         route,
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -106,8 +106,9 @@
             };
             // The entry may have begun to stop while the request waited. One that may have run goes
             // on, since only its answer can end it well.
+            let id = &self.envelope.id;
             if self.history.runs.get() == 0
-                && !self.shared.can_finish(&self.route, self.time_left())
+                && !self.shared.can_finish(id, &self.route, self.time_left())
             {
                 return Err(StopReason::Stopping);
             }
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -3,7 +3,7 @@
 use super::buffer::BufferBudget;
 use super::constants::{
     BUFFER_BYTES_MAX, KEY_AGE_FRACTION, READY_AGE_MAX, SEAT_INTERVAL, STATE_INTERVAL,
-    STOP_CLOSE_FRACTION,
+    STOP_CLOSE_FRACTION, UNFINISHED_LOGGED_MAX,
 };
 use super::edge;
 use super::events;
@@ -216,15 +216,16 @@
         while is_busy() && !shared.stop_time_left().is_zero() {
             tokio::time::sleep(SEAT_INTERVAL).await;
         }
+        shared.log_unfinished();
         let requests = shared.requests();
         tracing::info!(event = events::GATEWAY_STOPPED, requests, "stopped");
     }
 }
 
 impl Shared {
-    /// Counts a request of `route` as in progress until the guard is dropped.
-    pub(crate) fn track_request(self: &Rc<Self>, route: &Route) -> InFlight {
-        let ticket = self.progress.borrow_mut().start(&route.name, self.clock.now());
+    /// Counts request `id` of `route` as in progress until the guard is dropped.
+    pub(crate) fn track_request(self: &Rc<Self>, id: &Name, route: &Route) -> InFlight {
+        let ticket = self.progress.borrow_mut().start(id, &route.name, self.clock.now());
         InFlight { shared: self.clone(), ticket }
     }
 
@@ -254,10 +255,38 @@
         self.progress.borrow().is_stopping()
     }
 
-    /// Whether a request of `route` that ends within `time_limit` can be expected to end before the
-    /// process exits; always true unless it is stopping.
-    pub(crate) fn can_finish(&self, route: &Route, time_limit: Duration) -> bool {
-        self.progress.borrow_mut().can_finish(&route.name, time_limit, self.clock.now())
+    /// Whether request `id` of `route`, which ends within `time_limit`, can be expected to end
+    /// before the process exits; always true unless it is stopping.
+    pub(crate) fn can_finish(&self, id: &Name, route: &Route, time_limit: Duration) -> bool {
+        let now = self.clock.now();
+        let finish = self.progress.borrow_mut().can_finish(&route.name, time_limit, now);
+        if let Err(shortfall) = finish {
+            tracing::info!(
+                event = events::STOP_REFUSAL,
+                request = %id,
+                route = %route.name,
+                expected_ms = shortfall.expected.as_millis() as u64,
+                left_ms = shortfall.left.as_millis() as u64,
+                "refused while stopping"
+            );
+        }
+        finish.is_ok()
+    }
+
+    /// Logs the requests that the exit of the process cuts.
+    fn log_unfinished(&self) {
+        let (progress, now) = (self.progress.borrow(), self.clock.now());
+        for started in progress.unfinished().take(UNFINISHED_LOGGED_MAX) {
+            tracing::warn!(
+                event = events::REQUEST_UNFINISHED,
+                request = %started.id,
+                route = %started.route,
+                upstream = started.upstream.as_ref().map(Name::as_str),
+                age_ms = now.saturating_sub(started.at).as_millis() as u64,
+                stopping_ms = progress.stopping_for(now).as_millis() as u64,
+                "request cut by the exit"
+            );
+        }
     }
 
     /// Time until a stopping process exits.
@@ -353,6 +382,13 @@
     }
 }
 
+impl InFlight {
+    /// Records that the request is sent to `upstream`.
+    pub(crate) fn record_send(&self, upstream: &Name) {
+        self.shared.progress.borrow_mut().record_send(self.ticket, upstream);
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.shared.progress.borrow_mut().end(self.ticket, self.shared.clock.now());
--- a/papayaproxy/src/gateway/progress.rs
+++ b/papayaproxy/src/gateway/progress.rs
@@ -16,9 +16,22 @@
 
 /// A request in progress.
 #[derive(Clone, Debug)]
-struct Started {
-    route: Name,
-    at: Duration,
+pub(crate) struct Started {
+    pub(crate) id: Name,
+    pub(crate) route: Name,
+    /// When it was accepted, on the process clock.
+    pub(crate) at: Duration,
+    /// Where its last attempt was sent; `None` before the first.
+    pub(crate) upstream: Option<Name>,
+}
+
+/// Why a stopping entry cannot finish a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Shortfall {
+    /// Duration expected of the request.
+    pub(crate) expected: Duration,
+    /// Time until the process exits.
+    pub(crate) left: Duration,
 }
 
 /// The requests in progress, and how long requests of each route take.
@@ -48,13 +61,26 @@
         self.in_progress.len()
     }
 
-    /// Records a request of `route`; the ticket is due at [`Progress::end`].
-    pub(crate) fn start(&mut self, route: &Name, now: Duration) -> u64 {
+    /// Requests in progress.
+    pub(crate) fn unfinished(&self) -> impl Iterator<Item = &Started> {
+        self.in_progress.values()
+    }
+
+    /// Records request `id` of `route`; the ticket is due at [`Progress::end`].
+    pub(crate) fn start(&mut self, id: &Name, route: &Name, now: Duration) -> u64 {
         self.next_ticket += 1;
-        self.in_progress.insert(self.next_ticket, Started { route: route.clone(), at: now });
+        let started = Started { id: id.clone(), route: route.clone(), at: now, upstream: None };
+        self.in_progress.insert(self.next_ticket, started);
         self.next_ticket
     }
 
+    /// Records that a request is sent to `upstream`.
+    pub(crate) fn record_send(&mut self, ticket: u64, upstream: &Name) {
+        if let Some(started) = self.in_progress.get_mut(&ticket) {
+            started.upstream = Some(upstream.clone());
+        }
+    }
+
     /// Records the end of a request.
     pub(crate) fn end(&mut self, ticket: u64, now: Duration) {
         let Some(started) = self.in_progress.swap_remove(&ticket) else { return };
@@ -74,6 +100,11 @@
         self.stop_began.is_some()
     }
 
+    /// Time since the stop began; zero before it.
+    pub(crate) fn stopping_for(&self, now: Duration) -> Duration {
+        self.stop_began.map(|began| now.saturating_sub(began)).unwrap_or_default()
+    }
+
     /// Time until the process exits, whatever is still in progress; `None` before the stop.
     pub(crate) fn time_left(&self, now: Duration) -> Option<Duration> {
         let end = self.stop_began? + self.grace.mul_f64(STOP_END_FRACTION);
@@ -82,11 +113,20 @@
 
     /// Whether a request of `route` that ends within `time_limit` can be expected to end before the
     /// process exits.
-    pub(crate) fn can_finish(&mut self, route: &Name, time_limit: Duration, now: Duration) -> bool {
-        let Some(left) = self.time_left(now) else { return true };
+    ///
+    /// # Errors
+    /// It cannot.
+    pub(crate) fn can_finish(
+        &mut self,
+        route: &Name,
+        time_limit: Duration,
+        now: Duration,
+    ) -> Result<(), Shortfall> {
+        let Some(left) = self.time_left(now) else { return Ok(()) };
         let longest = self.longest_duration(route, now);
         let expected = longest.map_or(time_limit, |d| d.mul_f64(DURATION_MARGIN));
-        expected.min(time_limit) <= left
+        let expected = expected.min(time_limit);
+        if expected <= left { Ok(()) } else { Err(Shortfall { expected, left }) }
     }
 
     /// Longest duration of the route's recent requests, those in progress included; `None` without
--- a/papayaproxy/src/gateway/send.rs
+++ b/papayaproxy/src/gateway/send.rs
@@ -18,6 +18,7 @@
     /// Opens a connection to the upstream of `seat`, or takes an idle one.
     pub(super) async fn connect(&self, seat: &SeatGuard) -> Result<Connection, FailedAttempt> {
         self.history.tried.borrow_mut().push(seat.seat().upstream.clone());
+        self.in_flight.record_send(&seat.seat().upstream);
         let repeatable = self.route.kind.is_repeatable();
         let address = seat.seat().address;
         let connection = self.shared.pool.connection(address, repeatable, &self.envelope.id).await;
