Stopping entry: refuse requests that wait for a seat too long for the stop

What callers saw: a request that waits for a seat as the stop goes on was cut at the exit, though it had run nowhere.

--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -96,19 +96,7 @@
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
             }
-            let resumed = self.history.runs.get() > 0 && self.route.kind.is_stream();
-            let seat_wait = self.shared.seats.acquire(self.seat_request(resumed));
-            let time_left = self.deadline.saturating_sub(now);
-            let seat = match timeout(time_left, seat_wait).await {
-                Ok(Ok(seat)) => seat,
-                Ok(Err(refusal)) => return Err(StopReason::Refused(refusal)),
-                Err(_) => return Err(StopReason::DeadlinePassed),
-            };
-            // The entry may have begun to stop while the request waited. One that may have run goes
-            // on, since only its answer can end it well.
-            if self.history.runs.get() == 0 && !self.can_finish() {
-                return Err(StopReason::Stopping);
-            }
+            let seat = self.acquire_seat().await?;
             // A part may have been blocked while the request waited.
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
@@ -226,12 +214,6 @@
         self.deadline.saturating_sub(self.shared.clock.now())
     }
 
-    /// Whether the request ends before a stop of the process does.
-    fn can_finish(&self) -> bool {
-        let service = Some(&self.service);
-        self.shared.can_finish(&self.envelope, &self.route, service, self.time_left())
-    }
-
     pub(super) fn seat_request(&self, resumed: bool) -> SeatRequest {
         SeatRequest {
             ticket: self.shared.seats.next_ticket(),
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) mod seats;
 pub(crate) mod send;
 pub(crate) mod settings;
+pub(crate) mod waiting;
 
 #[cfg(test)]
 pub(crate) mod tests;
--- a/papayaproxy/src/gateway/tests/stopping.rs
+++ b/papayaproxy/src/gateway/tests/stopping.rs
@@ -1,6 +1,6 @@
 //! Stops of a gateway whose process then exits: what it has read is answered before.
 
-use super::stand_ins::{Action, FakeServer, ReceivedRequest, TestGateway, on_one_thread};
+use super::stand_ins::{Action, FakeServer, ReceivedRequest, TestGateway, on_one_thread, reply};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc;
@@ -99,3 +99,36 @@
     exit.join().unwrap();
     assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("P3009"), "{answer}");
 }
+
+/// All places are taken as the stop begins. A request that waits for one is cut at the exit, though
+/// it could have been refused.
+#[test]
+fn stop_waiting_request_refused() {
+    let daemon = Daemon::open(|r| {
+        let pause = if r.head.contains("/once/") { 3000 } else { 0 };
+        vec![Action::Wait(ms(pause)), Action::Send(reply(r, "200 OK", "fine"))]
+    });
+    // Places become free at a rate at which the wait is worth it.
+    let mut client = connect(daemon.address);
+    for _ in 0..20 {
+        ask(&mut client, "/safe/x", 4000);
+        assert!(read_to(&mut client, "fine").starts_with("HTTP/1.1 200"));
+    }
+    // Twelve requests are the limit of the replica.
+    let busy: Vec<TcpStream> = (0..12)
+        .map(|_| {
+            let mut client = connect(daemon.address);
+            ask(&mut client, "/once/x", 4000);
+            client
+        })
+        .collect();
+    thread::sleep(ms(200));
+    // A client that returns may wait for long.
+    ask(&mut client, "/once/x", 1900);
+    thread::sleep(ms(100));
+    let exit = daemon.stop();
+    let answer = read_to(&mut client, "P3009\n");
+    exit.join().unwrap();
+    drop(busy);
+    assert!(answer.starts_with("HTTP/1.1 503") && answer.ends_with("P3009\n"), "{answer:?}");
+}
--- /dev/null
+++ b/papayaproxy/src/gateway/waiting.rs
@@ -0,0 +1,36 @@
+//! The wait of a request for a seat.
+
+use super::attempts::StopReason;
+use super::constants::SILENCE_CHECK_INTERVAL;
+use super::exchange::Exchange;
+use super::seats::SeatGuard;
+use tokio::time::timeout;
+
+impl Exchange {
+    /// Waits for a seat until the deadline, and only while the request can still end before a stop
+    /// of the process does.
+    pub(super) async fn acquire_seat(&self) -> Result<SeatGuard, StopReason> {
+        let may_have_run = self.history.runs.get() > 0;
+        let resumed = may_have_run && self.route.kind.is_stream();
+        let mut wait = std::pin::pin!(self.shared.seats.acquire(self.seat_request(resumed)));
+        loop {
+            let limit = self.time_left().min(SILENCE_CHECK_INTERVAL);
+            let seat = timeout(limit, wait.as_mut()).await;
+            // One that may have run goes on, since only its answer can end it well.
+            if !matches!(seat, Ok(Err(_))) && !may_have_run && !self.can_finish() {
+                return Err(StopReason::Stopping);
+            }
+            match seat {
+                Ok(seat) => return seat.map_err(StopReason::Refused),
+                Err(_) if self.time_left().is_zero() => return Err(StopReason::DeadlinePassed),
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Whether the request ends before a stop of the process does.
+    fn can_finish(&self) -> bool {
+        let service = Some(&self.service);
+        self.shared.can_finish(&self.envelope, &self.route, service, self.time_left())
+    }
+}
