Stopping entry: read what has arrived before idle connections are closed

What callers saw: a request that lies in a kept connection as idle ones are closed (0.6 of the grace period) was cut unread.

Cause: hyper closes an idle connection without a look at its socket; select! chose at random between the two.

Change: the connection is polled first, and the runtime looks for arrived data once more before the connection is closed.

Test: stop_idle_connection_read_first failed before (stopping.rs:190: some of eight answers are empty). The thread is blocked while the requests arrive, as on a busy host.

--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -30,6 +30,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 /// Smallest buffer size that hyper accepts, in bytes.
 const BUFFER_BYTES_MIN: usize = 8 << 10;
@@ -65,8 +66,9 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = closing.cancelled() => {
+        () = closed_unread(&closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -76,6 +78,13 @@
     }
 }
 
+/// Waits until idle connections are to be closed. hyper closes one without a look at its socket, so
+/// the runtime looks for arrived requests once more in between.
+async fn closed_unread(closing: &CancellationToken) {
+    closing.cancelled().await;
+    tokio::task::yield_now().await;
+}
+
 async fn handle_request(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let mut response = match prepare(&shared, request).await {
         Ok(exchange) => exchange.run().await,
--- a/papayaproxy/src/gateway/tests/stopping.rs
+++ b/papayaproxy/src/gateway/tests/stopping.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 fn ms(time: u64) -> Duration {
@@ -16,10 +16,27 @@
 /// of 1 s. Once it has stopped, all its connections are cut.
 struct Daemon {
     address: SocketAddr,
-    term: oneshot::Sender<()>,
+    term: oneshot::Sender<Option<Block>>,
     thread: JoinHandle<()>,
 }
 
+/// Blocks the thread of the gateway from shortly after the stop began until idle connections are to
+/// be closed.
+struct Block {
+    /// Told once the thread is blocked.
+    began: mpsc::Sender<()>,
+    /// Told once it may go on.
+    sent: mpsc::Receiver<()>,
+}
+
+impl Block {
+    fn run(self, stopped: Instant) {
+        self.began.send(()).unwrap();
+        self.sent.recv().unwrap();
+        thread::sleep(ms(620).saturating_sub(stopped.elapsed()));
+    }
+}
+
 impl Daemon {
     /// Opens one in front of a replica that answers as `script` says.
     fn open(script: impl Fn(&ReceivedRequest) -> Vec<Action> + Send + 'static) -> Self {
@@ -30,7 +47,14 @@
                 let replica = FakeServer::bind(script).await;
                 let gateway = TestGateway::open(&[&replica]).await;
                 ready.send(gateway.address()).unwrap();
-                termed.await.unwrap();
+                let block: Option<Block> = termed.await.unwrap();
+                let stopped = Instant::now();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(ms(50)).await;
+                    if let Some(block) = block {
+                        block.run(stopped);
+                    }
+                });
                 gateway.stop().await;
             });
         });
@@ -39,7 +63,17 @@
 
     /// Begins the stop.
     fn stop(self) -> JoinHandle<()> {
-        self.term.send(()).unwrap();
+        self.term.send(None).ok().unwrap();
+        self.thread
+    }
+
+    /// Begins the stop, and runs `send` while the thread of the gateway is blocked.
+    fn stop_blocked(self, send: impl FnOnce()) -> JoinHandle<()> {
+        let ((began, has_begun), (go_on, sent)) = (mpsc::channel(), mpsc::channel());
+        self.term.send(Some(Block { began, sent })).ok().unwrap();
+        has_begun.recv().unwrap();
+        send();
+        go_on.send(()).unwrap();
         self.thread
     }
 }
@@ -68,6 +102,11 @@
     String::from_utf8(bytes).unwrap()
 }
 
+/// Whether it is an answer, or a refusal because of the stop.
+fn is_answered(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 200") || (answer.contains("503") && answer.ends_with("P3009\n"))
+}
+
 /// A stream of `count` events, with 100 ms before each.
 fn stream_of(request: &ReceivedRequest, count: u64) -> Vec<Action> {
     let id = request.header("x-request-id").unwrap_or_default();
@@ -132,3 +171,22 @@
     drop(busy);
     assert!(answer.starts_with("HTTP/1.1 503") && answer.ends_with("P3009\n"), "{answer:?}");
 }
+
+/// A request arrives on a kept connection while the thread is busy, and idle connections are closed
+/// before it is read.
+#[test]
+fn stop_idle_connection_read_first() {
+    for _ in 0..4 {
+        let daemon = Daemon::open(|r| vec![Action::Send(reply(r, "200 OK", "fine"))]);
+        let mut clients: Vec<TcpStream> = (0..8).map(|_| connect(daemon.address)).collect();
+        for client in &mut clients {
+            ask(client, "/safe/x", 300);
+            assert!(read_to(client, "fine").starts_with("HTTP/1.1 200"));
+        }
+        let send = || clients.iter_mut().for_each(|client| ask(client, "/safe/x", 100));
+        let exit = daemon.stop_blocked(send);
+        let answers: Vec<String> = clients.iter_mut().map(|c| read_to(c, "fine")).collect();
+        exit.join().unwrap();
+        assert!(answers.iter().all(|a| is_answered(a)), "{answers:?}");
+    }
+}
