Stopping entry: answer the connections in the accept queue before the exit

What callers saw: a connection with a whole request that waits to be accepted was reset as the process exited.

Cause: the process exits once no connection is open, and one counted as open only when its task first ran; the listener stayed open to the end.

Change: as idle connections are closed, the listener accepts what waits and is then closed; it counts as open until then, and a connection counts from its acceptance. New connections are refused by the host from then on, so clients go elsewhere at once.

Test: stop_accept_queue_answered failed before (stopping.rs:207: eight empty answers).

--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -25,6 +25,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,14 +36,42 @@
 /// Smallest buffer size that hyper accepts, in bytes.
 const BUFFER_BYTES_MIN: usize = 8 << 10;
 
-/// Accepts connections until the runtime ends.
+/// Accepts connections until idle ones are to be closed, and then those that wait to be accepted.
 pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>) {
+    // The process must not exit while connections wait.
+    let _open = shared.track_connection();
     loop {
-        let stream = accept(&listener, "client").await;
-        tokio::task::spawn_local(serve_connection(stream, shared.clone()));
+        tokio::select! {
+            stream = accept(&listener, "client") => spawn_connection(stream, &shared),
+            () = shared.closing.cancelled() => break,
+        }
+    }
+    let drained = listener.into_std().and_then(|listener| {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    spawn_connection(TcpStream::from_std(stream)?, &shared);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    });
+    if let Err(error) = drained {
+        tracing::warn!(%error, "cannot accept the last connections");
     }
 }
 
+fn spawn_connection(stream: TcpStream, shared: &Rc<Shared>) {
+    let (shared, open) = (shared.clone(), shared.track_connection());
+    tokio::task::spawn_local(async move {
+        serve_connection(stream, shared).await;
+        drop(open);
+    });
+}
+
 async fn serve_connection(stream: TcpStream, shared: Rc<Shared>) {
     let options = stream
         .set_nodelay(true)
@@ -50,7 +79,6 @@
     if let Err(error) = options {
         tracing::debug!(%error, "cannot set socket options of a client connection");
     }
-    let _open = shared.track_connection();
     let limits = shared.catalog.config().map_or_else(ClientLimits::default, |c| c.limits);
     let closing = shared.closing.clone();
     let service = service_fn(move |request| {
--- a/papayaproxy/src/gateway/tests/stopping.rs
+++ b/papayaproxy/src/gateway/tests/stopping.rs
@@ -190,3 +190,19 @@
         assert!(answers.iter().all(|a| is_answered(a)), "{answers:?}");
     }
 }
+
+/// A connection waits in the accept queue while the thread is busy, and the process exits with
+/// nothing in progress.
+#[test]
+fn stop_accept_queue_answered() {
+    let daemon = Daemon::open(|r| vec![Action::Send(reply(r, "200 OK", "fine"))]);
+    let address = daemon.address;
+    let mut clients = Vec::new();
+    let exit = daemon.stop_blocked(|| {
+        clients.extend((0..8).map(|_| connect(address)));
+        clients.iter_mut().for_each(|client| ask(client, "/safe/x", 100));
+    });
+    let answers: Vec<String> = clients.iter_mut().map(|c| read_to(c, "fine")).collect();
+    exit.join().unwrap();
+    assert!(answers.iter().all(|a| is_answered(a)), "{answers:?}");
+}
