--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -25,23 +25,53 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 /// Smallest buffer size that hyper accepts, in bytes.
 const BUFFER_BYTES_MIN: usize = 8 << 10;
 
-/// Accepts connections until the runtime ends.
+/// Accepts connections until idle ones are to be closed, and then those that wait to be accepted.
 pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>) {
+    // The process must not exit while connections wait.
+    let _open = shared.track_connection();
     loop {
-        let stream = accept(&listener, "client").await;
-        tokio::task::spawn_local(serve_connection(stream, shared.clone()));
+        tokio::select! {
+            stream = accept(&listener, "client") => spawn_connection(stream, &shared),
+            () = shared.closing.cancelled() => break,
+        }
+    }
+    let drained = listener.into_std().and_then(|listener| {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    spawn_connection(TcpStream::from_std(stream)?, &shared);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    });
+    if let Err(error) = drained {
+        tracing::warn!(%error, "cannot accept the last connections");
     }
 }
 
+fn spawn_connection(stream: TcpStream, shared: &Rc<Shared>) {
+    let (shared, open) = (shared.clone(), shared.track_connection());
+    tokio::task::spawn_local(async move {
+        serve_connection(stream, shared).await;
+        drop(open);
+    });
+}
+
 async fn serve_connection(stream: TcpStream, shared: Rc<Shared>) {
     let options = stream
         .set_nodelay(true)
@@ -49,7 +79,6 @@
     if let Err(error) = options {
         tracing::debug!(%error, "cannot set socket options of a client connection");
     }
-    let _open = shared.track_connection();
     let limits = shared.catalog.config().map_or_else(ClientLimits::default, |c| c.limits);
     let closing = shared.closing.clone();
     let service = service_fn(move |request| {
@@ -65,8 +94,9 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = closing.cancelled() => {
+        () = closed_unread(&closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -76,6 +106,13 @@
     }
 }
 
+/// Waits until idle connections are to be closed. hyper closes one without a look at its socket, so
+/// the runtime looks for arrived requests once more in between.
+async fn closed_unread(closing: &CancellationToken) {
+    closing.cancelled().await;
+    tokio::task::yield_now().await;
+}
+
 async fn handle_request(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let mut response = match prepare(&shared, request).await {
         Ok(exchange) => exchange.run().await,
@@ -128,7 +165,8 @@
     };
     let client_timeout = envelope.timeout.unwrap_or(DEADLINE_DEFAULT);
     let time_limit = route.timeout.map_or(client_timeout, |t| t.min(client_timeout));
-    if !shared.can_finish(&route, time_limit) {
+    let service = route.service(rand::random()).cloned();
+    if !shared.can_finish(&envelope, &route, service.as_ref(), time_limit) {
         return Err(reject(codes::STOPPING, Some(RETRY_AFTER_STOPPING)));
     }
     let workspace = match find_workspace(shared, &config, &route, &envelope) {
@@ -140,8 +178,7 @@
         Ok(body) => body,
         Err((code, retry_after)) => return Err(reject(code, retry_after)),
     };
-    let service = route.service(rand::random());
-    let Some(service) = service.cloned() else {
+    let Some(service) = service else {
         return Err(reject(codes::NO_SEAT, Some(RETRY_AFTER_UNREADY)));
     };
     shared.seats.with_balancer(|balancer| balancer.count_request(&service, arrived));
@@ -160,7 +197,7 @@
     Ok(Exchange {
         shared: shared.clone(),
         shared_parts: shared_keys(&service, &envelope.prompt_parts),
-        in_flight: Rc::new(shared.track_request(&route)),
+        in_flight: Rc::new(shared.track_request(&envelope.id, &route)),
         latency_target: route.latency_target.unwrap_or(LATENCY_TARGET_DEFAULT),
         envelope,
         route,
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -96,21 +96,7 @@
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
             }
-            let resumed = self.history.runs.get() > 0 && self.route.kind.is_stream();
-            let seat_wait = self.shared.seats.acquire(self.seat_request(resumed));
-            let time_left = self.deadline.saturating_sub(now);
-            let seat = match timeout(time_left, seat_wait).await {
-                Ok(Ok(seat)) => seat,
-                Ok(Err(refusal)) => return Err(StopReason::Refused(refusal)),
-                Err(_) => return Err(StopReason::DeadlinePassed),
-            };
-            // The entry may have begun to stop while the request waited. One that may have run goes
-            // on, since only its answer can end it well.
-            if self.history.runs.get() == 0
-                && !self.shared.can_finish(&self.route, self.time_left())
-            {
-                return Err(StopReason::Stopping);
-            }
+            let seat = self.acquire_seat().await?;
             // A part may have been blocked while the request waited.
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
