--- a/papayaproxy/tests/budget.rs
+++ b/papayaproxy/tests/budget.rs
@@ -23,6 +23,8 @@
 const REPLICAS: usize = 24;
 /// Requests a second at one entry.
 const RATE: u32 = 8;
+/// Time after which an entry that is not ready never will be; a test must not wait for ever.
+const READY_MAX: Duration = Duration::from_secs(60);
 
 /// How a failing replica treats a request that it has read.
 #[derive(Clone, Copy, Debug)]
@@ -189,11 +191,25 @@
 }
 
 fn await_ready(places: &[Place]) {
-    while !places.iter().all(is_ready) {
+    let began = Instant::now();
+    while let Some(place) = places.iter().find(|p| !is_ready(p)) {
+        assert!(began.elapsed() < READY_MAX, "{} does not become ready", place.name);
         thread::sleep(Duration::from_millis(20));
     }
 }
 
+/// Running entries; killed when dropped, also if the test fails.
+struct Entries(Vec<Child>);
+
+impl Drop for Entries {
+    fn drop(&mut self) {
+        for entry in &mut self.0 {
+            entry.kill().unwrap();
+            entry.wait().unwrap();
+        }
+    }
+}
+
 /// Sends requests to one entry at an even rate, until `is_over`.
 fn send_requests(place: &Place, record: Record, is_over: Arc<AtomicBool>) {
     let (address, name) = (place.ports[0], place.name.clone());
@@ -233,13 +249,7 @@
     for place in &places {
         std::fs::write(folder.path().join(&place.name), settings(place, &seeds, store)).unwrap();
     }
-    let start_all = || places.iter().map(|p| start(p, folder.path())).collect::<Vec<Child>>();
-    let kill_all = |entries: Vec<Child>| {
-        for mut entry in entries {
-            entry.kill().unwrap();
-            entry.wait().unwrap();
-        }
-    };
+    let start_all = || Entries(places.iter().map(|p| start(p, folder.path())).collect());
     let fail = |is_failing| record.is_failing.store(is_failing, Ordering::SeqCst);
     let (is_over, pause) = (Arc::new(AtomicBool::new(false)), Duration::from_millis(500));
     let mut entries = start_all();
@@ -250,14 +260,14 @@
         thread::sleep(WINDOW);
         fail(true);
         thread::sleep(pause);
-        kill_all(std::mem::take(&mut entries));
+        drop(entries);
         entries = start_all();
         await_ready(&places);
         thread::sleep(pause * 3);
         fail(false);
     }
     is_over.store(true, Ordering::SeqCst);
-    kill_all(entries);
+    drop(entries);
     let (worst, repeats) = record.worst();
     println!("{failure:?}: {worst:.2} of what the rule allows, {repeats} repeats");
     assert!(repeats > 20, "{repeats} repeats show nothing");
