Agent: connections of orders are closed

Change: a connection that was opened for one order is not kept. Test: send_order_connections_closed, which counts the connections that the replica sees closed.

--- a/papayaproxy/src/platform/caller.rs
+++ b/papayaproxy/src/platform/caller.rs
@@ -140,7 +140,10 @@
             false => interrupted(error),
         })?;
         let body = body.to_bytes();
-        self.idle.borrow_mut().push(connection);
+        // One that was opened for this call only would add up with each further call.
+        if !must_open {
+            self.idle.borrow_mut().push(connection);
+        }
         Ok((status, body))
     }
 
--- a/papayaproxy/src/platform/tests/copies.rs
+++ b/papayaproxy/src/platform/tests/copies.rs
@@ -5,7 +5,10 @@
 use crate::ranks::rank::{Order, OrderReply};
 use rstest::rstest;
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 /// Time until the second copy, in which the next call is sent.
 const COPY_DELAY: Duration = Duration::from_millis(80);
@@ -73,3 +76,38 @@
         assert_eq!(client.report(LIMIT).await.unwrap().unwrap().step, 3);
     });
 }
+
+/// Each order opens a connection while the replica returns no ids. Kept connections would add up until
+/// the agent has no memory or descriptors left.
+#[test]
+fn send_order_connections_closed() {
+    on_one_thread(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (opened, closed) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let (accepted, ended) = (opened.clone(), closed.clone());
+        tokio::task::spawn_local(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                accepted.set(accepted.get() + 1);
+                let ended = ended.clone();
+                tokio::task::spawn_local(async move {
+                    let mut bytes = [0; 4096];
+                    while stream.read(&mut bytes).await.is_ok_and(|n| n > 0) {
+                        let reply = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+                        stream.write_all(reply).await.unwrap();
+                    }
+                    ended.set(ended.get() + 1);
+                });
+            }
+        });
+        let client = ReplicaClient::new(address);
+        for _ in 0..8 {
+            let reply = client.send_order(&Order::Go { step: 3 }, 1, 0, LIMIT).await;
+            assert_eq!(reply.unwrap(), OrderReply::Accepted);
+        }
+        tokio::time::sleep(COPY_DELAY).await;
+        assert_eq!(opened.get(), 8);
+        assert_eq!(closed.get(), 8, "connections of orders stay open");
+    });
+}
