Budget test: the stand-in's records have all fields

Cause: records need coldRemainingMs and sequence since; without them no entry became ready, so the test failed with 'e-0 does not become ready' in each of its 3 cases (run on; found by the reviewer as well). Change: the record has them. The checks are the same.

--- a/papayaproxy/tests/budget.rs
+++ b/papayaproxy/tests/budget.rs
@@ -135,7 +135,7 @@
         } else if target.starts_with("/kv-range") {
             let entry = |(i, address): (usize, &SocketAddr)| {
                 let value = format!(
-                    r#"{{"service":"plain","address":"{address}","zone":"a","version":"v1","slots":60,"state":"ready","born":1}}"#
+                    r#"{{"service":"plain","address":"{address}","zone":"a","version":"v1","slots":60,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1}}"#
                 );
                 item(&format!("servers/i-{i}"), &value)
             };
