Entries tell those that start what they share by

Cause (found by the reviewer, by reading): a process told others the most entries that it had seen itself, though it shares by the number that it was told. Behind a cut, the third process in a row shared by the few that the second had seen. Change: the message holds the number that the sender shares by. The simulated entries do the same; its bounds hold as before.

--- a/papayaproxy/src/balance/tests/budget_fleet.rs
+++ b/papayaproxy/src/balance/tests/budget_fleet.rs
@@ -229,8 +229,8 @@
             let sender = &mut self.entries[from];
             let told = sender.table.size(now - sender.started);
             let table = &mut self.entries[index].table;
-            if tells && told.sharing.is_some() {
-                table.record_told(told.most as u16);
+            if let Some(entries) = told.sharing.filter(|_| tells) {
+                table.record_told(entries as u16);
             }
             let was_live = table.is_live(address(from), heartbeat.incarnation);
             table.record_heartbeat(address(from), heartbeat.clone(), now);
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -46,7 +46,7 @@
     Parts(PartNews),
     /// Rate limits of upstreams that have changed.
     Limits(Vec<LimitNews>),
-    /// Most entries that the sender has seen live at a time, sent to entries that have started.
+    /// Number of entries that the sender shares by, sent to entries that have started.
     Entries(u16),
 }
 
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -241,8 +241,8 @@
             self.send_heartbeat(true, &new).await;
             self.send_part_news(true, &new).await;
             let size = self.table.borrow_mut().size(now);
-            if size.sharing.is_some() {
-                let entries = u16::try_from(size.most).unwrap_or(u16::MAX);
+            if let Some(entries) = size.sharing {
+                let entries = u16::try_from(entries).unwrap_or(u16::MAX);
                 self.send(&Message::Entries(entries), &new).await;
             }
         }
