Streams that go on elsewhere count their wait from then

Cause: the seat of a resumed stream was asked for with the time at which the request had arrived. 1.9 s later only an idle replica could be expected to begin in time, and nothing waited for a seat. Change: the time counts from the asking. A handover takes its share of the retry budget before a seat, which it took from others for nothing when the budget was spent. A stream that the client resumes is checked from the event that it names, also when it moves before its first event: repeats were passed on. Tests: call_stream_old_resumed_at_busy_replica, call_stream_resumed_by_client_moved_without_repeats.

--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -64,14 +64,18 @@
 impl Exchange {
     /// Makes attempts until there is a response for the client.
     pub(crate) async fn run(self) -> Response<ResponseBody> {
+        // A client that resumes a stream has its events up to the one that it names.
+        let is_stream = self.route.kind.is_stream();
+        let last_event = self.envelope.last_event.filter(|_| is_stream);
+        let point = ResumePoint { last_event, media_type: None };
         loop {
-            let (head, seat) = match self.next_answer(&ResumePoint::default()).await {
+            let (head, seat) = match self.next_answer(&point).await {
                 Ok(Answer::Head(head, seat)) => (head, seat),
                 Ok(Answer::Stream(reader)) => return relay::spawn(self, *reader),
                 Err(reason) => return self.final_response(reason),
             };
-            let kind = self.route.kind;
-            if kind.is_stream() && head.parts.status.is_success() {
+            if is_stream && head.parts.status.is_success() {
+                let kind = self.route.kind;
                 return relay::spawn(self, StreamReader::new(*head, seat, kind));
             }
             match self.read_plain(*head, seat).await {
@@ -220,7 +224,8 @@
             request_id: self.envelope.id.clone(),
             service: self.service.clone(),
             excluded: self.history.tried.borrow().clone(),
-            arrived: self.arrived,
+            // The caller of a stream that goes on elsewhere waits from now on.
+            arrived: if resumed { self.shared.clock.now() } else { self.arrived },
             deadline: self.deadline,
             latency_target: self.latency_target,
             gap_target: self.route.gap_target,
--- a/papayaproxy/src/gateway/handover.rs
+++ b/papayaproxy/src/gateway/handover.rs
@@ -21,7 +21,7 @@
     pub(super) since: Cell<Duration>,
     /// When the next attempt may start, on the process clock.
     next_at: Cell<Duration>,
-    /// Whether the next attempt is paid for, since no upstream received the last one.
+    /// Whether the next attempt is paid for: no upstream received the last one, or it got no seat.
     is_paid: Cell<bool>,
 }
 
@@ -122,6 +122,14 @@
         handover: &Handover,
         point: &ResumePoint,
     ) -> Result<Box<StreamReader>, StopReason> {
+        if self.is_blocked() {
+            return Err(StopReason::PartBlocked);
+        }
+        // Before the seat, which would be taken from others for nothing.
+        if !handover.is_paid.get() {
+            self.take_retry()?;
+            handover.is_paid.set(true);
+        }
         let seat_wait = self.shared.seats.acquire(self.seat_request(true));
         let seat = match timeout(self.time_left(), seat_wait).await {
             Ok(Ok(seat)) => seat,
@@ -131,9 +139,7 @@
         if self.is_blocked() {
             return Err(StopReason::PartBlocked);
         }
-        if !handover.is_paid.take() {
-            self.take_retry()?;
-        }
+        handover.is_paid.set(false);
         let upstream = seat.seat().upstream.clone();
         let sent = match self.connect(&seat).await {
             Ok(connection) => self.send(&seat, connection, point.last_event, true).await,
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -13,6 +13,7 @@
 mod pacing;
 mod progress;
 mod repeats;
+mod resumed;
 mod seats;
 pub(crate) mod stand_ins;
 mod stopping;
