Budget test: entries listen where no connection has its source

Cause: the entries' ports were ephemeral ones of 127.0.0.1 and free while the entries were down, so that one of the test's own connections could get one as its source port. Shown by a run: an entry whose port is the source of an open connection ends with P2200, 'Address already in use', and never becomes ready; the test could not see that it had ended. Change: each case's entries listen on a loopback address that nothing connects from, and an entry that has ended fails the test at once. The checks are the same.

--- a/papayaproxy/tests/budget.rs
+++ b/papayaproxy/tests/budget.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::collections::HashSet;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -150,14 +150,17 @@
     })
 }
 
-/// Addresses of one entry that nobody listens at; they stay the same over its runs.
+/// Addresses of one entry that nobody listens at; they stay the same over its runs. They are on a
+/// loopback address that no connection has as its source, else its port could be in use by one while
+/// the entry starts again.
 struct Place {
     name: String,
     ports: Vec<SocketAddr>,
 }
 
-fn free_places() -> Vec<Place> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+fn free_places(failure: Failure) -> Vec<Place> {
+    let host = Ipv4Addr::new(127, 0, 2 + failure as u8, 1);
+    let bind = |_| TcpListener::bind((host, 0)).unwrap();
     let listeners: Vec<_> = (0..ENTRIES * 4).map(bind).collect();
     let ports: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
     let place = |(i, p): (usize, &[SocketAddr])| Place { name: format!("e-{i}"), ports: p.into() };
@@ -190,9 +193,11 @@
     read_head(&mut stream).is_some_and(|head| head.starts_with("HTTP/1.1 200"))
 }
 
-fn await_ready(places: &[Place]) {
+fn await_ready(places: &[Place], entries: &mut Entries) {
     let began = Instant::now();
     while let Some(place) = places.iter().find(|p| !is_ready(p)) {
+        let ended = entries.0.iter_mut().find_map(|e| e.try_wait().unwrap());
+        assert_eq!(ended, None, "an entry has ended, and {} is not ready", place.name);
         assert!(began.elapsed() < READY_MAX, "{} does not become ready", place.name);
         thread::sleep(Duration::from_millis(20));
     }
@@ -244,7 +249,7 @@
         Record { is_failing: Arc::default(), arrivals: Arc::default(), sent: Arc::default() };
     let replicas = (0..REPLICAS).map(|_| open_replica(record.clone(), failure)).collect();
     let store = open_store(replicas);
-    let (places, folder) = (free_places(), tempfile::tempdir().unwrap());
+    let (places, folder) = (free_places(failure), tempfile::tempdir().unwrap());
     let seeds: Vec<_> = places.iter().take(3).map(|p| p.ports[2]).collect();
     for place in &places {
         std::fs::write(folder.path().join(&place.name), settings(place, &seeds, store)).unwrap();
@@ -253,7 +258,7 @@
     let fail = |is_failing| record.is_failing.store(is_failing, Ordering::SeqCst);
     let (is_over, pause) = (Arc::new(AtomicBool::new(false)), Duration::from_millis(500));
     let mut entries = start_all();
-    await_ready(&places);
+    await_ready(&places, &mut entries);
     thread::sleep(WINDOW);
     places.iter().for_each(|p| send_requests(p, record.clone(), is_over.clone()));
     for _ in 0..2 {
@@ -262,7 +267,7 @@
         thread::sleep(pause);
         drop(entries);
         entries = start_all();
-        await_ready(&places);
+        await_ready(&places, &mut entries);
         thread::sleep(pause * 3);
         fail(false);
     }
