Handover: wait for the seat and end attempts as other attempts do

Cause: open_elsewhere waited for its seat with a loop of its own, and built failed attempts with a copy of FailedAttempt::begun. Change: it calls acquire_seat, which is told whether the request may have run, and FailedAttempt::begun. Behaviour is the same; no test changed.

--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -89,8 +89,7 @@
         }
     }
 
-    /// Makes attempts until a replica starts a valid response. `point` is where a
-    /// stream resumes.
+    /// Makes attempts until a replica starts a valid response. `point` is where a stream resumes.
     pub(crate) async fn next_answer(&self, point: &ResumePoint) -> Result<Answer, StopReason> {
         loop {
             let now = self.shared.clock.now();
@@ -100,7 +99,7 @@
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
             }
-            let seat = self.acquire_seat().await?;
+            let seat = self.acquire_seat(self.history.runs.get() > 0).await?;
             // A part may have been blocked while the request waited.
             if self.is_blocked() {
                 return Err(StopReason::PartBlocked);
--- a/papayaproxy/src/gateway/handover.rs
+++ b/papayaproxy/src/gateway/handover.rs
@@ -11,7 +11,7 @@
 use std::cell::Cell;
 use std::pin::pin;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// The attempts to leave one silent replica.
 pub(super) struct Handover {
@@ -130,12 +130,7 @@
             self.take_retry()?;
             handover.is_paid.set(true);
         }
-        let seat_wait = self.shared.seats.acquire(self.seat_request(true));
-        let seat = match timeout(self.time_left(), seat_wait).await {
-            Ok(Ok(seat)) => seat,
-            Ok(Err(refusal)) => return Err(StopReason::Refused(refusal)),
-            Err(_) => return Err(StopReason::DeadlinePassed),
-        };
+        let seat = self.acquire_seat(true).await?;
         if self.is_blocked() {
             return Err(StopReason::PartBlocked);
         }
@@ -155,21 +150,17 @@
         };
         let status = head.parts.status;
         let (sent_at, began) = (head.sent_at, head.began);
-        let fail = |outcome: SendOutcome, detail: String| {
-            let upstream = upstream.clone();
-            FailedAttempt { upstream, outcome, may_have_run: true, detail, began: Some(began) }
-        };
         if !status.is_success() {
-            seat.finish(SendOutcome::Failed);
-            self.log_failed_handover(&fail(SendOutcome::Failed, format!("answered {status}")));
+            let (outcome, detail) = (SendOutcome::Failed, format!("answered {status}"));
+            self.log_failed_handover(&FailedAttempt::begun(seat, began, outcome, detail));
             return Err(StopReason::Status(status.as_u16()));
         }
         if !point.fits(&head.parts.headers) {
-            seat.finish(SendOutcome::Lost);
-            return Err(self.log_failed_handover(&fail(SendOutcome::Lost, OTHER_TYPE.into())));
+            let failure = FailedAttempt::begun(seat, began, SendOutcome::Lost, OTHER_TYPE.into());
+            return Err(self.log_failed_handover(&failure));
         }
         let mut reader = StreamReader::new(head, seat, self.route.kind);
-        let failure = loop {
+        let (outcome, detail) = loop {
             let next = reader.next(point.last_event);
             match self.next_from(&upstream, sent_at, next, true).await {
                 Some(Ok(Step::Events(batch))) if batch.events > 0 => {
@@ -178,13 +169,13 @@
                 }
                 Some(Ok(Step::Events(_))) => {}
                 Some(Ok(Step::End)) => {
-                    break fail(SendOutcome::Lost, "stream ended before its first event".into());
+                    break (SendOutcome::Lost, "stream ended before its first event".into());
                 }
-                Some(Err(broken)) => break fail(SendOutcome::Lost, broken.detail),
-                None => break fail(SendOutcome::Silent, "no event in the expected time".into()),
+                Some(Err(broken)) => break (SendOutcome::Lost, broken.detail),
+                None => break (SendOutcome::Silent, "no event in the expected time".into()),
             }
         };
-        reader.seat.finish(failure.outcome);
+        let failure = FailedAttempt::begun(reader.seat, began, outcome, detail);
         Err(self.log_failed_handover(&failure))
     }
 
--- a/papayaproxy/src/gateway/waiting.rs
+++ b/papayaproxy/src/gateway/waiting.rs
@@ -7,10 +7,9 @@
 use tokio::time::timeout;
 
 impl Exchange {
-    /// Waits for a seat until the deadline, and only while the request can still end before a stop
-    /// of the process does.
-    pub(super) async fn acquire_seat(&self) -> Result<SeatGuard, StopReason> {
-        let may_have_run = self.history.runs.get() > 0;
+    /// Waits for a seat until the deadline and, unless the request `may_have_run`, only while it can
+    /// still end before a stop of the process does.
+    pub(super) async fn acquire_seat(&self, may_have_run: bool) -> Result<SeatGuard, StopReason> {
         let resumed = may_have_run && self.route.kind.is_stream();
         let mut wait = std::pin::pin!(self.shared.seats.acquire(self.seat_request(resumed)));
         loop {
