Soak: the platform's names in one place

Change: headers, paths and the key of the configuration stand in soak/platform; a head is searched without regard to case, as HTTP has it. Bytes sent are the same.

--- a/papaya-lab/src/soak/client.rs
+++ b/papaya-lab/src/soak/client.rs
@@ -2,6 +2,7 @@
 
 use super::constants::{CONNECT_LIMIT, EVENT_TOKENS, PATIENCE, PLAIN_DEADLINE, STREAM_DEADLINE};
 use super::fleet::{HOST, STEADY_KEY};
+use super::platform::{PROMPT_PARTS, SIGNATURE};
 use super::record::{End, Kind, Request};
 use super::replica::{event_data, path, plain_body};
 use super::wire::{Body, Head, Wire};
@@ -222,7 +223,7 @@
         if ask.kind == Kind::Stream {
             let tokens = ask.events * EVENT_TOKENS;
             head += &format!(
-                "X-Model: m\r\nX-Token-Usage: 834,{tokens}\r\nX-Prompt-Prefix: 5c1e07a2:40,{id}:794\r\n"
+                "X-Model: m\r\nX-Token-Usage: 834,{tokens}\r\n{PROMPT_PARTS}: 5c1e07a2:40,{id}:794\r\n"
             );
             if ask.after > 0 {
                 head += &format!("Last-Event-Id: {}\r\n", ask.after);
@@ -276,7 +277,7 @@
         if head.get("x-request-id").is_some_and(|i| i != self.id) {
             self.breach("MIXED", format!("a response with another id: {head:?}"));
         }
-        let Some(stamp) = head.get("x-server-stamp") else {
+        let Some(stamp) = head.get(SIGNATURE) else {
             if status < 300 {
                 self.breach("MIXED", format!("status {status} without a stamp"));
             }
--- a/papaya-lab/src/soak/fleet.rs
+++ b/papaya-lab/src/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! The replicas, what the store says of them, and the configuration.
 
 use super::constants::{HEARTBEAT_LIMIT, PLAIN_TIMEOUT, SERVES_ON};
+use super::platform::CONFIG_KEY;
 use super::record::{Act, Record, Service};
 use super::replica::{Manner, Replica};
 use super::store::Store;
@@ -160,7 +161,7 @@
         config.key = format!("key-{version}");
         let (key, removed) = (config.key.clone(), config.removed.clone());
         drop(config);
-        self.store.put("op/config", Some(&document(version, &key)));
+        self.store.put(CONFIG_KEY, Some(&document(version, &key)));
         self.record.act(Act::Published(version));
         if let Some(removed) = removed {
             self.record.act(Act::Removed(removed));
--- a/papaya-lab/src/soak/mod.rs
+++ b/papaya-lab/src/soak/mod.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod fleet;
 mod plan;
+mod platform;
 mod record;
 mod replica;
 mod report;
--- a/papaya-lab/src/soak/replica.rs
+++ b/papaya-lab/src/soak/replica.rs
@@ -3,6 +3,7 @@
 use super::constants::{
     CONNECTIONS_MAX, EVENT_TOKENS, PLAIN_BYTES, PLAIN_SLOTS, QUEUE_MAX, STREAM_SLOTS,
 };
+use super::platform::{EXPECTED_REPLICA, NOT_EXECUTED, SIGNATURE};
 use super::record::{Act, Arrival, Fate, Kind, Record, Service};
 use super::wire::{Body, Head, Wire, chunk, response};
 use serde_json::json;
@@ -237,7 +238,7 @@
             self.record.breach("UNASKED", None, &id, format!("{} was passed the key", self.id));
         }
         let end = Instant::now() + Duration::from_millis(limit.unwrap_or(8000));
-        let fate = match head.get("x-expect-instance") {
+        let fate = match head.get(EXPECTED_REPLICA) {
             Some(expected) if expected != self.id => {
                 self.refuse(wire, &id, "421 Misdirected Request").await
             }
@@ -253,7 +254,7 @@
 
     async fn refuse(&self, wire: &mut Wire, id: &str, status: &str) -> Result<Fate, Cut> {
         let headers = format!(
-            "X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nX-Replica-Id: {}\r\nX-Replica-Load: {}\r\n",
+            "X-Request-Id: {id}\r\n{NOT_EXECUTED}: 1\r\nX-Replica-Id: {}\r\nX-Replica-Load: {}\r\n",
             self.id,
             self.load()
         );
@@ -294,7 +295,7 @@
         let _running = Counted::new(&self.running);
         let stamp = |status: u16| {
             format!(
-                "X-Request-Id: {id}\r\nX-Server-Stamp: {}.{number}.{status}.{id}\r\nX-Replica-Id: {}\r\nX-Replica-Load: {}\r\n",
+                "X-Request-Id: {id}\r\n{SIGNATURE}: {}.{number}.{status}.{id}\r\nX-Replica-Id: {}\r\nX-Replica-Load: {}\r\n",
                 self.id,
                 self.id,
                 self.load()
--- a/papaya-lab/src/soak/store.rs
+++ b/papaya-lab/src/soak/store.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the platform's store, with one address for each machine.
 
+use super::platform::{READ_ITEM, READ_RANGE, WATCH};
 use super::wire::{Body, Wire, response};
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
@@ -151,7 +152,7 @@
             pairs.find(|(n, _)| *n == name).map_or(String::new(), |(_, v)| v.replace("%2F", "/"))
         };
         match path {
-            "/kv-key" => Ok(self.with(|state| {
+            READ_ITEM => Ok(self.with(|state| {
                 let (key, revision) = (argument("key"), state.revision);
                 state.items.get(&key).map_or(("404 Not Found", json!({})), |(value, at)| {
                     let mut item = item(&key, Some(value), *at);
@@ -159,14 +160,14 @@
                     ("200 OK", item)
                 })
             })),
-            "/kv-range" => Ok(self.with(|state| {
+            READ_RANGE => Ok(self.with(|state| {
                 let (prefix, after) = (argument("pathPrefix"), argument("after"));
                 let found = state.items.iter().filter(|(k, _)| k.starts_with(&prefix));
                 let found = found.filter(|(k, _)| after.is_empty() || **k > after);
                 let items: Vec<_> = found.map(|(k, (v, at))| item(k, Some(v), *at)).collect();
                 ("200 OK", json!({"items": items, "hasMore": false, "atRev": state.revision}))
             })),
-            "/kv-watch" => {
+            WATCH => {
                 let after = argument("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(argument("waitMs").parse().unwrap_or(0));
                 self.watch(&argument("pathPrefix"), after, Instant::now() + wait).await
--- a/papaya-lab/src/soak/wire.rs
+++ b/papaya-lab/src/soak/wire.rs
@@ -15,7 +15,7 @@
 
 impl Head {
     pub(super) fn get(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
 
     /// Second word of the start line: the path of a request.
