Catalog: a cut watch that is seen late is no outage of the store

By reading, the fix held by timing: a call that failed later than 150 ms after the time for which the store may wait counted as unanswered, whatever its error. A process that stands still for some 100 ms while the store cuts its watch sees the cut late.

Change: an error states its sign. Only silence until the timeout counts alone; a cut or a refusal counts with a second one in a row, however late it is read; an answer of another kind (429, 410, odd bytes) shows that the store is there.

--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -7,7 +7,7 @@
 use super::events;
 use super::follow::{Catalog, StoreHealth, StoreRole};
 use super::freshness::boot_time;
-use crate::platform::StoreError;
+use crate::platform::{FailureSign, StoreError};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,16 +36,23 @@
             if state.is_away {
                 state.recovered_at = Some(now);
             }
-            (state.failing_since, state.is_away) = (None, false);
+            (state.failing_since, state.is_away, state.was_closed) = (None, false, false);
         }
         (Some(error), since) => {
             if since.is_none() {
                 tracing::warn!(event = events::STORE_LOST, what, %error, "calls to the store fail");
             }
-            // A watch that waits may be cut at any time, and one call may be refused. Only a second
-            // failure in a row, or an answer that was due, shows that the store is away.
+            // A watch that waits may be cut at any time, and one call may be refused; how late that
+            // is seen depends on this process alone. Only a second failure in a row, or silence
+            // beyond the time of an answer, shows that the store is away.
             let is_overdue = now.saturating_sub(sent) > wait + OVERDUE_MIN;
-            state.is_away |= since.is_some() || is_overdue;
+            let (is_away, closed) = match error.sign() {
+                FailureSign::Answered => (false, false),
+                FailureSign::Closed => (state.was_closed, true),
+                FailureSign::Silent => (state.was_closed || is_overdue, true),
+            };
+            state.is_away |= is_away;
+            state.was_closed = closed;
             state.failing_since = since.or(Some(now));
         }
         (None, None) => {}
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -63,6 +63,8 @@
     pub(super) failing_since: Option<Duration>,
     /// Whether the failures prove that the store is away.
     pub(super) is_away: bool,
+    /// Whether the last call failed without an answer.
+    pub(super) was_closed: bool,
     /// When calls last began to succeed again after the store was away; `None` before the first
     /// outage.
     pub(super) recovered_at: Option<Duration>,
@@ -200,7 +202,12 @@
         }
         // Peers tell how the store does; own calls failed before, if at all.
         for health in [&self.config_health, &self.upstream_health] {
-            health.set(StoreHealth { failing_since: None, is_away: false, ..health.get() });
+            health.set(StoreHealth {
+                failing_since: None,
+                is_away: false,
+                was_closed: false,
+                ..health.get()
+            });
         }
         while !self.needs_store() {
             tokio::time::sleep(TURN_INTERVAL).await;
--- a/papayaproxy/src/catalog/tests/store.rs
+++ b/papayaproxy/src/catalog/tests/store.rs
@@ -34,6 +34,8 @@
     pub(super) calls: IndexMap<String, usize>,
     /// Watches of this prefix are cut at once, as long as it is set.
     pub(super) cut_prefix: Option<&'static str>,
+    /// The next watch of this prefix is cut after this time.
+    pub(super) cut_late: Option<(&'static str, Duration)>,
 }
 
 /// A running fake store.
@@ -150,6 +152,10 @@
         },
         "/kv-range" => (0, 200, listing(&content, &prefix, query.get("after"))),
         _ if content.cut_prefix == Some(prefix.as_str()) => return vec![Action::Close],
+        _ if content.cut_late.is_some_and(|(p, _)| p == prefix) => {
+            let (_, after) = content.cut_late.take().unwrap_or_default();
+            return vec![Action::Wait(after), Action::Close];
+        }
         _ if content.is_history_gone && prefix == "servers/" => {
             content.is_history_gone = false;
             (0, 410, String::new())
--- a/papayaproxy/src/platform/mod.rs
+++ b/papayaproxy/src/platform/mod.rs
@@ -16,4 +16,6 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use store::{Store, StoreError, StoreUpdate};
+#[cfg(test)]
+pub(crate) use caller::CallError;
+pub(crate) use store::{FailureSign, Store, StoreError, StoreUpdate};
--- a/papayaproxy/src/platform/store.rs
+++ b/papayaproxy/src/platform/store.rs
@@ -32,6 +32,33 @@
     Malformed { reason: String },
 }
 
+/// What a failed call tells of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FailureSign {
+    /// The store answered, though not with what was asked for.
+    Answered,
+    /// The store closed the connection or refused the call, at a time that is not known: the process
+    /// may have stood still since.
+    Closed,
+    /// Nothing came from the store.
+    Silent,
+}
+
+impl StoreError {
+    /// What the failed call tells of the store.
+    pub(crate) fn sign(&self) -> FailureSign {
+        match self {
+            Self::HistoryGone | Self::Malformed { .. } => FailureSign::Answered,
+            // Only the rate of calls is above its limit.
+            Self::Refused { status } if *status == StatusCode::TOO_MANY_REQUESTS => {
+                FailureSign::Answered
+            }
+            Self::NoResponse { source: CallError::Timeout { .. } } => FailureSign::Silent,
+            Self::Refused { .. } | Self::NoResponse { .. } => FailureSign::Closed,
+        }
+    }
+}
+
 /// A value in the store.
 #[derive(Clone, Debug)]
 pub(crate) struct Item {
