Connections: bound what moves no message on, and how much one reads in a turn

Cause: hyper parses on as long as bytes are at hand, and these parts have no limit of their own. The buffers of bodies counted their bytes, not the memory they took, and hyper's grow to 400 kB each.

Change: `base/metered` counts what a connection reads since its last head or data of a body. Above 128 kB it fails with an error that says so, and after 16 kB other tasks run. Used for replicas, the store, agents' calls and clients. Heads of replicas are bounded by 32 kB, bodies of failures by 64 kB, all buffers by 24 MB of capacity, of which large bodies take three quarters; from 0.9 of it on new requests get 503 (P3013). A body for which the entry has no room is not held against the replica. The splitter looks at each byte once, so that an event in bytes of their own costs no square. Comments are no progress of a stream: its silence goes on, and 64 kB of them end it (P3017).

--- a/papayaproxy/src/base/constants.rs
+++ b/papayaproxy/src/base/constants.rs
@@ -16,3 +16,11 @@
 
 /// Time within which a leaving upstream stops receiving new work.
 pub const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Bytes that a connection reads before other tasks run; parsing them takes about a millisecond at
+/// most, whatever they are.
+pub(crate) const TURN_BYTES: usize = 16 << 10;
+
+/// Bytes that a connection may read without a head or data of a body. Above the largest head, and
+/// what is read ahead of a slow receiver.
+pub(crate) const UNUSED_BYTES_MAX: usize = 128 << 10;
--- a/papayaproxy/src/base/error.rs
+++ b/papayaproxy/src/base/error.rs
@@ -37,6 +37,18 @@
     },
 }
 
+/// The text of `error` and of the errors that caused it.
+pub(crate) fn with_sources(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
+
 impl ProcessError {
     /// Returns the result code of this error.
     pub fn code(&self) -> Code {
--- a/papayaproxy/src/base/mod.rs
+++ b/papayaproxy/src/base/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod event;
 pub(crate) mod events;
 pub(crate) mod http;
+pub(crate) mod metered;
 pub(crate) mod name;
 pub(crate) mod supervise;
 
--- a/papayaproxy/src/gateway/attempts.rs
+++ b/papayaproxy/src/gateway/attempts.rs
@@ -2,12 +2,11 @@
 
 use super::body::ResponseBody;
 use super::envelope::Verdict;
-use super::pool::Connection;
+use super::pool::{Connection, UpstreamBody};
 use super::reader::StreamReader;
 use super::seats::SeatGuard;
 use crate::balance::{Refusal, SendOutcome};
 use crate::base::name::Name;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response};
@@ -54,7 +53,7 @@
 /// The head of a valid response and the connection that its body arrives on.
 pub(crate) struct ResponseHead {
     pub(crate) parts: Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: UpstreamBody,
     pub(crate) connection: Connection,
     pub(crate) verdict: Verdict,
     /// When the request was sent, on the process clock.
--- a/papayaproxy/src/gateway/buffer.rs
+++ b/papayaproxy/src/gateway/buffer.rs
@@ -1,8 +1,10 @@
 //! Bodies that are buffered whole, within a limit on all of them together.
 
-use bytes::{Bytes, BytesMut};
+use super::constants::{LARGE_BODIES_FRACTION, REFUSAL_FRACTION, SMALL_BODY_BYTES};
+use crate::base::error::with_sources;
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use snafu::Snafu;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -16,7 +18,7 @@
     /// All bodies together are too large.
     #[snafu(display("buffered bodies exceed {limit} bytes"))]
     Exhausted { limit: usize },
-    #[snafu(display("body interrupted: {source}"), context(false))]
+    #[snafu(display("body interrupted: {}", with_sources(source)), context(false))]
     Interrupted { source: hyper::Error },
 }
 
@@ -46,31 +48,53 @@
         Self { limit, used: Rc::default() }
     }
 
+    /// Whether a new request may find no room for its bodies.
+    pub(crate) fn is_short(&self) -> bool {
+        self.used.get() as f64 >= self.limit as f64 * REFUSAL_FRACTION
+    }
+
+    /// The part of the limit up to which a body that has grown to `bytes` may be buffered.
+    fn limit_of(&self, bytes: usize) -> usize {
+        match bytes > SMALL_BODY_BYTES {
+            true => (self.limit as f64 * LARGE_BODIES_FRACTION) as usize,
+            false => self.limit,
+        }
+    }
+
     /// Reads a body of at most `limit` bytes.
     ///
     /// # Errors
     /// The body ends early, or is larger than `limit` or than what is left for all bodies.
-    pub(crate) async fn collect(
+    pub(crate) async fn collect<B>(
         &self,
-        mut body: Incoming,
+        mut body: B,
         limit: usize,
-    ) -> Result<Buffered, BufferError> {
+    ) -> Result<Buffered, BufferError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
         if body.size_hint().lower() > limit as u64 {
             return Err(BufferError::Oversized { limit });
         }
         let mut charge = Charge { used: self.used.clone(), bytes: 0 };
-        let mut bytes = BytesMut::new();
+        let mut bytes: Vec<u8> = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
             if bytes.len() + data.len() > limit {
                 return Err(BufferError::Oversized { limit });
             }
-            if !charge.add(data.len(), self.limit) {
-                return Err(BufferError::Exhausted { limit: self.limit });
+            // The buffer grows in steps, and is what takes the memory.
+            let total = bytes.len() + data.len();
+            if total > bytes.capacity() {
+                let grown = total.max(bytes.capacity() * 2).min(limit.max(total));
+                if !charge.add(grown - bytes.capacity(), self.limit_of(grown)) {
+                    return Err(BufferError::Exhausted { limit: self.limit });
+                }
+                bytes.reserve_exact(grown - bytes.len());
             }
             bytes.extend_from_slice(&data);
         }
-        Ok(Buffered { bytes: bytes.freeze(), _charge: charge })
+        Ok(Buffered { bytes: bytes.into(), _charge: charge })
     }
 }
 
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -5,6 +5,9 @@
 /// Timeout to connect to an upstream: a few round trips between zones, but less than the second
 /// after which a lost packet is sent again.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Buffer of a connection to an upstream, in bytes, which bounds the head of an answer; as for the
+/// heads of clients, with room for what replicas add.
+pub(crate) const ANSWER_BUFFER_BYTES: usize = 32 << 10;
 /// Idle time after which a pooled connection is not reused. A shorter `Keep-Alive` timeout of the
 /// upstream takes precedence.
 pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_millis(4000);
@@ -22,9 +25,18 @@
 /// Largest plain response in bytes. It is buffered until it is complete, so that a truncated one is
 /// never forwarded.
 pub(crate) const RESPONSE_BYTES_MAX: usize = 8 << 20;
-/// Limit of all buffered bodies of requests and responses together, in bytes; the smallest hosts
-/// have 160 MB.
-pub(crate) const BUFFER_BYTES_MAX: usize = 48 << 20;
+/// Limit of all buffered bodies of requests and responses together, in bytes: a process takes 64 MB at
+/// most, of which connections need half.
+pub(crate) const BUFFER_BYTES_MAX: usize = 24 << 20;
+/// Part of [`BUFFER_BYTES_MAX`] up to which bodies of more than [`SMALL_BODY_BYTES`] are buffered, so
+/// that few large ones leave room for the usual ones.
+pub(crate) const LARGE_BODIES_FRACTION: f64 = 0.75;
+/// Part of [`BUFFER_BYTES_MAX`] from which on new requests are refused.
+pub(crate) const REFUSAL_FRACTION: f64 = 0.9;
+/// Size up to which a body counts as a usual one, in bytes.
+pub(crate) const SMALL_BODY_BYTES: usize = 64 << 10;
+/// Largest body of a replica's failure in bytes; it is a text for people.
+pub(crate) const FAILURE_BYTES_MAX: usize = 64 << 10;
 /// Largest body of a refusal that is read so that its connection can be reused, in bytes.
 pub(crate) const REFUSAL_BYTES_MAX: usize = 64 << 10;
 /// Time within which the body of a refusal must be complete; the request waits for it.
@@ -50,6 +62,9 @@
 /// Fraction of the configured delay for which an event may be held back; the rest covers the way
 /// from the replica and to the caller.
 pub(crate) const PACE_DELAY_RATIO: f64 = 0.85;
+/// Comments that a stream may bring between two events, in bytes: one of 16 bytes each second for an
+/// hour.
+pub(crate) const COMMENT_BYTES_MAX: usize = 64 << 10;
 /// Runs in a row that begin with another event id than usual after which a service is taken to number
 /// its events anew. A replica that spoils one answer in ten does so by chance once in 10,000 runs.
 pub(crate) const FIRST_ID_RUNS: u32 = 4;
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -15,6 +15,7 @@
 use crate::balance::constants::RETURNING_TIME_RATIO;
 use crate::base::accept::accept;
 use crate::base::code::Code;
+use crate::base::metered::{MeteredBody, MeteredStream};
 use crate::catalog::config::KeyOwner;
 use crate::catalog::{ClientLimits, Config, Route, Workspace};
 use crate::platform::request;
@@ -83,8 +84,11 @@
         tracing::debug!(%error, "cannot set socket options of a client connection");
     }
     let limits = shared.catalog.config().map_or_else(ClientLimits::default, |c| c.limits);
-    let service = service_fn(move |request| {
-        let shared = shared.clone();
+    let (stream, meter) = MeteredStream::new(stream);
+    let service = service_fn(move |request: Request<Incoming>| {
+        meter.progress();
+        let (shared, meter) = (shared.clone(), meter.clone());
+        let request = request.map(|body| MeteredBody::new(body, meter));
         async move { Ok::<_, Infallible>(handle_request(shared, request).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
@@ -115,7 +119,10 @@
     tokio::task::yield_now().await;
 }
 
-async fn handle_request(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn handle_request(
+    shared: Rc<Shared>,
+    request: Request<ClientBody>,
+) -> Response<ResponseBody> {
     let mut response = match prepare(&shared, request).await {
         Ok(exchange) => exchange.run().await,
         Err(response) => response,
@@ -131,7 +138,7 @@
 /// the error.
 async fn prepare(
     shared: &Rc<Shared>,
-    request: Request<Incoming>,
+    request: Request<ClientBody>,
 ) -> Result<Exchange, Response<ResponseBody>> {
     let arrived = shared.clock.now();
     let envelope = request::read_envelope(request.headers());
@@ -175,6 +182,10 @@
         Ok(workspace) => workspace,
         Err((code, retry_after)) => return Err(reject(code, retry_after)),
     };
+    if shared.buffers.is_short() {
+        tracing::warn!(event = events::BUFFERS_FULL, request = %envelope.id, "request refused");
+        return Err(reject(codes::BUFFERS_FULL, Some(RETRY_AFTER_UNREADY)));
+    }
     let (parts, body) = request.into_parts();
     let body = match read_body(shared, body, config.limits.body_bytes, time_limit).await {
         Ok(body) => body,
@@ -216,13 +227,14 @@
     })
 }
 
-fn find_route(config: &Config, request: &Request<Incoming>) -> Option<Arc<Route>> {
+fn find_route(config: &Config, request: &Request<ClientBody>) -> Option<Arc<Route>> {
     let host = request.headers().get(HOST)?.to_str().ok()?;
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
     config.route(&host, request.uri().path()).cloned()
 }
 
 type Rejection = (Code, Option<Duration>);
+type ClientBody = MeteredBody<Incoming>;
 
 fn find_workspace(
     shared: &Shared,
@@ -253,7 +265,7 @@
 
 async fn read_body(
     shared: &Shared,
-    body: Incoming,
+    body: ClientBody,
     max_bytes: usize,
     limit: Duration,
 ) -> Result<Buffered, Rejection> {
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -2,11 +2,11 @@
 
 use super::attempts::{Answer, FailedAttempt, ResponseHead, ResumePoint, StopReason};
 use super::body::ResponseBody;
-use super::buffer::Buffered;
+use super::buffer::{BufferError, Buffered};
 use super::codes;
 use super::constants::{
-    ATTEMPT_TIME_MIN, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN, RESPONSE_BYTES_MAX,
-    RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
+    ATTEMPT_TIME_MIN, FAILURE_BYTES_MAX, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN,
+    RESPONSE_BYTES_MAX, RETRY_AFTER_STOPPING, SILENCE_CHECK_INTERVAL,
 };
 use super::envelope::{Envelope, Verdict};
 use super::events;
@@ -293,13 +293,22 @@
     ) -> Result<Response<ResponseBody>, FailedAttempt> {
         let ResponseHead { parts, body, connection, verdict, sent_at, began } = head;
         let upstream = seat.seat().upstream.clone();
-        let read = self.shared.buffers.collect(body, RESPONSE_BYTES_MAX);
+        let is_failure = !parts.status.is_success();
+        let limit = if is_failure { FAILURE_BYTES_MAX } else { RESPONSE_BYTES_MAX };
+        let read = self.shared.buffers.collect(body, limit);
         let bytes = match self.next_from(&upstream, self.shared.clock.now(), read, true).await {
             Some(Ok(buffered)) => buffered.bytes,
             Some(Err(error)) => {
-                self.check_crash(&seat, sent_at);
-                let (outcome, detail) = (SendOutcome::Lost, error.to_string());
-                return Err(FailedAttempt::begun(seat, began, outcome, detail));
+                let outcome = match error {
+                    BufferError::Interrupted { .. } => {
+                        self.check_crash(&seat, sent_at);
+                        SendOutcome::Lost
+                    }
+                    BufferError::Oversized { .. } => SendOutcome::Lost,
+                    // The replica has no part in it.
+                    BufferError::Exhausted { .. } => SendOutcome::Abandoned,
+                };
+                return Err(FailedAttempt::begun(seat, began, outcome, error.to_string()));
             }
             None => {
                 let (outcome, detail) = (SendOutcome::Silent, "response body incomplete in time");
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -1,10 +1,12 @@
 //! Connection pool for upstreams.
 
 use super::constants::{
-    CONNECT_TIMEOUT, IDLE_CONNECTIONS_MAX, IDLE_MARGIN, IDLE_TIMEOUT, IDLE_TIMEOUT_UNSAFE,
-    REFUSED_IDS_MAX, UNACKED_TIMEOUT,
+    ANSWER_BUFFER_BYTES, CONNECT_TIMEOUT, IDLE_CONNECTIONS_MAX, IDLE_MARGIN, IDLE_TIMEOUT,
+    IDLE_TIMEOUT_UNSAFE, REFUSED_IDS_MAX, UNACKED_TIMEOUT,
 };
 use crate::base::clock::Clock;
+use crate::base::error::with_sources;
+use crate::base::metered::{Meter, MeteredBody, MeteredStream};
 use crate::base::name::Name;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,6 +18,7 @@
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -28,6 +31,7 @@
 pub(crate) struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    meter: Rc<Meter>,
     idle_timeout: Duration,
     idle_since: Duration,
     is_reused: bool,
@@ -36,6 +40,9 @@
     _task: AbortOnDropHandle<()>,
 }
 
+/// The body of an upstream's answer.
+pub(crate) type UpstreamBody = MeteredBody<Incoming>;
+
 /// Why no connection was established.
 #[derive(Debug)]
 pub(crate) struct ConnectError {
@@ -168,7 +175,10 @@
             is_unreachable: error.kind() != std::io::ErrorKind::ConnectionRefused,
             detail: error.to_string(),
         })?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (stream, meter) = MeteredStream::new(stream);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(ANSWER_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake
             .map_err(|error| ConnectError { is_unreachable: false, detail: error.to_string() })?;
         self.opened.set(self.opened.get() + 1);
@@ -181,6 +191,7 @@
         Ok(Connection {
             address,
             sender,
+            meter,
             idle_timeout: IDLE_TIMEOUT,
             idle_since: Duration::ZERO,
             is_reused: false,
@@ -208,12 +219,16 @@
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
+    ) -> Result<Response<UpstreamBody>, SendError> {
+        // Whatever came while it was idle is no part of the answer.
+        self.meter.progress();
+        let response = self.sender.try_send_request(request).await.map_err(|mut failed| {
             let unsent = failed.take_message().is_some();
-            let reason = failed.into_error().to_string();
+            let reason = with_sources(&failed.into_error());
             if unsent { SendError::Unsent(reason) } else { SendError::Lost(reason) }
-        })
+        })?;
+        self.meter.progress();
+        Ok(response.map(|body| MeteredBody::new(body, self.meter.clone())))
     }
 }
 
--- a/papayaproxy/src/gateway/reader.rs
+++ b/papayaproxy/src/gateway/reader.rs
@@ -2,15 +2,16 @@
 
 use super::attempts::ResponseHead;
 use super::codes;
+use super::constants::COMMENT_BYTES_MAX;
 use super::first_ids::FirstIds;
-use super::pool::Connection;
+use super::pool::{Connection, UpstreamBody};
 use super::seats::SeatGuard;
 use crate::base::code::Code;
+use crate::base::error::with_sources;
 use crate::base::name::Name;
 use crate::streams::{EventShape, EventSplitter, event_shape};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use std::cell::RefCell;
@@ -26,6 +27,8 @@
     pub(super) bytes: Bytes,
     /// Number of events.
     pub(super) events: u64,
+    /// Bytes of comments behind the last event.
+    pub(super) comment_bytes: usize,
     /// Id of the first of them that has one.
     pub(super) first_event: Option<u64>,
     /// Id of the last event that the caller has once it has received these.
@@ -64,13 +67,15 @@
     /// Whether the answer has a length or chunks. Otherwise the end of the connection ends it, also
     /// after a crash.
     pub(super) is_framed: bool,
-    body: Incoming,
+    body: UpstreamBody,
     splitter: EventSplitter,
     numbering: Numbering,
     /// Whether the answer goes on with a stream that broke off.
     is_resumed: bool,
     /// Number of new events read so far.
     events: u64,
+    /// Bytes of comments since the last new event.
+    comment_bytes: usize,
     /// Id of the first event, if the answer is a run from its beginning.
     first_id: Option<u64>,
     /// Fault found behind the events that were returned last.
@@ -100,6 +105,7 @@
             numbering,
             is_resumed: false,
             events: 0,
+            comment_bytes: 0,
             first_id: None,
             fault: None,
             held: None,
@@ -134,7 +140,7 @@
             let data = match self.body.frame().await {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(error)) => {
-                    return Err(Broken { detail: error.to_string(), has_closed: true });
+                    return Err(Broken { detail: with_sources(&error), has_closed: true });
                 }
                 None if self.splitter.is_partial() || (!self.is_framed && self.events == 0) => {
                     let detail = "stream ended within an event or before its first".into();
@@ -165,6 +171,11 @@
                 first_ids.borrow_mut().learn(service, id);
             }
             self.events += batch.events;
+            let before = if batch.events > 0 { 0 } else { self.comment_bytes };
+            self.comment_bytes = before + batch.comment_bytes;
+            if self.comment_bytes > COMMENT_BYTES_MAX {
+                self.fault = self.fault.or(Some(codes::COMMENTS_ENDLESS));
+            }
             if !batch.bytes.is_empty() {
                 return Ok(Step::Events(batch));
             }
@@ -200,6 +211,7 @@
         };
         let id = match event_shape(&event) {
             EventShape::Comment => {
+                batch.comment_bytes += event.len();
                 bytes.extend_from_slice(&event);
                 continue;
             }
@@ -225,6 +237,7 @@
             batch.last_event = Some(id);
         }
         batch.events += 1;
+        batch.comment_bytes = 0;
         bytes.extend_from_slice(&event);
     };
     batch.bytes = bytes.freeze();
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -192,7 +192,10 @@
             None => return RelayOutcome::DeadlinePassed,
         };
         let now = exchange.shared.clock.now();
+        let brings_events = batch.events > 0;
         match previous {
+            // Comments come from a replica that stands still, too.
+            _ if !brings_events => {}
             Some(previous) => {
                 let gap = now.saturating_sub(previous);
                 exchange
@@ -205,8 +208,10 @@
                 exchange.shared.meters.record_first_event(exchange.elapsed());
             }
         }
-        previous = Some(now);
-        handover.since.set(now);
+        if brings_events {
+            previous = Some(now);
+            handover.since.set(now);
+        }
         let frame = RelayFrame::Events(batch.bytes, now);
         match timeout(exchange.time_left(), sender.send(frame)).await {
             Ok(Ok(())) => {}
--- a/papayaproxy/src/gateway/send.rs
+++ b/papayaproxy/src/gateway/send.rs
@@ -4,13 +4,12 @@
 use super::constants::{REFUSAL_BYTES_MAX, REFUSAL_TIMEOUT};
 use super::envelope::Verdict;
 use super::exchange::Exchange;
-use super::pool::{Connection, SendError};
+use super::pool::{Connection, SendError, UpstreamBody};
 use super::seats::SeatGuard;
 use crate::balance::{Balancer, SendOutcome};
 use crate::platform::{replica, request};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Request};
 use tokio::time::timeout;
 
@@ -92,7 +91,12 @@
     }
 
     /// Reads the short body of a refusal, so that its connection can be reused.
-    async fn drain_body(&self, body: Incoming, mut connection: Connection, headers: &HeaderMap) {
+    async fn drain_body(
+        &self,
+        body: UpstreamBody,
+        mut connection: Connection,
+        headers: &HeaderMap,
+    ) {
         connection.mark_refused(&self.envelope.id);
         let read = self.shared.buffers.collect(body, REFUSAL_BYTES_MAX);
         if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, read).await {
--- a/papayaproxy/src/platform/caller.rs
+++ b/papayaproxy/src/platform/caller.rs
@@ -1,6 +1,7 @@
 //! HTTP client for one address of the platform: the store, or a replica's own interface.
 
 use super::names::REQUEST_ID;
+use crate::base::metered::{Meter, MeteredBody, MeteredStream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -10,6 +11,7 @@
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -34,7 +36,8 @@
     Timeout { limit: Duration },
 }
 
-type Connection = SendRequest<Full<Bytes>>;
+/// An open connection, and the meter of its reads.
+type Connection = (SendRequest<Full<Bytes>>, Rc<Meter>);
 
 /// HTTP client for one address, with a pool of idle connections.
 pub(crate) struct HttpClient {
@@ -124,7 +127,10 @@
         if self.names_calls {
             request.headers_mut().insert(REQUEST_ID, id.clone());
         }
-        let response = connection.send_request(request).await.map_err(interrupted)?;
+        let (sender, meter) = &mut connection;
+        meter.progress();
+        let response = sender.send_request(request).await.map_err(interrupted)?;
+        meter.progress();
         if self.names_calls {
             let mut returned = response.headers().get_all(REQUEST_ID).iter().peekable();
             let is_unnamed = returned.peek().is_none();
@@ -134,7 +140,8 @@
             self.returns_ids.set(self.returns_ids.get() || !is_unnamed);
         }
         let status = response.status();
-        let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX).collect().await;
+        let body = MeteredBody::new(response.into_body(), meter.clone());
+        let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
         let body = body.map_err(|error| match error.is::<LengthLimitError>() {
             true => CallError::Oversized,
             false => interrupted(error),
@@ -151,7 +158,7 @@
     async fn connection(&self) -> Result<(Connection, bool), CallError> {
         loop {
             let Some(idle) = self.idle.borrow_mut().pop() else { break };
-            if idle.is_ready() {
+            if idle.0.is_ready() {
                 return Ok((idle, true));
             }
         }
@@ -164,6 +171,7 @@
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "cannot set TCP_NODELAY");
         }
+        let (stream, meter) = MeteredStream::new(stream);
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(interrupted)?;
         let address = self.address;
@@ -172,7 +180,7 @@
                 tracing::debug!(%address, %error, "connection to the platform failed");
             }
         });
-        Ok(sender)
+        Ok((sender, meter))
     }
 }
 
--- a/papayaproxy/src/streams/splitter.rs
+++ b/papayaproxy/src/streams/splitter.rs
@@ -33,6 +33,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Bytes of the buffer that are known not to end an event.
+    scanned: usize,
+    /// Where the line begins that goes on at `scanned`.
+    line_start: usize,
 }
 
 impl EventSplitter {
@@ -47,8 +51,11 @@
     /// # Errors
     /// `EVENT_OVERSIZED` if the buffer exceeds [`EVENT_BYTES_MAX`] without a whole event.
     pub fn next_event(&mut self) -> Result<Option<Bytes>, Code> {
-        match event_length(&self.buffer) {
-            Some(length) => Ok(Some(self.buffer.split_to(length).freeze())),
+        match self.find_end() {
+            Some(length) => {
+                (self.scanned, self.line_start) = (0, 0);
+                Ok(Some(self.buffer.split_to(length).freeze()))
+            }
             None if self.buffer.len() > EVENT_BYTES_MAX => Err(codes::EVENT_OVERSIZED),
             None => Ok(None),
         }
@@ -62,6 +69,24 @@
     /// Discards a partial event before the stream is read from another connection.
     pub fn reset(&mut self) {
         self.buffer.clear();
+        (self.scanned, self.line_start) = (0, 0);
+    }
+
+    /// Length of the first whole event, including its blank line. Each byte is looked at once, however
+    /// small the parts are in which an event arrives.
+    fn find_end(&mut self) -> Option<usize> {
+        for at in self.scanned..self.buffer.len() {
+            if self.buffer[at] != b'\n' {
+                continue;
+            }
+            let line = &self.buffer[self.line_start..at];
+            if line.is_empty() || line == b"\r" {
+                return Some(at + 1);
+            }
+            self.line_start = at + 1;
+        }
+        self.scanned = self.buffer.len();
+        None
     }
 }
 
@@ -86,19 +111,3 @@
         }
     }
 }
-
-/// Length of the first whole event, including its blank line.
-fn event_length(buffer: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    for (i, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buffer[start..i];
-        if line.is_empty() || line == b"\r" {
-            return Some(i + 1);
-        }
-        start = i + 1;
-    }
-    None
-}
