Balancer: the circuit of a replica that fails nearly all requests opens

Cause: `Circuit::record_answer` leaves opening to its caller, and `Upstream::record_end` dropped its result with `let _ =`.

Change: `record_end` returns whether the circuit should open, and the balancer opens it if no more than a third of the service is out then, one at least and never the last. A stopped group, an abandoned or stale request and a process that is away are not the replica's fault. Six bad ends in a row open it, or 0.85 of six or more within 10 s. A request that may run once is no probe; where none comes that may be one, the circuit closes after two waits. Waits differ by a half between entries.

Tried and left out: a streak of three and a ratio of 0.5.

--- a/papayaproxy/src/balance/ask.rs
+++ b/papayaproxy/src/balance/ask.rs
@@ -31,6 +31,8 @@
     pub(crate) is_returning: bool,
     /// Whether this continues a stream that an earlier attempt may have started.
     pub(crate) is_resumed: bool,
+    /// Whether it may run once more, so that it may be the probe of a circuit.
+    pub(crate) is_repeatable: bool,
     /// Uniformly random bits.
     pub(crate) draw: u32,
 }
--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -97,3 +97,13 @@
 pub(crate) const RATE_INTERVAL_MAX: Duration = Duration::from_secs(60);
 /// Time for which heartbeats tell the peers of another rate limit; datagrams may be lost.
 pub(crate) const LIMIT_NEWS_TIME: Duration = Duration::from_millis(1000);
+
+/// Part of a service's upstreams whose circuits may be open at a time, but one at least: what is left
+/// takes the load of the rest with half as much again.
+pub(crate) const CIRCUITS_OPEN_RATIO: f64 = 1.0 / 3.0;
+/// Range of the wait before the probe of a circuit, as a part of it, so that processes that opened
+/// theirs together do not probe together.
+pub(crate) const CIRCUIT_JITTER: f64 = 0.5;
+
+/// Spreads the bits of a product over the whole word.
+pub(super) const HASH_FACTOR: u32 = 0x9E37_79B9;
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -2,9 +2,10 @@
 
 use super::ask::{QueueStage, Refusal, Seat, SeatDecision, SeatRequest};
 use super::budget::{BudgetDecision, BudgetRule};
+use super::constants::HASH_FACTOR;
 use super::constants::{
-    BROKEN_WAIT, FIRST_EVENT_WEIGHT, RETRY_AFTER_MIN, SCORE_NOISE, SILENCE_UNKNOWN, ZONE_BACKOFF,
-    ZONE_FAILURES, ZONE_PENALTY, ZONE_PENALTY_PLAIN,
+    BROKEN_WAIT, CIRCUITS_OPEN_RATIO, FIRST_EVENT_WEIGHT, RETRY_AFTER_MIN, SCORE_NOISE,
+    SILENCE_UNKNOWN, ZONE_BACKOFF, ZONE_FAILURES, ZONE_PENALTY, ZONE_PENALTY_PLAIN,
 };
 use super::events;
 use super::service::Service;
@@ -18,9 +19,6 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 
-/// Spreads the bits of a product over the whole word.
-pub(super) const HASH_FACTOR: u32 = 0x9E37_79B9;
-
 /// All upstreams, and the requests that wait for a seat at one.
 pub(crate) struct Balancer {
     zone: Name,
@@ -210,6 +208,7 @@
         upstream.service == request.service
             && !request.excluded.contains(&upstream.id)
             && upstream.is_available(now)
+            && upstream.lets_pass(request.is_repeatable, now)
             && !self.is_zone_in_backoff(&upstream.zone, now)
     }
 
@@ -220,9 +219,13 @@
 
     /// Releases a seat and records how the attempt ended.
     pub(crate) fn release(&mut self, seat: &Seat, outcome: SendOutcome, now: Duration) {
+        let Some((upstream, _)) = self.record_of(seat) else { return };
+        let service = upstream.service.clone();
+        let engine = self.services.get(&service).and_then(|s| s.engine.as_ref());
+        let in_group = engine.is_some_and(|e| e.experts.is_some());
         let Some((upstream, is_current)) = self.record_of(seat) else { return };
         upstream.own_tokens = upstream.own_tokens.saturating_sub(seat.prompt_tokens);
-        upstream.record_end(outcome, seat.is_probe, now);
+        let should_open = upstream.record_end(outcome, seat.is_probe, in_group, now);
         if !is_current {
             if upstream.own_requests == 0 {
                 self.departed.swap_remove(&seat.record);
@@ -242,7 +245,12 @@
             SendOutcome::Abandoned | SendOutcome::Silent | SendOutcome::Stale => {}
             _ => (*failed, *backoff_until) = (0, Duration::ZERO),
         }
-        let service = upstream.service.clone();
+        if should_open
+            && self.may_take_out(&seat.upstream, &service)
+            && let Some(upstream) = self.upstreams.get_mut(&seat.upstream)
+        {
+            upstream.open_circuit(outcome, now);
+        }
         if let Some(until) = unready {
             self.mark_unconfirmed_unready(&service, until, now);
         }
@@ -251,6 +259,16 @@
         }
     }
 
+    /// Whether the circuit of `upstream` may be open besides those that are: a bad minute must not empty
+    /// the service.
+    fn may_take_out(&self, upstream: &Name, service: &Name) -> bool {
+        let others = self.upstreams.values().filter(|u| u.service == *service && u.id != *upstream);
+        let (count, out) =
+            others.fold((0, 0), |(n, out), u| (n + 1, out + usize::from(u.is_out())));
+        let most = ((count + 1) as f64 * CIRCUITS_OPEN_RATIO).max(1.0) as usize;
+        count > out && out < most
+    }
+
     /// A replica that rejects requests under low load belongs to a group that does not run passes.
     /// Until its agents report, all replicas that are not confirmed to run count as unready too.
     fn mark_unconfirmed_unready(&mut self, service: &Name, until: Duration, now: Duration) {
@@ -446,7 +464,7 @@
         {
             *backoff_until = now + ZONE_BACKOFF;
         }
-        let is_probe = upstream.record_start(now);
+        let is_probe = upstream.record_start(request.is_repeatable, now);
         upstream.own_tokens = upstream.own_tokens.saturating_add(request.prompt_tokens);
         let (id, record, address) = (upstream.id.clone(), upstream.record, upstream.address);
         if let Some(service) = self.services.get_mut(&request.service) {
--- a/papayaproxy/src/balance/limits.rs
+++ b/papayaproxy/src/balance/limits.rs
@@ -1,7 +1,8 @@
 //! Limits of requests a second that upstreams name for all entries together.
 
+use super::constants::HASH_FACTOR;
 use super::constants::{RATE_INTERVAL_MAX, RATE_LIMIT_RATIO, SHARING_ENTRIES_MIN};
-use super::desk::{Balancer, HASH_FACTOR};
+use super::desk::Balancer;
 use crate::peers::constants::LOADS_MAX;
 use crate::peers::message::LimitNews;
 use std::time::Duration;
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -1,16 +1,16 @@
 //! State of one upstream: its load, timing, group status and circuit.
 
 use super::constants::{
-    BROKEN_TTL, FOREIGN_BACKOFF, FULL_BACKOFF, IDLE_FULL_BACKOFF, LIMIT_NEWS_TIME, LOW_LOAD_RATIO,
-    PLAIN_LIMIT_FACTOR, SILENCE_BROKEN, SILENCE_HEALTHY, SILENCE_UNKNOWN, STATUS_MAX_AGE,
-    UNREACHED_BACKOFF,
+    BROKEN_TTL, CIRCUIT_JITTER, FOREIGN_BACKOFF, FULL_BACKOFF, HASH_FACTOR, IDLE_FULL_BACKOFF,
+    LIMIT_NEWS_TIME, LOW_LOAD_RATIO, PLAIN_LIMIT_FACTOR, SILENCE_BROKEN, SILENCE_HEALTHY,
+    SILENCE_UNKNOWN, STATUS_MAX_AGE, UNREACHED_BACKOFF,
 };
 use super::engine::Slowdown;
 use super::events;
 use super::limits::RateLimit;
 use crate::base::name::Name;
 use crate::catalog::{EngineFigures, UpstreamRecord};
-use crate::limits::{Circuit, CircuitSettings};
+use crate::limits::{Circuit, CircuitSettings, CircuitState};
 use crate::peers::message::digest;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -203,6 +203,30 @@
         now >= self.backoff_until && !self.is_broken(now) && self.circuit.allows(now)
     }
 
+    /// Whether its circuit lets a request pass that may run once more, or one that may not. A request
+    /// that may run only once is no probe.
+    pub(crate) fn lets_pass(&self, is_repeatable: bool, now: Duration) -> bool {
+        is_repeatable || self.circuit.allows_unprobed(now)
+    }
+
+    /// Whether its circuit keeps requests away.
+    pub(crate) fn is_out(&self) -> bool {
+        self.circuit.state() != CircuitState::Closed
+    }
+
+    /// Opens its circuit after requests that ended with `outcome`.
+    pub(crate) fn open_circuit(&mut self, outcome: SendOutcome, now: Duration) {
+        let hash = (self.digest ^ now.as_micros() as u32).wrapping_mul(HASH_FACTOR);
+        let draw = f64::from(hash) / f64::from(u32::MAX);
+        self.circuit.open_jittered(1.0 + CIRCUIT_JITTER * (draw - 0.5), now);
+        self.log_circuit(outcome);
+    }
+
+    fn log_circuit(&self, outcome: SendOutcome) {
+        let (event, upstream, state) = (events::CIRCUIT_CHANGED, &self.id, self.circuit.state());
+        tracing::info!(event, %upstream, state = state.as_str(), end = ?outcome, "circuit changed");
+    }
+
     /// Whether a recent group status or a recent answer shows that it runs.
     pub(crate) fn is_confirmed(&self, now: Duration) -> bool {
         is_recent(self.healthy_at, now) || is_recent(self.answered_at, now)
@@ -296,51 +320,59 @@
     }
 
     /// Records that a request is sent to it; returns whether the request is a probe of its circuit.
-    pub(crate) fn record_start(&mut self, now: Duration) -> bool {
+    pub(crate) fn record_start(&mut self, is_repeatable: bool, now: Duration) -> bool {
         self.own_requests += 1;
         if let Some(limit) = &mut self.rate_limit {
             limit.next_send = now + limit.interval;
         }
+        if !is_repeatable {
+            self.circuit.start_unprobed(now);
+            return false;
+        }
         self.circuit.start_attempt(now)
     }
 
-    /// Records how a request ended.
-    pub(crate) fn record_end(&mut self, outcome: SendOutcome, is_probe: bool, now: Duration) {
+    /// Records how a request ended. Returns whether its circuit should open. With `in_group` it runs
+    /// passes together with others, whose stop is not its own fault.
+    #[must_use]
+    pub(crate) fn record_end(
+        &mut self,
+        outcome: SendOutcome,
+        is_probe: bool,
+        in_group: bool,
+        now: Duration,
+    ) -> bool {
         self.own_requests = self.own_requests.saturating_sub(1);
         let old_state = self.circuit.state();
-        match outcome {
-            SendOutcome::Good => {
-                let _ = self.circuit.record_answer(true, is_probe, now);
+        let is_own_fault = !in_group || is_recent(self.healthy_at, now) && !self.is_broken(now);
+        let should_open = match outcome {
+            SendOutcome::Good => self.circuit.record_answer(true, is_probe, now),
+            SendOutcome::Failed => self.circuit.record_answer(false, is_probe, now),
+            SendOutcome::Lost | SendOutcome::Silent if is_own_fault => {
+                self.circuit.record_answer(false, is_probe, now)
             }
-            SendOutcome::Failed | SendOutcome::Lost | SendOutcome::Silent => {
-                let _ = self.circuit.record_answer(false, is_probe, now);
+            _ => {
+                self.circuit.release_probe(is_probe);
+                false
             }
-            SendOutcome::Abandoned | SendOutcome::Stale => self.circuit.release_probe(is_probe),
+        };
+        match outcome {
             SendOutcome::Full if self.running() < f64::from(self.slots) * LOW_LOAD_RATIO => {
                 self.unready_until = now + IDLE_FULL_BACKOFF;
-                self.back_off(IDLE_FULL_BACKOFF, is_probe, now);
-            }
-            SendOutcome::Full => self.back_off(FULL_BACKOFF, is_probe, now),
-            SendOutcome::Foreign => self.back_off(FOREIGN_BACKOFF, is_probe, now),
-            SendOutcome::Unreached | SendOutcome::Closed => {
-                self.back_off(UNREACHED_BACKOFF, is_probe, now);
+                self.back_off(IDLE_FULL_BACKOFF, now);
             }
+            SendOutcome::Full => self.back_off(FULL_BACKOFF, now),
+            SendOutcome::Foreign => self.back_off(FOREIGN_BACKOFF, now),
+            SendOutcome::Unreached | SendOutcome::Closed => self.back_off(UNREACHED_BACKOFF, now),
+            _ => {}
         }
-        let state = self.circuit.state();
-        if state != old_state {
-            let (event, upstream) = (events::CIRCUIT_CHANGED, &self.id);
-            tracing::info!(
-                event,
-                %upstream,
-                state = state.as_str(),
-                end = ?outcome,
-                "circuit changed"
-            );
+        if self.circuit.state() != old_state {
+            self.log_circuit(outcome);
         }
+        should_open
     }
 
-    fn back_off(&mut self, time: Duration, is_probe: bool, now: Duration) {
-        self.circuit.release_probe(is_probe);
+    fn back_off(&mut self, time: Duration, now: Duration) {
         self.backoff_until = self.backoff_until.max(now + time);
     }
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -240,6 +240,7 @@
             prompt_tokens: self.envelope.prompt_tokens,
             is_returning: self.is_returning,
             is_resumed: resumed,
+            is_repeatable: self.may_run_again(),
             draw: rand::random(),
         }
     }
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -35,9 +35,11 @@
 use tokio_util::sync::CancellationToken;
 
 /// Circuit breaker settings for upstreams. The waits are short, since each entry sees few
-/// responses.
+/// responses. A replica that fails half of its requests serves the other half, for which the others
+/// may have no room, so that only one that fails nearly all is left.
 const CIRCUIT_SETTINGS: CircuitSettings = CircuitSettings {
-    bad_ratio: 0.5,
+    bad_ratio: 0.85,
+    bad_streak: 6,
     first_wait: Duration::from_millis(1000),
     longest_wait: Duration::from_millis(5000),
 };
--- a/papayaproxy/src/limits/circuit.rs
+++ b/papayaproxy/src/limits/circuit.rs
@@ -1,8 +1,8 @@
 //! Circuit breaker: opens on too many errors and slow answers, and sends probes before it closes.
 
 use super::constants::{
-    ANSWERS_MIN, BAD_RATIO, BAD_STREAK, BUCKETS, FIRST_WAIT, GOOD_PROBES, LONGEST_WAIT, WAIT_RESET,
-    WINDOW,
+    ANSWERS_MIN, BAD_RATIO, BAD_STREAK, BUCKETS, FIRST_WAIT, GOOD_PROBES, LONGEST_WAIT,
+    UNPROBED_WAITS, WAIT_RESET, WINDOW,
 };
 use crate::settings::{Reader, SettingRow, parse_duration};
 use std::time::Duration;
@@ -36,6 +36,8 @@
 pub struct CircuitSettings {
     /// Fraction of errors and slow answers that opens it, from 0 to 1.
     pub bad_ratio: f64,
+    /// Errors and slow answers in a row that open it.
+    pub bad_streak: u32,
     /// Time open before the first probe.
     pub first_wait: Duration,
     /// Longest time open before a probe; the wait doubles with each failed probe and each closing.
@@ -44,7 +46,12 @@
 
 impl Default for CircuitSettings {
     fn default() -> Self {
-        Self { bad_ratio: BAD_RATIO, first_wait: FIRST_WAIT, longest_wait: LONGEST_WAIT }
+        Self {
+            bad_ratio: BAD_RATIO,
+            bad_streak: BAD_STREAK,
+            first_wait: FIRST_WAIT,
+            longest_wait: LONGEST_WAIT,
+        }
     }
 }
 
@@ -56,6 +63,7 @@
         let longest_wait = reader.value(SECTION, "longest_wait", parse_duration);
         Some(Self {
             bad_ratio: f64::from(percent?) / 100.0,
+            bad_streak: BAD_STREAK,
             first_wait: first_wait?,
             longest_wait: longest_wait?,
         })
@@ -143,6 +151,24 @@
         }
     }
 
+    /// Whether a request that cannot be a probe may pass at `now`: only where none has come that can.
+    pub fn allows_unprobed(&self, now: Duration) -> bool {
+        match self.state {
+            CircuitState::Closed => true,
+            CircuitState::Open => now >= self.changed_at + self.wait * UNPROBED_WAITS,
+            CircuitState::HalfOpen => false,
+        }
+    }
+
+    /// Records that a request passes that cannot be a probe. If that ends the wait for one, the circuit
+    /// closes, and opens again as usual.
+    pub fn start_unprobed(&mut self, now: Duration) {
+        if self.state == CircuitState::Open {
+            self.wait = (self.wait * 2).min(self.settings.longest_wait);
+            self.set_state(CircuitState::Closed, now);
+        }
+    }
+
     /// Delay after which a request may pass. The end of a probe is unknown, so a half-open circuit
     /// gives the first wait.
     pub fn retry_after(&self, now: Duration) -> Duration {
@@ -175,7 +201,14 @@
         }
         self.count(is_good, now);
         self.bad_streak = if is_good { 0 } else { self.bad_streak + 1 };
-        !is_good && (self.bad_streak >= BAD_STREAK || self.exceeds_ratio(now))
+        !is_good && (self.bad_streak >= self.settings.bad_streak || self.exceeds_ratio(now))
+    }
+
+    /// Opens the circuit for its wait times `jitter`, which keeps processes that opened theirs together
+    /// from probing together. After a long time closed, the wait before a probe starts anew.
+    pub fn open_jittered(&mut self, jitter: f64, now: Duration) {
+        self.open(now);
+        self.wait = self.wait.mul_f64(jitter).min(self.settings.longest_wait);
     }
 
     /// Opens the circuit. After a long time closed, the wait before a probe starts anew.
--- a/papayaproxy/src/limits/constants.rs
+++ b/papayaproxy/src/limits/constants.rs
@@ -53,6 +53,9 @@
 /// Default for the longest time before a probe.
 pub(crate) const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
+/// Waits after which an open circuit closes without a probe, if no request has come that may be one.
+pub(crate) const UNPROBED_WAITS: u32 = 2;
+
 /// Time closed after which the wait before a probe is reset to the first one.
 pub(crate) const WAIT_RESET: Duration = Duration::from_secs(60);
 
--- a/papayaproxy/tests/hostile.rs
+++ b/papayaproxy/tests/hostile.rs
@@ -255,6 +255,24 @@
     seen.whole.load(Ordering::SeqCst) - before
 }
 
+/// Guards against a replica that fails each request at once and so looks idle: it got more than half of
+/// the requests, since no circuit opened.
+#[test]
+fn entry_failing_replica_left() {
+    let count = Arc::new(AtomicU64::new(0));
+    let failed = count.clone();
+    run(Arc::new(move |request| {
+        failed.fetch_add(1, Ordering::SeqCst);
+        let id = header(request, "x-request-id");
+        let first = head(id, "500 Broken", "Connection: close\r\nContent-Length: 0\r\n");
+        Bytes { first, repeated: String::new() }
+    }));
+    let failed = count.load(Ordering::SeqCst);
+    println!("{failed} requests reached the failing replica");
+    // Six open the circuit; after each wait one probe follows, or six where none may probe.
+    assert!(failed <= 40, "{failed} requests reached the failing replica");
+}
+
 fn run(hostile: Arc<dyn Fn(&str) -> Bytes + Send + Sync>) {
     let is_over = Arc::new(AtomicBool::new(false));
     let bad = {
