Catalog: an answer of the store tells of no later time than its due

Cause: a watch's answer counted as 1 s old when it was read. It had lain in the socket for as long as the process stood still.

Change: an answer counts from when it was due, the sending and the time for which the store may wait with it, if that is earlier than the reading; lists of upstreams too. A whole read counts from its sending. No notion of a gap is needed for it.

`answered_by_sender` states the rule; it has no form on the code before, which took the time of reading.

What remains: an answer with news may be given early and read late; it then counts as up to 0.5 s newer than it is, against a margin of 0.4 s, if the key was removed within that time and the process stood still for all of it.

--- a/papaya-lab/tests/soak.rs
+++ b/papaya-lab/tests/soak.rs
@@ -12,6 +12,15 @@
     lab.args(["soak", "--seed", "1"]).args(RUN).assert().success();
 }
 
+// Guards against an entry that wakes from a stop and takes an answer of the store that lay in its socket
+// for a new one: requests with a removed key ran, in one of five runs of this seed.
+#[test]
+fn soak_woken_entry_removed_keys_refused() {
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_papaya-lab"));
+    let run = "soak --seed 103 --seconds 20 --entries 5 --replicas 12 --load 60 --faults all";
+    lab.args(run.split(' ')).assert().success();
+}
+
 // Guards against a fault's name that is taken for no fault, which would test nothing.
 #[test]
 fn soak_unknown_fault_does_not_run() {
--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -6,7 +6,7 @@
 };
 use super::events;
 use super::follow::{Catalog, StoreHealth, StoreRole};
-use super::freshness::boot_time;
+use super::freshness::{answered_by, boot_time};
 use crate::platform::{FailureSign, StoreError};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -96,8 +96,9 @@
             Some(revision) => catalog.store.watch_config(revision, wait).await,
             None => catalog.store.read_config().await,
         };
-        // A read is current as of its sending; a watch may lag behind the store.
-        let confirmed_at = if reread { sent } else { boot_time().saturating_sub(WATCH_LAG) };
+        // A watch may lag behind the store.
+        let lag = if reread { Duration::ZERO } else { WATCH_LAG };
+        let confirmed_at = answered_by(sent, wait, boot_time()).saturating_sub(lag);
         let now = catalog.clock.now();
         if let Err(StoreError::HistoryGone) = answer {
             reread = true;
@@ -146,12 +147,14 @@
         // A list from peers is as good a start as an own one.
         let revision = Some(catalog.list_revision()).filter(|r| *r > 0 && !reread);
         let wait = revision.map_or(Duration::ZERO, |_| wait);
+        let sent = boot_time();
         let call = Call { what: "upstreams", sent: catalog.clock.now(), wait };
         let answer = match revision {
             Some(after) => catalog.store.watch_upstreams(after, wait).await,
             None => catalog.store.read_upstreams().await,
         };
-        let (now, confirmed_at) = (catalog.clock.now(), boot_time());
+        let now = catalog.clock.now();
+        let confirmed_at = answered_by(sent, wait, boot_time());
         if let Err(StoreError::HistoryGone) = answer {
             reread = true;
             continue;
--- a/papayaproxy/src/catalog/freshness.rs
+++ b/papayaproxy/src/catalog/freshness.rs
@@ -10,6 +10,12 @@
     clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default()
 }
 
+/// Latest time of which an answer that is read at `now` may tell: it was given once the store had
+/// waited, however long this process then stood still. `sent` and `now` are in [`boot_time`].
+pub(crate) fn answered_by(sent: Duration, wait: Duration, now: Duration) -> Duration {
+    now.min(sent + wait)
+}
+
 /// When the configuration in force was last known to be the store's newest, in [`boot_time`].
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Freshness {
--- a/papayaproxy/src/catalog/tests/look_ups.rs
+++ b/papayaproxy/src/catalog/tests/look_ups.rs
@@ -1,7 +1,7 @@
 //! Look-ups of routes, services and API keys, and the age of the configuration.
 
 use crate::catalog::config::KeyOwner;
-use crate::catalog::freshness::Freshness;
+use crate::catalog::freshness::{Freshness, answered_by};
 use crate::platform::config::parse;
 use rstest::rstest;
 use std::time::Duration;
@@ -27,6 +27,24 @@
     assert_eq!(config.route(host, path).map(|r| r.name.as_str()), expected);
 }
 
+/// Guards against a process that stood still and takes an answer that lay in its socket meanwhile for a
+/// new one: it accepted keys that had been removed.
+#[rstest]
+#[case::read_at_once(1000, 0, 1004, 1000)]
+#[case::news(1000, 1500, 1200, 1200)]
+#[case::waited(1000, 1500, 2504, 2500)]
+#[case::stood_still(1000, 1500, 21_000, 2500)]
+#[case::read_stood_still(1000, 0, 21_000, 1000)]
+fn answered_by_sender(
+    #[case] sent: u64,
+    #[case] wait: u64,
+    #[case] read: u64,
+    #[case] expected: u64,
+) {
+    let ms = Duration::from_millis;
+    assert_eq!(answered_by(ms(sent), ms(wait), ms(read)), ms(expected));
+}
+
 #[rstest]
 #[case::first(0, "s1")]
 #[case::last_of_first(89, "s1")]
