Tests with entries as processes: an address of its own for each test

Cause: its cases run side by side and shared one loopback address; a port that is free for one test is bound by another before the entry of the first starts. The same happened to `budget_kills_within_rule` before. Each call takes an address of its own now, and a test whose entry ends prints the entry's log.

--- a/papayaproxy/tests/budget.rs
+++ b/papayaproxy/tests/budget.rs
@@ -149,7 +149,7 @@
     let fail = |is_failing| record.is_failing.store(is_failing, Ordering::SeqCst);
     let (is_over, pause) = (Arc::new(AtomicBool::new(false)), Duration::from_millis(500));
     let mut entries = start_all();
-    await_ready(&places, &mut entries);
+    await_ready(&places, &mut entries, folder.path());
     thread::sleep(WINDOW);
     places.iter().for_each(|p| send_requests(p, record.clone(), is_over.clone()));
     for _ in 0..2 {
@@ -158,7 +158,7 @@
         thread::sleep(pause);
         drop(entries);
         entries = start_all();
-        await_ready(&places, &mut entries);
+        await_ready(&places, &mut entries, folder.path());
         thread::sleep(pause * 3);
         fail(false);
     }
--- a/papayaproxy/tests/hostile.rs
+++ b/papayaproxy/tests/hostile.rs
@@ -289,7 +289,7 @@
     );
     std::fs::write(folder.path().join(&places[0].name), settings).unwrap();
     let mut entries = Entries(vec![start(&places[0], folder.path())]);
-    await_ready(&places, &mut entries);
+    await_ready(&places, &mut entries, folder.path());
     let pid = entries.0[0].id();
     // Whatever a sound run begins with is known from here on.
     assert!(is_whole(&ask(&places[0], "/sound/stream/x", 1).0, true));
--- a/papayaproxy/tests/support/mod.rs
+++ b/papayaproxy/tests/support/mod.rs
@@ -4,10 +4,12 @@
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
+use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -81,7 +83,9 @@
 
 /// Places for `count` entries on the loopback network `net`, which differs between tests.
 pub fn free_places(net: u8, count: usize) -> Vec<Place> {
-    let host = Ipv4Addr::new(127, 0, net, 1);
+    // Entries of other tests in this process must not bind what is free here until the entries start.
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let host = Ipv4Addr::new(127, net, CALLS.fetch_add(1, Ordering::SeqCst), 1);
     let bind = |_| TcpListener::bind((host, 0)).unwrap();
     let listeners: Vec<_> = (0..count * 4).map(bind).collect();
     let ports: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
@@ -89,11 +93,17 @@
     ports.chunks(4).enumerate().map(place).collect()
 }
 
+/// Log of the runs of an entry.
+fn log_file(place: &Place, folder: &Path) -> PathBuf {
+    folder.join(format!("{}.log", place.name))
+}
+
 pub fn start(place: &Place, folder: &Path) -> Child {
     let file = folder.join(&place.name);
     let mut command = Command::new(env!("CARGO_BIN_EXE_papaya-entry"));
     command.arg("--direct").arg("--settings").arg(file);
-    command.stdin(Stdio::null()).stdout(Stdio::null()).spawn().unwrap()
+    let log = File::options().create(true).append(true).open(log_file(place, folder)).unwrap();
+    command.stdin(Stdio::null()).stdout(log).spawn().unwrap()
 }
 
 pub fn is_ready(place: &Place) -> bool {
@@ -102,11 +112,15 @@
     read_head(&mut stream).is_some_and(|head| head.starts_with("HTTP/1.1 200"))
 }
 
-pub fn await_ready(places: &[Place], entries: &mut Entries) {
+/// Waits until all entries are ready; `folder` has their logs.
+pub fn await_ready(places: &[Place], entries: &mut Entries, folder: &Path) {
     let began = Instant::now();
     while let Some(place) = places.iter().find(|p| !is_ready(p)) {
         let ended = entries.0.iter_mut().find_map(|e| e.try_wait().unwrap());
-        assert_eq!(ended, None, "an entry has ended, and {} is not ready", place.name);
+        if let Some(status) = ended {
+            let log = std::fs::read_to_string(log_file(place, folder)).unwrap();
+            panic!("an entry has ended ({status}), and {} is not ready: {log}", place.name);
+        }
         assert!(began.elapsed() < READY_MAX, "{} does not become ready", place.name);
         thread::sleep(Duration::from_millis(20));
     }
