--- a/papayaproxy/src/base/constants.rs
+++ b/papayaproxy/src/base/constants.rs
@@ -21,6 +21,10 @@
 /// most, whatever they are.
 pub(crate) const TURN_BYTES: usize = 16 << 10;
 
+/// Read buffer of a connection whose answers are metered, in bytes. It bounds their heads, as for the
+/// heads of clients, with room for what replicas add.
+pub(crate) const ANSWER_BUFFER_BYTES: usize = 32 << 10;
+
 /// Bytes that a connection may read without a head or data of a body. Above the largest head, and
-/// what is read ahead of a slow receiver.
+/// what is read ahead of a slow receiver: a buffer, and two frames of its size.
 pub(crate) const UNUSED_BYTES_MAX: usize = 128 << 10;
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -5,9 +5,6 @@
 /// Timeout to connect to an upstream: a few round trips between zones, but less than the second
 /// after which a lost packet is sent again.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Buffer of a connection to an upstream, in bytes, which bounds the head of an answer; as for the
-/// heads of clients, with room for what replicas add.
-pub(crate) const ANSWER_BUFFER_BYTES: usize = 32 << 10;
 /// Idle time after which a pooled connection is not reused. A shorter `Keep-Alive` timeout of the
 /// upstream takes precedence.
 pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_millis(4000);
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -1,10 +1,11 @@
 //! Connection pool for upstreams.
 
 use super::constants::{
-    ANSWER_BUFFER_BYTES, CONNECT_TIMEOUT, IDLE_CONNECTIONS_MAX, IDLE_MARGIN, IDLE_TIMEOUT,
-    IDLE_TIMEOUT_UNSAFE, REFUSED_IDS_MAX, UNACKED_TIMEOUT,
+    CONNECT_TIMEOUT, IDLE_CONNECTIONS_MAX, IDLE_MARGIN, IDLE_TIMEOUT, IDLE_TIMEOUT_UNSAFE,
+    REFUSED_IDS_MAX, UNACKED_TIMEOUT,
 };
 use crate::base::clock::Clock;
+use crate::base::constants::ANSWER_BUFFER_BYTES;
 use crate::base::error::with_sources;
 use crate::base::metered::{Meter, MeteredBody, MeteredStream};
 use crate::base::name::Name;
--- a/papayaproxy/src/gateway/tests/streams.rs
+++ b/papayaproxy/src/gateway/tests/streams.rs
@@ -238,3 +238,31 @@
         assert_eq!(resumed.header("last-event-id"), Some("3"));
     });
 }
+
+/// Guards against a stream that passes for bytes without end, since its caller reads slowly and what is
+/// read ahead makes no progress meanwhile.
+#[test]
+fn call_stream_slow_caller_whole() {
+    const LARGE: u64 = 40;
+    on_one_thread(async {
+        let replica = FakeServer::bind(|request| {
+            let event = |id| chunk(&format!("id: {id}\ndata: {}\n\n", "x".repeat(60_000)));
+            let events: String = (1..=LARGE).map(event).collect();
+            vec![Action::Send(head(request) + &events + "0\r\n\r\n")]
+        })
+        .await;
+        let gateway = TestGateway::open(&[&replica]).await;
+        let mut stream = TcpStream::connect(gateway.address()).await.unwrap();
+        let request = "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Key: k1\r\n\
+                       X-Request-Deadline-Ms: 5000\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let (mut bytes, mut part) = (Vec::new(), vec![0; 20_000]);
+        while let Ok(length @ 1..) = stream.read(&mut part).await {
+            bytes.extend_from_slice(&part[..length]);
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let answer = String::from_utf8(bytes).unwrap();
+        assert!(event_ids(&answer).into_iter().eq(1..=LARGE), "{:?}", event_ids(&answer));
+        assert!(answer.ends_with("0\r\n\r\n"));
+    });
+}
--- a/papayaproxy/src/platform/caller.rs
+++ b/papayaproxy/src/platform/caller.rs
@@ -1,6 +1,7 @@
 //! HTTP client for one address of the platform: the store, or a replica's own interface.
 
 use super::names::REQUEST_ID;
+use crate::base::constants::ANSWER_BUFFER_BYTES;
 use crate::base::metered::{Meter, MeteredBody, MeteredStream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -172,8 +173,10 @@
             tracing::debug!(%error, "cannot set TCP_NODELAY");
         }
         let (stream, meter) = MeteredStream::new(stream);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(ANSWER_BUFFER_BYTES);
         let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(interrupted)?;
+            builder.handshake(TokioIo::new(stream)).await.map_err(interrupted)?;
         let address = self.address;
         tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/papayaproxy/src/platform/tests/mod.rs
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod copies;
+mod large;
 
 use super::request::{AttemptHeaders, read_envelope, replica_headers};
 use super::{config, replica, upstream};
