Soak: links between entries and replicas, and a breach of BUDGET that they show

Change: a TCP proxy for each pair of entry and replica, faults of links from the seed beside the other faults, which stay as they were; replicas in zones where there are links. Cuts beside harmed links are excused, BUDGET never.

--- a/papaya-lab/src/soak/constants.rs
+++ b/papaya-lab/src/soak/constants.rs
@@ -24,6 +24,9 @@
 /// Time after which a key that was removed may not be used any more.
 pub(super) const REVOKE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Availability zones; entries and replicas are dealt to them in turn.
+pub(super) const ZONES: [&str; 3] = ["a", "b", "c"];
+
 /// Repeats allowed per request.
 pub(super) const BUDGET_RATIO: f64 = 0.2;
 
--- a/papaya-lab/src/soak/entry.rs
+++ b/papaya-lab/src/soak/entry.rs
@@ -1,6 +1,6 @@
 //! Entries and agents as processes of their own, each on a loopback address of its own.
 
-use super::constants::GRACE;
+use super::constants::{GRACE, ZONES};
 use super::record::{Act, Record};
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
@@ -80,7 +80,7 @@
              [store]\naddress = {store}\n\n\
              [bounds]\nrevoke = 5000ms\ngrace = {}s\ndrain = {}ms\nevent_delay = 200ms\n\n\
              [budget]\nratio = 0.2\nslack = {}\nwindow = 10s\n\n[log]\nformat = json\nfilter = info\n",
-            ["a", "b", "c"][number % 3],
+            ZONES[number % ZONES.len()],
             at(FRONT_PORT),
             at(READY_PORT),
             at(PEER_PORT),
--- a/papaya-lab/src/soak/faults.rs
+++ b/papaya-lab/src/soak/faults.rs
@@ -1,7 +1,8 @@
 //! Carries out the plan of faults.
 
+use super::constants::ZONES;
 use super::entry::SEEDS_MAX;
-use super::plan::Fault;
+use super::plan::{Fault, LinkFault, Scope};
 use super::record::{Act, Service};
 use super::replica::{Manner, Replica};
 use super::store;
@@ -38,6 +39,49 @@
     Ok(())
 }
 
+/// Starts each fault of links at its time and waits for all.
+pub(super) async fn run_links(
+    world: Arc<World>,
+    plan: Vec<(Duration, LinkFault)>,
+) -> io::Result<()> {
+    let start = Instant::now();
+    let mut running = JoinSet::new();
+    for (turn, (at, fault)) in plan.into_iter().enumerate() {
+        sleep_until(start + at).await;
+        let world = world.clone();
+        running.spawn(async move {
+            harm(&world, fault, turn).await;
+            Ok(())
+        });
+    }
+    join(running).await
+}
+
+async fn harm(world: &World, fault: LinkFault, turn: usize) {
+    let LinkFault { scope, manner, time } = fault;
+    let all = world.entries.len();
+    let zone = |entry: usize| entry % ZONES.len();
+    let chosen: Vec<_> = match scope {
+        Scope::Share(service, share) => {
+            let replicas = world.fleet.replicas(service);
+            let count = (share * replicas.len() as f64).ceil() as usize;
+            choose(replicas, count, turn).iter().map(|r| r.id.clone()).collect()
+        }
+        Scope::Entry(_) | Scope::Zone(_) => Vec::new(),
+    };
+    let meets = |entry: usize, replica: &Replica| match scope {
+        Scope::Entry(one) => entry == one,
+        Scope::Zone(one) => (zone(entry) == one) != (replica.zone() == one),
+        Scope::Share(..) => chosen.contains(&replica.id),
+    };
+    let harmed: Vec<_> =
+        (0..all).filter(|e| !matches!(scope, Scope::Entry(one) if one != *e)).collect();
+    let what = format!("{manner:?} for {time:?} at {scope:?} {}", chosen.join(" "));
+    world.record.act(Act::LinkFault(harmed.clone(), what));
+    world.fleet.harm_links(meets, manner, time).await;
+    world.record.act(Act::LinkFine(harmed));
+}
+
 async fn carry_out(world: Arc<World>, fault: Fault, turn: usize) -> io::Result<()> {
     let fleet = &world.fleet;
     let some = |replicas, count| choose(replicas, count, turn);
--- a/papaya-lab/src/soak/fleet.rs
+++ b/papaya-lab/src/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! The replicas, what the store says of them, and the configuration.
 
 use super::constants::{HEARTBEAT_LIMIT, PLAIN_TIMEOUT, SERVES_ON};
+use super::link::LinkManner;
 use super::platform::CONFIG_KEY;
 use super::record::{Act, Record, Service};
 use super::replica::{Manner, Replica};
@@ -23,6 +24,8 @@
     pub(super) store: Store,
     record: Arc<Record>,
     drain: Duration,
+    /// Links to each replica: one for each entry, or none.
+    links: usize,
     places: Mutex<Vec<Arc<Replica>>>,
     born: AtomicU64,
     config: Mutex<Config>,
@@ -42,12 +45,14 @@
         record: Arc<Record>,
         store: Store,
         drain: Duration,
+        links: usize,
         counts: [usize; 2],
     ) -> io::Result<Arc<Self>> {
         let fleet = Self {
             store,
             record,
             drain,
+            links,
             places: Mutex::default(),
             born: AtomicU64::new(0),
             config: Mutex::default(),
@@ -72,8 +77,9 @@
 
     async fn start(&self, service: Service, rank: usize) -> io::Result<Arc<Replica>> {
         let id = format!("i-{:08x}", self.born.fetch_add(1, Ordering::SeqCst));
-        let replica = Replica::open(id, service, rank, self.record.clone()).await?;
-        self.store.put(&format!("servers/{}", replica.id), Some(&replica.entry("ready")));
+        let replica = Replica::open(id, service, rank, self.links, self.record.clone()).await?;
+        let key = format!("servers/{}", replica.id);
+        self.store.put_by_machine(&key, Some(|machine| replica.entry("ready", machine)));
         self.record.act(Act::Replica(format!("{} of {} starts", replica.id, service.name())));
         Ok(replica)
     }
@@ -103,6 +109,35 @@
         }
     }
 
+    /// Lets the links of `entry` to `replica` for each pair that `meets` behave as `manner` for a time.
+    pub(super) async fn harm_links(
+        &self,
+        meets: impl Fn(usize, &Replica) -> bool,
+        manner: LinkManner,
+        time: Duration,
+    ) {
+        let replicas = self.places().clone();
+        let of_replica = |r: &Arc<Replica>| -> Vec<_> {
+            let met = r.links.iter().enumerate().filter(|(entry, _)| meets(*entry, r));
+            met.map(|(_, link)| link.manner.clone()).collect()
+        };
+        let links: Vec<_> = replicas.iter().flat_map(of_replica).collect();
+        for link in &links {
+            link.send_replace(manner);
+        }
+        sleep(time).await;
+        for link in links {
+            // A later fault that still lasts stays.
+            link.send_if_modified(|now| {
+                let is_own = *now == manner;
+                if is_own {
+                    *now = LinkManner::Fine;
+                }
+                is_own
+            });
+        }
+    }
+
     /// Crashes a replica; another takes its place.
     pub(super) async fn crash(&self, replica: &Arc<Replica>, away: Duration) -> io::Result<()> {
         replica.end();
@@ -122,8 +157,8 @@
         self.replace(replica).await?;
         let key = format!("servers/{}", replica.id);
         replica.is_leaving.store(true, Ordering::SeqCst);
-        let told = is_told.then(|| replica.entry("draining"));
-        self.store.put(&key, told.as_deref());
+        let told = is_told.then_some(|machine| replica.entry("draining", machine));
+        self.store.put_by_machine(&key, told);
         self.record.act(Act::Leaving(replica.id.clone()));
         sleep(self.drain + SERVES_ON).await;
         replica.end();
--- a/papaya-lab/src/soak/mod.rs
+++ b/papaya-lab/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod entry;
 mod faults;
 mod fleet;
+mod link;
 mod plan;
 mod platform;
 mod record;
--- a/papaya-lab/src/soak/plan.rs
+++ b/papaya-lab/src/soak/plan.rs
@@ -1,5 +1,7 @@
 //! Plan of faults by a seed.
 
+use super::constants::ZONES;
+use super::link::LinkManner;
 use super::record::Service;
 use super::replica::Manner;
 use super::store;
@@ -14,6 +16,13 @@
     "release", "crash", "group", "fail", "refuse", "stall", "lose", "cut", "hang",
 ];
 
+/// Names of all faults of links.
+pub(super) const LINK_NAMES: [&str; 7] =
+    ["delay", "requests", "answers", "hold", "drop", "reset", "trickle"];
+
+/// Changes the seed for the faults of links, so that the other faults of a seed stay as they are.
+const LINK_SEED: u64 = 0x6c69_6e6b;
+
 /// Time without faults at the start, so that the entries are in touch.
 const FIRST: Duration = Duration::from_secs(5);
 
@@ -73,6 +82,64 @@
     faults
 }
 
+/// Which links a fault meets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Scope {
+    /// All of one entry.
+    Entry(usize),
+    /// Those between one availability zone and the others.
+    Zone(usize),
+    /// Those of all entries to a share of a service's replicas.
+    Share(Service, f64),
+}
+
+/// A fault of links.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct LinkFault {
+    pub(super) scope: Scope,
+    pub(super) manner: LinkManner,
+    pub(super) time: Duration,
+}
+
+/// The faults of links named in `names`, with their times since the start of the load.
+pub(super) fn plan_links(
+    seed: u64,
+    time: Duration,
+    entries: usize,
+    names: &[String],
+) -> Vec<(Duration, LinkFault)> {
+    let mut rng = StdRng::seed_from_u64(seed ^ LINK_SEED);
+    let mut faults = Vec::new();
+    let mut at = FIRST;
+    while !names.is_empty() && at + LAST < time {
+        if let Some(name) = names.choose(&mut rng) {
+            faults.push((at, draw_link(&mut rng, name, entries)));
+        }
+        at += Duration::from_millis(rng.random_range(200..PAUSE_MAX_MS));
+    }
+    faults
+}
+
+fn draw_link(rng: &mut StdRng, name: &str, entries: usize) -> LinkFault {
+    let manner = match name {
+        "delay" => LinkManner::Delays(Duration::from_millis(rng.random_range(20..700))),
+        "requests" => LinkManner::HoldsRequests,
+        "answers" => LinkManner::HoldsAnswers,
+        "hold" => LinkManner::Holds,
+        "drop" => LinkManner::Drops,
+        "reset" => LinkManner::Resets,
+        _ => LinkManner::Trickles,
+    };
+    let scope = match rng.random_range(0..4) {
+        0 => Scope::Entry(rng.random_range(0..entries)),
+        1 => Scope::Zone(rng.random_range(0..ZONES.len())),
+        2 => Scope::Share(Service::Assistant, rng.random_range(0.2..0.9)),
+        _ => Scope::Share(Service::Ledger, rng.random_range(0.2..0.9)),
+    };
+    let time = Duration::from_millis(rng.random_range(1000..9000));
+    LinkFault { scope, manner, time }
+}
+
 fn draw(rng: &mut StdRng, name: &str, entries: usize) -> Fault {
     let one = rng.random_range(0..entries);
     let row = |rng: &mut StdRng, max: usize| -> Vec<usize> {
--- a/papaya-lab/src/soak/record.rs
+++ b/papaya-lab/src/soak/record.rs
@@ -138,6 +138,9 @@
     /// A replica that drains or is removed.
     Leaving(String),
     Replica(String),
+    /// Links of these entries are harmed.
+    LinkFault(Vec<usize>, String),
+    LinkFine(Vec<usize>),
 }
 
 /// A breach of a rule.
--- a/papaya-lab/src/soak/replica.rs
+++ b/papaya-lab/src/soak/replica.rs
@@ -1,8 +1,9 @@
 //! Stand-in for a replica: slots, a queue and the faults that replicas have.
 
 use super::constants::{
-    CONNECTIONS_MAX, EVENT_TOKENS, PLAIN_BYTES, PLAIN_SLOTS, QUEUE_MAX, STREAM_SLOTS,
+    CONNECTIONS_MAX, EVENT_TOKENS, PLAIN_BYTES, PLAIN_SLOTS, QUEUE_MAX, STREAM_SLOTS, ZONES,
 };
+use super::link::Link;
 use super::platform::{EXPECTED_REPLICA, NOT_EXECUTED, SIGNATURE};
 use super::record::{Act, Arrival, Fate, Kind, Record, Service};
 use super::wire::{Body, Head, Wire, chunk, response};
@@ -53,6 +54,8 @@
     pub(super) id: String,
     pub(super) service: Service,
     pub(super) address: SocketAddr,
+    /// Links of the entries to this replica, by their numbers; none if entries reach it directly.
+    pub(super) links: Vec<Link>,
     /// Place in a group of ranks.
     pub(super) rank: usize,
     pub(super) manner: watch::Sender<Manner>,
@@ -110,18 +113,25 @@
         id: String,
         service: Service,
         rank: usize,
+        links: usize,
         record: Arc<Record>,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let (address, ended) = (listener.local_addr()?, CancellationToken::new());
+        let mut opened = Vec::new();
+        for _ in 0..links {
+            opened.push(Link::open(address, ended.clone()).await?);
+        }
         let slots = if service == Service::Assistant { STREAM_SLOTS } else { PLAIN_SLOTS };
         let replica = Arc::new(Self {
             id,
             service,
-            address: listener.local_addr()?,
+            address,
+            links: opened,
             rank,
             manner: watch::Sender::new(Manner::Fine),
             is_leaving: AtomicBool::new(false),
-            ended: CancellationToken::new(),
+            ended,
             record,
             slots: Semaphore::new(slots),
             waiting: AtomicUsize::new(0),
@@ -170,11 +180,18 @@
         self.ended.cancel();
     }
 
-    /// The entry in the store.
-    pub(super) fn entry(&self, state: &str) -> String {
+    /// Availability zone, as a number.
+    pub(super) fn zone(&self) -> usize {
+        if self.links.is_empty() { 0 } else { self.rank % ZONES.len() }
+    }
+
+    /// The entry in the store, as the entry process `machine` reads it.
+    pub(super) fn entry(&self, state: &str, machine: usize) -> String {
+        let address = self.links.get(machine).map_or(self.address, |l| l.address);
         let slots = if self.service == Service::Assistant { STREAM_SLOTS } else { PLAIN_SLOTS };
         let mut entry = json!({
-            "service": self.service.name(), "address": self.address, "zone": "zone-a",
+            "service": self.service.name(), "address": address,
+            "zone": format!("zone-{}", ZONES[self.zone()]),
             "version": "v1", "slots": slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
             "born": 1_780_000_000_000_u64,
         });
--- a/papaya-lab/src/soak/tests.rs
+++ b/papaya-lab/src/soak/tests.rs
@@ -2,9 +2,15 @@
 
 use super::budget::Repeats;
 use super::checks::View;
-use super::plan::{NAMES, plan};
+use super::link::{Link, LinkManner};
+use super::plan::{LINK_NAMES, NAMES, plan, plan_links};
 use super::record::{Act, Arrival, End, Fate, Kind, Request, Seen, Service};
+use std::net::Ipv4Addr;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 fn names() -> Vec<String> {
     NAMES.iter().map(ToString::to_string).collect()
@@ -60,6 +66,53 @@
     assert_ne!(plan(7, time, 8, &names()), plan(8, time, 8, &names()));
 }
 
+// Guards against link faults of a seed that can't be played again, and that change its other faults.
+#[test]
+fn plan_links_same_seed_same_faults() {
+    let (time, links) = (Duration::from_secs(120), LINK_NAMES.map(str::to_owned));
+    assert_eq!(plan_links(7, time, 8, &links), plan_links(7, time, 8, &links));
+    assert_ne!(plan_links(7, time, 8, &links), plan_links(8, time, 8, &links));
+}
+
+// Guards against a link that lets bytes through while it holds them, or loses them as it heals.
+#[tokio::test]
+async fn link_held_request_arrives_after_heal() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let link = Link::open(address, CancellationToken::new()).await.expect("a link");
+    link.manner.send_replace(LinkManner::HoldsRequests);
+    let mut caller = TcpStream::connect(link.address).await.expect("a connection");
+    caller.write_all(b"held").await.expect("written");
+    let (mut replica, _) = listener.accept().await.expect("accepted");
+    let mut data = [0; 4];
+    // The caller gives up meanwhile; what it sent is on its way.
+    socket2::SockRef::from(&caller).set_linger(Some(Duration::ZERO)).expect("set");
+    drop(caller);
+    assert!(timeout(ms(200), replica.read_exact(&mut data)).await.is_err());
+    link.manner.send_replace(LinkManner::Fine);
+    timeout(ms(5000), replica.read_exact(&mut data)).await.expect("in time").expect("whole");
+    assert_eq!(&data, b"held");
+    let end = timeout(ms(5000), replica.read(&mut data)).await.expect("in time");
+    assert!(end.is_err() || end.is_ok_and(|n| n == 0));
+}
+
+// Guards against a link that loses bytes and passes on the later ones, which no network does.
+#[tokio::test]
+async fn link_dropped_bytes_reset_at_heal() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let link = Link::open(address, CancellationToken::new()).await.expect("a link");
+    link.manner.send_replace(LinkManner::Drops);
+    let mut caller = TcpStream::connect(link.address).await.expect("a connection");
+    caller.write_all(b"lost").await.expect("written");
+    let (mut replica, _) = listener.accept().await.expect("accepted");
+    let mut data = [0; 4];
+    assert!(timeout(ms(200), replica.read(&mut data)).await.is_err());
+    link.manner.send_replace(LinkManner::Fine);
+    timeout(ms(5000), replica.read(&mut data)).await.expect("in time").expect_err("reset");
+    timeout(ms(5000), caller.read(&mut data)).await.expect("in time").expect_err("reset");
+}
+
 // Guards against a cut around SIGTERM that isn't noticed.
 #[test]
 fn lost_stream_cut_by_stopping_entry() {
@@ -107,6 +160,17 @@
     assert_eq!(View::new(&seen, 1).lost().0.len(), 1);
 }
 
+// Guards against a harmed link that excuses the cuts of entries whose links were sound.
+#[test]
+fn lost_beside_harmed_link_excused() {
+    for (harmed, found) in [(0, 0), (1, 1)] {
+        let mut seen = cut_stream();
+        seen.acts.push((ms(21_000), Act::LinkFault(vec![harmed], String::new())));
+        seen.acts.push((ms(22_000), Act::LinkFine(vec![harmed])));
+        assert_eq!(View::new(&seen, 2).lost().0.len(), found);
+    }
+}
+
 // Guards against a reset of unread data, which crosses the close, that counts as lost.
 #[test]
 fn lost_unread_request_holds() {
--- a/papaya-lab/tests/soak.rs
+++ b/papaya-lab/tests/soak.rs
@@ -21,9 +21,21 @@
     lab.args(run.split(' ')).assert().success();
 }
 
+// Guards against repeats that were granted over several windows and arrive in one, when links or
+// replicas that held requests let them through.
+#[test]
+fn soak_links_heal_budget_held() {
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_papaya-lab"));
+    let run = "soak --seed 1 --seconds 40 --entries 6 --replicas 12 --load 80 --slack 40 \
+               --faults fail,refuse,lose --links requests,hold";
+    lab.args(run.split_whitespace()).assert().success();
+}
+
 // Guards against a fault's name that is taken for no fault, which would test nothing.
 #[test]
 fn soak_unknown_fault_does_not_run() {
     let mut lab = Command::new(env!("CARGO_BIN_EXE_papaya-lab"));
     lab.args(["soak", "--faults", "term,flood"]).assert().code(2);
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_papaya-lab"));
+    lab.args(["soak", "--links", "drop,flood"]).assert().code(2);
 }
