Retry budget: a retry counts until a window after its last possible arrival

Seen by callers: a service gets more repeats in a window than the rule allows (BUDGET), after links or replicas that held requests let them through. Cause: a retry was charged at its grant for one window. Attempts that are held arrive later, the replaced first attempt after its retry; a heal brings what several windows had granted. Class: what is counted when it is decided, and takes effect later. The same held for the run before a restart, whose held attempts may arrive for a time limit longer. Change: balance/arrivals.rs keeps which attempts of a request may still arrive; its retries stand in the budget until a window after the last of them, and are given back if never sent. The caution after a start lasts a time limit longer, and is left out where the platform says that the fleet starts for the first time.

--- a/papaya-lab/src/soak/link.rs
+++ b/papaya-lab/src/soak/link.rs
@@ -144,11 +144,12 @@
 /// Waits until the link resets its connections, or heals after it has lost bytes.
 async fn broken(mut news: watch::Receiver<LinkManner>) {
     let is_lossy = |m: &LinkManner| matches!(m, LinkManner::Drops | LinkManner::Resets);
+    // A link that is dropped changes no more.
     let Ok(manner) = news.wait_for(is_lossy).await.map(|m| *m) else {
         return std::future::pending().await;
     };
     if manner == LinkManner::Drops && news.wait_for(|m| !is_lossy(m)).await.is_err() {
-        std::future::pending().await;
+        std::future::pending::<()>().await;
     }
 }
 
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -1,5 +1,6 @@
 //! The load balancer's core: gives each request a seat at an upstream, queues it or refuses it.
 
+use super::arrivals::Arrivals;
 use super::ask::{QueueStage, Refusal, Seat, SeatDecision, SeatRequest};
 use super::budget::{BudgetDecision, BudgetRule};
 use super::constants::HASH_FACTOR;
@@ -152,18 +153,31 @@
         self.upstreams.len()
     }
 
-    /// Counts a client's request in the retry budget of its service.
-    pub(crate) fn count_request(&mut self, service: &str, now: Duration) {
+    /// Counts a client's request in the retry budget of its service. Its attempts may be on their
+    /// way for `transit`.
+    pub(crate) fn count_request(&mut self, service: &str, transit: Duration, now: Duration) {
         if let Some(service) = self.services.get_mut(service) {
-            service.budget.count_request(now);
+            service.budget.count_request(transit, now);
         }
     }
 
-    /// Takes one retry from the budget of a service, if that allows it; `None` if the service is
-    /// unknown.
-    pub(crate) fn try_retry(&mut self, service: &str, now: Duration) -> Option<BudgetDecision> {
+    /// Takes one retry for the request with `arrivals` from the budget of a service, if that allows
+    /// it; `None` if the service is unknown.
+    pub(crate) fn try_retry(
+        &mut self,
+        service: &str,
+        arrivals: &mut Arrivals,
+        now: Duration,
+    ) -> Option<BudgetDecision> {
         let entries = self.sharing;
-        self.services.get_mut(service).map(|s| s.budget.try_take(entries, now))
+        self.services.get_mut(service).map(|s| s.budget.try_take(arrivals, entries, now))
+    }
+
+    /// Updates until when the retries of the request with `arrivals` stand in the budget.
+    pub(crate) fn settle_retries(&mut self, service: &str, arrivals: &mut Arrivals) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.budget.settle(arrivals);
+        }
     }
 
     /// Decides on a request that just arrived or needs another upstream.
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -3,6 +3,7 @@
 //! Contains no I/O, clock or randomness: each method takes `now`, and random bits come with the
 //! request.
 
+mod arrivals;
 pub(crate) mod ask;
 pub(crate) mod budget;
 pub(crate) mod constants;
@@ -18,6 +19,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use arrivals::Arrivals;
 pub(crate) use ask::{Refusal, Seat, SeatDecision, SeatRequest};
 pub(crate) use budget::BudgetDecision;
 pub(crate) use desk::Balancer;
--- a/papayaproxy/src/balance/tests/budget.rs
+++ b/papayaproxy/src/balance/tests/budget.rs
@@ -1,14 +1,28 @@
 //! Retry budget, shared by all entries.
 
+use crate::balance::Arrivals;
 use crate::balance::budget::{Budget, BudgetRule};
 use std::time::Duration;
 
-const RULE: BudgetRule = BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10) };
+const RULE: BudgetRule =
+    BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10), is_first: false };
 const ENTRIES: usize = 8;
 
 fn spend(budget: &mut Budget, requests: usize, now: Duration) -> usize {
-    (0..requests).for_each(|_| budget.count_request(now));
-    (0..10_000).take_while(|_| budget.try_take(Some(ENTRIES), now).is_granted).count()
+    (0..requests).for_each(|_| budget.count_request(Duration::ZERO, now));
+    (0..10_000).take_while(|_| take(budget, now)).count()
+}
+
+/// Takes a retry that arrives at once.
+fn take(budget: &mut Budget, now: Duration) -> bool {
+    let mut arrivals = Arrivals::default();
+    let is_granted = budget.try_take(&mut arrivals, Some(ENTRIES), now).is_granted;
+    for _ in 0..2 {
+        arrivals.record_sent();
+        arrivals.record_settled(now);
+    }
+    budget.settle(&mut arrivals);
+    is_granted
 }
 
 #[test]
--- a/papayaproxy/src/balance/tests/budget_fleet.rs
+++ b/papayaproxy/src/balance/tests/budget_fleet.rs
@@ -1,6 +1,7 @@
 //! The retry budget over a whole fleet, in virtual time: entries that restart, are cut from each
 //! other, or start without knowing the others.
 
+use crate::balance::Arrivals;
 use crate::balance::budget::{Budget, BudgetRule};
 use crate::base::name::{Incarnation, Name};
 use crate::peers::message::Heartbeat;
@@ -134,7 +135,8 @@
     }
 
     fn start(&self, index: usize, run: u64, started: Duration) -> Entry {
-        let rule = BudgetRule { ratio: RATIO, slack: self.site.slack, window: WINDOW };
+        let rule =
+            BudgetRule { ratio: RATIO, slack: self.site.slack, window: WINDOW, is_first: false };
         Entry {
             zone: index % self.site.zones,
             started,
@@ -270,18 +272,31 @@
             }
             let mut left = chance;
             while left > 0.0 && self.rng.random_bool(left.min(1.0)) {
-                entry.budget.count_request(now - entry.started);
+                entry.budget.count_request(Duration::ZERO, now - entry.started);
                 seen.requests.push(now);
                 left -= 1.0;
             }
             let entries = entry.table.size(now - entry.started).sharing;
-            while self.failing.0 && entry.budget.try_take(entries, now - entry.started).is_granted {
+            let now_here = now - entry.started;
+            while self.failing.0 && take_arriving(&mut entry.budget, entries, now_here) {
                 seen.repeats.push(now);
             }
         }
     }
 }
 
+/// Takes a retry whose attempts arrive at once.
+fn take_arriving(budget: &mut Budget, entries: Option<usize>, now: Duration) -> bool {
+    let mut arrivals = Arrivals::default();
+    let is_granted = budget.try_take(&mut arrivals, entries, now).is_granted;
+    for _ in 0..2 {
+        arrivals.record_sent();
+        arrivals.record_settled(now);
+    }
+    budget.settle(&mut arrivals);
+    is_granted
+}
+
 /// Plays `time` and returns what the service got.
 fn play(site: Site, trouble: Trouble, seed: u64, time: Duration) -> Seen {
     let mut fleet = Fleet::new(site, trouble, seed);
--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod budget_fleet;
+mod budget_late;
 mod circuits;
 mod limits;
 mod patterns;
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -61,7 +61,8 @@
 
 /// A balancer in zone `a`, with four replicas of the service `llm` in each of `zones`.
 pub(super) fn balancer(zones: &[&str]) -> (Balancer, Directory, Config) {
-    let rule = BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10) };
+    let rule =
+        BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10), is_first: false };
     let circuit = CircuitSettings {
         bad_ratio: 0.85,
         bad_streak: 6,
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -12,6 +12,7 @@
 use super::exchange::{AttemptHistory, Exchange};
 use super::process::Shared;
 use super::refuse;
+use super::repeats::RetryAccount;
 use crate::balance::constants::RETURNING_TIME_RATIO;
 use crate::base::accept::accept;
 use crate::base::code::Code;
@@ -194,7 +195,8 @@
     let Some(service) = service else {
         return Err(reject(codes::NO_SEAT, Some(RETRY_AFTER_UNREADY)));
     };
-    shared.seats.with_balancer(|balancer| balancer.count_request(&service, arrived));
+    let transit = route.timeout.unwrap_or(time_limit);
+    let retries = RetryAccount::open(shared.clone(), service.clone(), transit, arrived);
     let is_returning = shared.is_returning(&route, client_timeout, RETURNING_TIME_RATIO);
     tracing::info!(
         event = events::REQUEST_TAKEN,
@@ -224,6 +226,7 @@
         deadline: arrived + time_limit,
         is_returning,
         history: AttemptHistory::default(),
+        retries,
     })
 }
 
--- a/papayaproxy/src/gateway/events.rs
+++ b/papayaproxy/src/gateway/events.rs
@@ -8,7 +8,7 @@
     SEND_ENDED = 3002, "An attempt at an upstream failed; began_ms is absent if no head of an answer had arrived. Fields: request, upstream, end, detail, took_ms, began_ms, workspace, parts.";
     STREAM_ENDED = 3003, "A stream ended; reason states why a stream that is cut was not resumed, stopping whether the entry stops. Fields: request, upstream, events, sends, outcome, reason, stopping, took_ms.";
     STREAM_MOVED = 3004, "A stream continues at another upstream. Fields: request, upstream, after, detail.";
-    REPEAT_DENIED = 3005, "The retry budget allows no further attempt. Fields: request, service; requests, repeats (of this entry in the window), entries (that the slack is divided by; absent while their number is unknown), slack (this entry's part).";
+    REPEAT_DENIED = 3005, "The retry budget allows no further attempt. Fields: request, service; requests (of this entry in the window), repeats (of this entry, that may have arrived in the window or may still arrive), outstanding (of these, those that may still arrive), entries (that the slack is divided by; absent while their number is unknown), slack (this entry's part).";
     CALLER_LEFT = 3006, "The caller closed its connection before the response was complete. Fields: request, took_ms.";
     READY_CHANGED = 3007, "The readiness of the entry changed. Fields: ready, reason.";
     GATEWAY_STARTED = 3008, "The entry started. Fields: name, zone, incarnation, address, peers.";
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use super::reader::{Numbering, StreamReader};
 use super::refuse;
 use super::relay;
-use super::repeats;
+use super::repeats::RetryAccount;
 use super::seats::SeatGuard;
 use crate::balance::{SeatRequest, SendOutcome};
 use crate::base::code::Code;
@@ -59,6 +59,7 @@
     /// Whether the client retries a request that was refused before.
     pub(crate) is_returning: bool,
     pub(crate) history: AttemptHistory,
+    pub(super) retries: Rc<RetryAccount>,
 }
 
 impl Exchange {
@@ -181,9 +182,7 @@
     /// # Errors
     /// The budget is used up.
     pub(super) fn take_retry(&self) -> Result<(), StopReason> {
-        let (id, service, now) = (&self.envelope.id, &self.service, self.shared.clock.now());
-        let decision = self.shared.seats.with_balancer(|b| b.try_retry(service, now));
-        match repeats::record(&self.shared.meters, id, service, decision) {
+        match self.retries.take(&self.envelope.id) {
             true => Ok(()),
             false => Err(StopReason::BudgetSpent),
         }
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -18,6 +18,8 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,8 +60,11 @@
 pub(crate) enum SendError {
     /// No byte of the request was written.
     Unsent(String),
-    /// The request may have reached the upstream.
+    /// The upstream closed the connection or sent what is no answer. The request may have reached
+    /// it, and reaches it no later.
     Lost(String),
+    /// The connection failed without a word from the upstream, which may receive the request later.
+    Unacked(String),
 }
 
 /// Idle connections by upstream address.
@@ -169,11 +174,10 @@
             socket.set_linger(Some(Duration::ZERO))?;
             Ok(stream)
         };
-        let stream: std::io::Result<TcpStream> = timeout(CONNECT_TIMEOUT, connect)
-            .await
-            .unwrap_or(Err(std::io::ErrorKind::TimedOut.into()));
+        let stream: io::Result<TcpStream> =
+            timeout(CONNECT_TIMEOUT, connect).await.unwrap_or(Err(ErrorKind::TimedOut.into()));
         let stream = stream.map_err(|error| ConnectError {
-            is_unreachable: error.kind() != std::io::ErrorKind::ConnectionRefused,
+            is_unreachable: error.kind() != ErrorKind::ConnectionRefused,
             detail: error.to_string(),
         })?;
         let (stream, meter) = MeteredStream::new(stream);
@@ -225,14 +229,26 @@
         self.meter.progress();
         let response = self.sender.try_send_request(request).await.map_err(|mut failed| {
             let unsent = failed.take_message().is_some();
-            let reason = with_sources(&failed.into_error());
-            if unsent { SendError::Unsent(reason) } else { SendError::Lost(reason) }
+            let error = failed.into_error();
+            let reason = with_sources(&error);
+            match unsent {
+                true => SendError::Unsent(reason),
+                false if is_unacked(&error) => SendError::Unacked(reason),
+                false => SendError::Lost(reason),
+            }
         })?;
         self.meter.progress();
         Ok(response.map(|body| MeteredBody::new(body, self.meter.clone())))
     }
 }
 
+/// Whether a connection failed since its other end does not respond.
+fn is_unacked(error: &hyper::Error) -> bool {
+    let io = error.source().and_then(|s| s.downcast_ref::<io::Error>());
+    let unheard = [ErrorKind::TimedOut, ErrorKind::HostUnreachable, ErrorKind::NetworkUnreachable];
+    io.is_some_and(|e| unheard.contains(&e.kind()))
+}
+
 /// Idle timeout from the upstream's `Keep-Alive` header, less a margin.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/papayaproxy/src/gateway/send.rs
+++ b/papayaproxy/src/gateway/send.rs
@@ -43,14 +43,20 @@
         let sent_at = self.shared.clock.now();
         // Counted before it is sent, since an attempt that is given up later may still run.
         history.runs.update(|n| n + 1);
+        let transit = self.retries.send();
         let sent = connection.send(request);
         let response = match self.next_from(upstream, sent_at, sent, may_leave).await {
             Some(Ok(response)) => response,
             Some(Err(SendError::Unsent(detail))) => {
                 history.runs.update(|n| n - 1);
+                transit.unsent();
                 return Err(self.fail_not_run(seat, SendOutcome::Stale, detail));
             }
             Some(Err(SendError::Lost(detail))) => {
+                transit.arrived();
+                return Err(self.fail(seat, SendOutcome::Lost, true, detail));
+            }
+            Some(Err(SendError::Unacked(detail))) => {
                 return Err(self.fail(seat, SendOutcome::Lost, true, detail));
             }
             None => {
@@ -67,6 +73,10 @@
             let observe = |b: &mut Balancer| b.observe_limit(upstream, limit, draw, now);
             self.shared.seats.with_balancer(observe);
         }
+        // A copy of another answer proves nothing.
+        if verdict != Verdict::Foreign {
+            transit.arrived();
+        }
         match verdict {
             Verdict::NotRun { misdirected } => {
                 let outcome = if misdirected { SendOutcome::Foreign } else { SendOutcome::Full };
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -96,6 +96,13 @@
         default: Some("10s"),
         meaning: "duration over which retries are counted",
     },
+    SettingRow {
+        section: "budget",
+        key: "first_run",
+        default: Some("false"),
+        meaning: "true if no earlier process of the fleet may have used the budget: the first \
+                  window needs no caution",
+    },
 ];
 
 /// All settings tables of `papaya-entry --direct`.
@@ -161,6 +168,7 @@
         let ratio = reader.value("budget", "ratio", parse_amount);
         let slack = reader.value("budget", "slack", parse_amount);
         let window = reader.value("budget", "window", parse_duration);
+        let is_first = reader.value("budget", "first_run", parse_flag);
         let log = LogSettings::read(reader);
         Some(Self {
             name: name?,
@@ -175,7 +183,12 @@
             grace: grace?,
             drain: drain?,
             event_delay: event_delay?,
-            budget: BudgetRule { ratio: ratio?, slack: slack?, window: window? },
+            budget: BudgetRule {
+                ratio: ratio?,
+                slack: slack?,
+                window: window?,
+                is_first: is_first?,
+            },
             log: log?,
         })
     }
@@ -190,6 +203,10 @@
     })
 }
 
+fn parse_flag(text: &str) -> Result<bool, String> {
+    text.parse().map_err(|_| "true or false".to_owned())
+}
+
 fn parse_amount(text: &str) -> Result<f64, String> {
     let amount = text.parse().ok().filter(|a: &f64| a.is_finite() && *a >= 0.0);
     amount.ok_or_else(|| "a number that is zero or greater".to_owned())
--- a/papayaproxy/src/gateway/tests/repeats.rs
+++ b/papayaproxy/src/gateway/tests/repeats.rs
@@ -1,5 +1,6 @@
 //! Record of the decisions on further attempts.
 
+use crate::balance::Arrivals;
 use crate::balance::budget::{Budget, BudgetRule};
 use crate::gateway::meters::Meters;
 use crate::gateway::repeats::record;
@@ -12,9 +13,12 @@
     let metrics = Metrics::open().unwrap();
     let meters = Meters::new(&metrics);
     let window = Duration::from_secs(10);
-    let mut budget = Budget::new(BudgetRule { ratio: 0.2, slack: 0.0, window });
-    (0..25).for_each(|_| budget.count_request(window));
-    let mut decide = || record(&meters, "r1", "plain", Some(budget.try_take(Some(8), window)));
+    let mut budget = Budget::new(BudgetRule { ratio: 0.2, slack: 0.0, window, is_first: false });
+    (0..25).for_each(|_| budget.count_request(Duration::ZERO, window));
+    let mut decide = || {
+        let decision = budget.try_take(&mut Arrivals::default(), Some(8), window);
+        record(&meters, "r1", "plain", Some(decision))
+    };
     assert_eq!([decide(), decide(), decide(), decide(), decide()], [true, true, true, true, false]);
     assert!(!record(&meters, "r2", "gone", None), "a service that has left is not retried");
     let text = String::from_utf8(metrics.render()).unwrap();
--- a/papayaproxy/src/gateway/tests/seats.rs
+++ b/papayaproxy/src/gateway/tests/seats.rs
@@ -104,7 +104,12 @@
 
 impl Requests {
     fn open() -> Self {
-        let rule = BudgetRule { ratio: 0.2, slack: 92.0, window: Duration::from_secs(10) };
+        let rule = BudgetRule {
+            ratio: 0.2,
+            slack: 92.0,
+            window: Duration::from_secs(10),
+            is_first: false,
+        };
         let wait = Duration::from_millis(50);
         let circuit =
             CircuitSettings { bad_ratio: 0.5, bad_streak: 3, first_wait: wait, longest_wait: wait };
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -247,7 +247,7 @@
         let text = format!(
             "[process]\nname = entry-1\nzone = a\n[gateway]\naddress = 127.0.0.1:0\n\
              ready = 127.0.0.1:0\npeers = {peers}\nseeds = {seeds}\n[ops]\naddress = 127.0.0.1:0\n\
-             [store]\naddress = {}\n[bounds]\ngrace = {grace}\n[budget]\nwindow = 1ms\n{budget}",
+             [store]\naddress = {}\n[bounds]\ngrace = {grace}\n[budget]\nwindow = 1ms\nfirst_run = true\n{budget}",
             server.address
         );
         let settings = Reader::from_text("test", &text, TABLES).check(GatewaySettings::read);
