Retry accounts: tests of what settles an attempt

Change: answers, refusals, failures and closes settle an attempt; silence and the copy of another answer do not; a retry that was never sent is given back.

--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -85,7 +85,7 @@
 
 /// A running entry.
 pub struct Gateway {
-    shared: Rc<Shared>,
+    pub(super) shared: Rc<Shared>,
     peers: Rc<Peers>,
     address: SocketAddr,
     _ops: OpsEndpoint,
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -1,6 +1,7 @@
 //! Fake store, replicas and clients. They write raw bytes, so that they can also send invalid
 //! responses.
 
+use crate::balance::Arrivals;
 use crate::gateway::{Gateway, GatewaySettings, TABLES};
 use crate::settings::Reader;
 use base64::Engine as _;
@@ -268,6 +269,18 @@
         self.send(&request).await
     }
 
+    /// Retries whose attempts may still arrive.
+    pub(crate) fn outstanding_retries(&self) -> usize {
+        let shared = &self.gateway.shared;
+        let (now, mut arrivals) = (shared.clock.now(), Arrivals::default());
+        shared.seats.with_balancer(|b| {
+            let decision = b.try_retry("plain", &mut arrivals, now).unwrap();
+            arrivals.finish();
+            b.settle_retries("plain", &mut arrivals);
+            decision.outstanding - usize::from(decision.is_granted)
+        })
+    }
+
     pub(crate) async fn stop(self) {
         self.gateway.stop().await;
     }
