Soak: only the links that a request used excuse its cut

Change: faults of links record their pairs of entry and replica; a cut is excused if the request reached one of these replicas through such a link, or reached none.

--- a/papaya-lab/src/soak/checks.rs
+++ b/papaya-lab/src/soak/checks.rs
@@ -94,7 +94,16 @@
             let from = request.sent.saturating_sub(STABLE_WINDOW);
             let by_store =
                 request.kind == Kind::Stream && self.spans.is_store_disturbed(from, request.ended);
-            if by_store || self.spans.has_unplanned(request.entry, from, request.ended) {
+            // Other links of the entry excuse nothing, unless no replica tells which one it used.
+            let runs = self.of(id);
+            let is_used = |(entry, replica): &(usize, String)| {
+                *entry == request.entry
+                    && (runs.is_empty() || runs.iter().any(|a| a.replica == *replica))
+            };
+            if by_store
+                || self.spans.has_unplanned(request.entry, from, request.ended)
+                || self.spans.is_harmed(from, request.ended, is_used)
+            {
                 excused += 1;
                 continue;
             }
--- a/papaya-lab/src/soak/faults.rs
+++ b/papaya-lab/src/soak/faults.rs
@@ -59,7 +59,6 @@
 
 async fn harm(world: &World, fault: LinkFault, turn: usize) {
     let LinkFault { scope, manner, time } = fault;
-    let all = world.entries.len();
     let zone = |entry: usize| entry % ZONES.len();
     let chosen: Vec<_> = match scope {
         Scope::Share(service, share) => {
@@ -74,12 +73,12 @@
         Scope::Zone(one) => (zone(entry) == one) != (replica.zone() == one),
         Scope::Share(..) => chosen.contains(&replica.id),
     };
-    let harmed: Vec<_> =
-        (0..all).filter(|e| !matches!(scope, Scope::Entry(one) if one != *e)).collect();
-    let what = format!("{manner:?} for {time:?} at {scope:?} {}", chosen.join(" "));
-    world.record.act(Act::LinkFault(harmed.clone(), what));
-    world.fleet.harm_links(meets, manner, time).await;
-    world.record.act(Act::LinkFine(harmed));
+    let pairs = world.fleet.links(meets);
+    let harmed = pairs.iter().map(|(entry, replica)| (*entry, replica.id.clone())).collect();
+    let what = format!("{manner:?} for {time:?} at {scope:?}");
+    world.record.act(Act::LinkFault(turn, harmed, what));
+    world.fleet.harm_links(&pairs, manner, time).await;
+    world.record.act(Act::LinkFine(turn));
 }
 
 async fn carry_out(world: Arc<World>, fault: Fault, turn: usize) -> io::Result<()> {
--- a/papaya-lab/src/soak/fleet.rs
+++ b/papaya-lab/src/soak/fleet.rs
@@ -109,24 +109,29 @@
         }
     }
 
-    /// Lets the links of `entry` to `replica` for each pair that `meets` behave as `manner` for a time.
-    pub(super) async fn harm_links(
+    /// The pairs of entry and replica with a link that `meets`.
+    pub(super) fn links(
         &self,
         meets: impl Fn(usize, &Replica) -> bool,
+    ) -> Vec<(usize, Arc<Replica>)> {
+        let places = self.places();
+        let all = places.iter().flat_map(|r| (0..r.links.len()).map(move |entry| (entry, r)));
+        all.filter(|(entry, r)| meets(*entry, r)).map(|(entry, r)| (entry, r.clone())).collect()
+    }
+
+    /// Lets the links of `pairs` behave as `manner` for a time.
+    pub(super) async fn harm_links(
+        &self,
+        pairs: &[(usize, Arc<Replica>)],
         manner: LinkManner,
         time: Duration,
     ) {
-        let replicas = self.places().clone();
-        let of_replica = |r: &Arc<Replica>| -> Vec<_> {
-            let met = r.links.iter().enumerate().filter(|(entry, _)| meets(*entry, r));
-            met.map(|(_, link)| link.manner.clone()).collect()
-        };
-        let links: Vec<_> = replicas.iter().flat_map(of_replica).collect();
-        for link in &links {
+        let links = || pairs.iter().map(|(entry, replica)| &replica.links[*entry].manner);
+        for link in links() {
             link.send_replace(manner);
         }
         sleep(time).await;
-        for link in links {
+        for link in links() {
             // A later fault that still lasts stays.
             link.send_if_modified(|now| {
                 let is_own = *now == manner;
--- a/papaya-lab/src/soak/record.rs
+++ b/papaya-lab/src/soak/record.rs
@@ -138,9 +138,10 @@
     /// A replica that drains or is removed.
     Leaving(String),
     Replica(String),
-    /// Links of these entries are harmed.
-    LinkFault(Vec<usize>, String),
-    LinkFine(Vec<usize>),
+    /// Links are harmed: the number of the fault, the pairs of entry and replica, and the harm.
+    LinkFault(usize, Vec<(usize, String)>, String),
+    /// The fault of links with this number is over.
+    LinkFine(usize),
 }
 
 /// A breach of a rule.
--- a/papaya-lab/src/soak/spans.rs
+++ b/papaya-lab/src/soak/spans.rs
@@ -2,6 +2,8 @@
 
 use super::constants::STABLE_WINDOW;
 use super::record::{Act, Seen};
+use indexmap::IndexMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// Spans of disruptions; those that have not ended last to the end of the soak.
@@ -11,8 +13,14 @@
     /// Kills and freezes, by entry.
     unplanned: Vec<Vec<(Duration, Duration)>>,
     store: Vec<(Duration, Duration)>,
-    /// Harm to links, by entry.
-    links: Vec<Vec<(Duration, Duration)>>,
+    /// Harm to links, by the number of the fault.
+    links: IndexMap<usize, Harm>,
+}
+
+/// Links that were harmed, as pairs of entry and replica, and when.
+struct Harm {
+    pairs: HashSet<(usize, String)>,
+    span: (Duration, Duration),
 }
 
 fn meets(spans: &[(Duration, Duration)], from: Duration, to: Duration) -> bool {
@@ -25,9 +33,9 @@
             entries: vec![Vec::new(); entries],
             unplanned: vec![Vec::new(); entries],
             store: Vec::new(),
-            links: vec![Vec::new(); entries],
+            links: IndexMap::new(),
         };
-        let (mut faults, mut harms) = (Vec::new(), vec![Vec::new(); entries]);
+        let mut faults = Vec::new();
         for (at, act) in &seen.acts {
             match act {
                 Act::Killed(e) | Act::Frozen(e) | Act::Ended(e) => {
@@ -51,18 +59,13 @@
                         spans.store[first].1 = *at;
                     }
                 }
-                Act::LinkFault(harmed, _) => {
-                    for entry in harmed {
-                        harms[*entry].push(spans.links[*entry].len());
-                        spans.links[*entry].push((*at, Duration::MAX));
-                    }
+                Act::LinkFault(number, pairs, _) => {
+                    let pairs = pairs.iter().cloned().collect();
+                    spans.links.insert(*number, Harm { pairs, span: (*at, Duration::MAX) });
                 }
-                // Like those of the store, these may overlap.
-                Act::LinkFine(harmed) => {
-                    for entry in harmed {
-                        if let Some(first) = harms[*entry].pop() {
-                            spans.links[*entry][first].1 = *at;
-                        }
+                Act::LinkFine(number) => {
+                    if let Some(harm) = spans.links.get_mut(number) {
+                        harm.span.1 = *at;
                     }
                 }
                 _ => {}
@@ -76,11 +79,22 @@
         let from = from.saturating_sub(STABLE_WINDOW);
         !meets(&self.entries[entry], from, to)
             && !meets(&self.store, from, to)
-            && !meets(&self.links[entry], from, to)
+            && !self.is_harmed(from, to, |(e, _)| *e == entry)
     }
 
     pub(super) fn has_unplanned(&self, entry: usize, from: Duration, to: Duration) -> bool {
-        meets(&self.unplanned[entry], from, to) || meets(&self.links[entry], from, to)
+        meets(&self.unplanned[entry], from, to)
+    }
+
+    /// Whether a link that `meets` was harmed from `from` to `to`.
+    pub(super) fn is_harmed(
+        &self,
+        from: Duration,
+        to: Duration,
+        meets: impl Fn(&(usize, String)) -> bool,
+    ) -> bool {
+        let mut all = self.links.values();
+        all.any(|h| h.span.0 <= to && h.span.1 >= from && h.pairs.iter().any(&meets))
     }
 
     pub(super) fn is_store_disturbed(&self, from: Duration, to: Duration) -> bool {
--- a/papaya-lab/src/soak/tests.rs
+++ b/papaya-lab/src/soak/tests.rs
@@ -160,14 +160,15 @@
     assert_eq!(View::new(&seen, 1).lost().0.len(), 1);
 }
 
-// Guards against a harmed link that excuses the cuts of entries whose links were sound.
+// Guards against a harmed link that excuses the cuts of requests that used other links.
 #[test]
 fn lost_beside_harmed_link_excused() {
-    for (harmed, found) in [(0, 0), (1, 1)] {
+    for (entry, replica, found) in [(0, "i-20510", 0), (1, "i-20510", 1), (0, "i-1", 1)] {
         let mut seen = cut_stream();
-        seen.acts.push((ms(21_000), Act::LinkFault(vec![harmed], String::new())));
-        seen.acts.push((ms(22_000), Act::LinkFine(vec![harmed])));
-        assert_eq!(View::new(&seen, 2).lost().0.len(), found);
+        let pairs = vec![(entry, replica.to_owned())];
+        seen.acts.push((ms(21_000), Act::LinkFault(0, pairs, String::new())));
+        seen.acts.push((ms(22_000), Act::LinkFine(0)));
+        assert_eq!(View::new(&seen, 2).lost().0.len(), found, "{entry} {replica}");
     }
 }
 
