Tests with entries as processes: ports that no socket is given by the kernel

A trial shows how: a socket on all addresses with a port of the ephemeral range takes that port on each address. Which process held it was not traced. Change: places use ports below that range on an address by test and process; a port in use fails the test by its number.

--- a/papayaproxy/tests/support/mod.rs
+++ b/papayaproxy/tests/support/mod.rs
@@ -81,14 +81,23 @@
     pub ports: Vec<SocketAddr>,
 }
 
+/// First port of a place. The kernel gives ports from 32768 on to sockets without one, and one of
+/// these on all addresses takes its port on each address.
+const PORT_FIRST: u16 = 20_000;
+
 /// Places for `count` entries on the loopback network `net`, which differs between tests.
 pub fn free_places(net: u8, count: usize) -> Vec<Place> {
-    // Entries of other tests in this process must not bind what is free here until the entries start.
+    // Entries of other tests, in this process or another one, must not bind what is free here.
     static CALLS: AtomicU8 = AtomicU8::new(1);
-    let host = Ipv4Addr::new(127, net, CALLS.fetch_add(1, Ordering::SeqCst), 1);
-    let bind = |_| TcpListener::bind((host, 0)).unwrap();
-    let listeners: Vec<_> = (0..count * 4).map(bind).collect();
-    let ports: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+    let [.., low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, net, low, CALLS.fetch_add(1, Ordering::SeqCst));
+    let ports: Vec<_> =
+        (0..count * 4).map(|n| SocketAddr::from((host, PORT_FIRST + n as u16))).collect();
+    // A port that is in use fails the test here, by its number.
+    let listeners: Vec<_> = ports.iter().map(TcpListener::bind).collect();
+    for (listener, port) in listeners.into_iter().zip(&ports) {
+        listener.unwrap_or_else(|error| panic!("{port} is not free: {error}"));
+    }
     let place = |(i, p): (usize, &[SocketAddr])| Place { name: format!("e-{i}"), ports: p.into() };
     ports.chunks(4).enumerate().map(place).collect()
 }
