--- a/papayaproxy/tests/settings.rs
+++ b/papayaproxy/tests/settings.rs
@@ -49,6 +49,12 @@
 #[case::store("papaya-entry", "gateway.ini", "store.address=here", "P1005 --set [store] address: ")]
 #[case::seeds("papaya-entry", "gateway.ini", "gateway.seeds=a,b", "P1005 --set [gateway] seeds: ")]
 #[case::ratio("papaya-entry", "gateway.ini", "budget.ratio=-1", "P1005 --set [budget] ratio: ")]
+#[case::first_run(
+    "papaya-entry",
+    "gateway.ini",
+    "budget.first_run=2",
+    "P1005 --set [budget] first_run: "
+)]
 #[case::revoke("papaya-entry", "gateway.ini", "bounds.revoke=5", "P1005 --set [bounds] revoke: ")]
 #[case::key("papaya-entry", "gateway.ini", "gateway.speed=1", "P1003 --set [gateway] speed: ")]
 #[case::replica("papaya-agent", "rank.ini", "replica.address=x", "P1005 --set [replica] address: ")]
