--- a/papaya-lab/src/soak/run.rs
+++ b/papaya-lab/src/soak/run.rs
@@ -57,15 +57,16 @@
     let stopped = CancellationToken::new();
     let seed = settings.seed;
     let world = Arc::new(World { seed, record: record.clone(), fleet, entries, stopped });
-    // These are dropped, and so ended, on every way out.
+    // These are ended on every way out.
     let mut helpers = JoinSet::new();
     helpers.spawn(measure_lag(record.clone()));
     (0..settings.entries).for_each(|n| drop(helpers.spawn(world.clone().poll(n))));
     let result = drive(settings, &world).await;
+    // First, else one of them takes an entry that is ended here for one that has ended by itself.
+    helpers.shutdown().await;
     for entry in &world.entries {
         entry.end().await?;
     }
-    drop(helpers);
     result?;
     let seen = record.seen().clone();
     write_record(settings, &seen)?;
