--- a/papayaproxy/src/balance/ask.rs
+++ b/papayaproxy/src/balance/ask.rs
@@ -16,6 +16,10 @@
     /// Written to log lines.
     pub(crate) request_id: Name,
     pub(crate) service: Name,
+    /// Workspace that is charged; empty if the request has none.
+    pub(crate) workspace: Name,
+    /// Priority of the workspace or else of the route; 0 is the most urgent.
+    pub(crate) priority: u8,
     /// Upstreams that earlier attempts were sent to.
     pub(crate) excluded: Vec<Name>,
     /// When the request arrived, on the clock of the process.
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -3,14 +3,11 @@
 use super::arrivals::Arrivals;
 use super::ask::{QueueStage, Refusal, Seat, SeatDecision, SeatRequest};
 use super::budget::{BudgetDecision, BudgetRule};
-use super::constants::HASH_FACTOR;
 use super::constants::{
-    BROKEN_WAIT, CIRCUITS_OPEN_RATIO, FIRST_EVENT_WEIGHT, RETRY_AFTER_MIN, SCORE_NOISE,
-    SILENCE_UNKNOWN, ZONE_BACKOFF, ZONE_FAILURES, ZONE_PENALTY, ZONE_PENALTY_PLAIN,
+    CIRCUITS_OPEN_RATIO, RETRY_AFTER_MIN, SILENCE_UNKNOWN, ZONE_BACKOFF, ZONE_FAILURES,
 };
 use super::events;
 use super::service::Service;
-use super::spread::{Candidate, choose};
 use super::upstream::{SendOutcome, Upstream};
 use crate::base::name::Name;
 use crate::limits::CircuitSettings;
@@ -22,7 +19,7 @@
 
 /// All upstreams, and the requests that wait for a seat at one.
 pub(crate) struct Balancer {
-    zone: Name,
+    pub(super) zone: Name,
     pub(super) budget_rule: BudgetRule,
     pub(super) circuit: CircuitSettings,
     pub(super) upstreams: IndexMap<Name, Upstream>,
@@ -37,9 +34,9 @@
     /// Whether each lock-step group runs passes, by service and group name.
     groups: IndexMap<(Name, Name), bool>,
     /// Per availability zone: consecutive failed connections, and until when it gets no request.
-    zones: IndexMap<Name, (u32, Duration)>,
+    pub(super) zones: IndexMap<Name, (u32, Duration)>,
     /// Mean time of the peers' last load reports.
-    reported_at: Duration,
+    pub(super) reported_at: Duration,
 }
 
 impl Balancer {
@@ -204,33 +201,6 @@
         self.queue(request, now)
     }
 
-    /// Whether some upstream could take the request once a seat is free.
-    fn may_be_served(&self, request: &SeatRequest, now: Duration) -> bool {
-        let mut all = self.upstreams.values().filter(|u| u.service == request.service);
-        all.any(|u| !u.is_broken(now) && !self.is_zone_in_backoff(&u.zone, now))
-    }
-
-    /// When the first upstream that could take the request may get one, if the rate limits of all
-    /// keep it from being sent.
-    fn limited_until(&self, request: &SeatRequest, now: Duration) -> Option<Duration> {
-        let fitting = self.upstreams.values().filter(|u| self.may_get(u, request, now));
-        fitting.map(Upstream::limited_until).min().filter(|at| now < *at)
-    }
-
-    /// Whether an upstream may get the request, apart from its load and its rate limit.
-    fn may_get(&self, upstream: &Upstream, request: &SeatRequest, now: Duration) -> bool {
-        upstream.service == request.service
-            && !request.excluded.contains(&upstream.id)
-            && upstream.is_available(now)
-            && upstream.lets_pass(request.is_repeatable, now)
-            && !self.is_zone_in_backoff(&upstream.zone, now)
-    }
-
-    fn is_zone_in_backoff(&self, zone: &Name, now: Duration) -> bool {
-        *zone != self.zone
-            && self.zones.get(zone).is_some_and(|(_, backoff_until)| now < *backoff_until)
-    }
-
     /// Releases a seat and records how the attempt ended.
     pub(crate) fn release(&mut self, seat: &Seat, outcome: SendOutcome, now: Duration) {
         let Some((upstream, _)) = self.record_of(seat) else { return };
@@ -334,161 +304,7 @@
             && others.any(|u| u.id != current.id && !tried.contains(&u.id) && has_free_slot(u))
     }
 
-    /// Removes a waiting request.
-    pub(crate) fn withdraw(&mut self, ticket: u64) {
-        for service in self.services.values_mut() {
-            service.waiting.retain(|a| a.ticket != ticket);
-        }
-    }
-
-    /// Decides on waiting requests, after seats were freed or time has passed. Returns the
-    /// decisions by ticket.
-    pub(crate) fn advance(&mut self, now: Duration) -> Vec<(u64, SeatDecision)> {
-        let mut decisions = Vec::new();
-        let names: Vec<Name> = self.services.keys().cloned().collect();
-        for name in names {
-            let mut queue = match self.services.get_mut(&name) {
-                Some(service) if !service.waiting.is_empty() => {
-                    std::mem::take(&mut service.waiting)
-                }
-                _ => continue,
-            };
-            // Resumed streams go first, then requests that can still meet the latency target, then
-            // returning ones; the oldest first in each.
-            queue.sort_by_key(|a| (!a.is_resumed, a.is_returning, a.arrived));
-            let mut remaining = Vec::new();
-            for request in queue {
-                match self.decide(&request, now) {
-                    SeatDecision::Wait => remaining.push(request),
-                    decision => decisions.push((request.ticket, decision)),
-                }
-            }
-            if let Some(service) = self.services.get_mut(&name) {
-                service.waiting = remaining;
-            }
-        }
-        decisions
-    }
-
-    fn decide(&mut self, request: &SeatRequest, now: Duration) -> SeatDecision {
-        if let Some(seat) = self.seat(request, QueueStage::Waiting, now) {
-            return SeatDecision::Grant(seat);
-        }
-        let is_broken = !request.is_resumed && !self.may_be_served(request, now);
-        let wait_until =
-            if is_broken { request.arrived + BROKEN_WAIT } else { request.wait_until() };
-        if now < wait_until {
-            return SeatDecision::Wait;
-        }
-        // The wait is over. One more request in a batch delays the others by less than a refusal
-        // costs this one.
-        match self.seat(request, QueueStage::TimedOut, now) {
-            Some(seat) => SeatDecision::Grant(seat),
-            None => self.refuse(request, "no upstream takes it", request.longest_retry_after()),
-        }
-    }
-
-    fn queue(&mut self, request: SeatRequest, now: Duration) -> SeatDecision {
-        let is_broken = !self.may_be_served(&request, now);
-        let Some(service) = self.services.get_mut(&request.service) else {
-            return self.refuse(&request, "service unknown", RETRY_AFTER_MIN);
-        };
-        let ahead =
-            service.waiting.iter().filter(|a| a.is_returning <= request.is_returning).count();
-        let expected_wait = (ahead + 1) as f64 / service.free_rate(now);
-        let max_wait = request.wait_until().saturating_sub(now).as_secs_f64();
-        // The rate of freed seats predicts nothing while no group runs; such a wait is short.
-        if request.is_resumed || is_broken || expected_wait <= max_wait {
-            service.waiting.push(request);
-            return SeatDecision::Wait;
-        }
-        let fraction = f64::from(request.draw) / f64::from(u32::MAX);
-        let range = request.longest_retry_after().saturating_sub(RETRY_AFTER_MIN);
-        self.refuse(&request, "no seat in time", RETRY_AFTER_MIN + range.mul_f64(fraction))
-    }
-
-    /// Takes a seat at one of the least loaded upstreams that have a free one. A timed-out request
-    /// may exceed the limit that keeps all requests on target, but not the slots of the upstream.
-    fn seat(&mut self, request: &SeatRequest, stage: QueueStage, now: Duration) -> Option<Seat> {
-        let service = self.services.get(&request.service)?;
-        let engine = service.engine.as_ref();
-        let noise = |u: &Upstream| {
-            let hash = (request.draw ^ u.digest).wrapping_mul(HASH_FACTOR);
-            f64::from(hash) / f64::from(u32::MAX) * SCORE_NOISE
-        };
-        let penalty = if engine.is_some() { ZONE_PENALTY } else { ZONE_PENALTY_PLAIN };
-        let age = now.saturating_sub(self.reported_at);
-        let peers = self.entries.saturating_sub(1) as f64;
-        // Requests of the other entries that their load reports do not show yet.
-        let unseen = service.send_rate(now) * peers * age.as_secs_f64();
-        let (may_be_late, latest_first_event) =
-            (request.may_be_late(stage), request.latest_first_event(stage));
-        let mut usable = Vec::new();
-        let (mut candidates, mut free_seats) = (0, 0.0);
-        for (index, u) in self.upstreams.values().enumerate() {
-            if !self.may_get(u, request, now) || now < u.limited_until() {
-                continue;
-            }
-            candidates += 1;
-            let limit = u.limit(engine, request.gap_target);
-            let first_event =
-                engine.map(|e| u.first_event_time(e, request.prompt_tokens)).unwrap_or_default();
-            let duration = engine.map(|e| first_event + u.answer_time(e)).unwrap_or_default();
-            let running =
-                if engine.is_some() { u.running_after(age, duration) } else { u.running() };
-            // An idle upstream is tried: the slowdown learned under load must not keep it idle.
-            let is_idle = u.running() < 1.0;
-            let ends_in_time = now + duration <= request.deadline;
-            let max_running = if may_be_late { f64::from(u.slots).max(limit) } else { limit };
-            let starts_in_time = now + first_event <= latest_first_event;
-            if !(is_idle || (ends_in_time && starts_in_time && running + 1.0 <= max_running)) {
-                continue;
-            }
-            free_seats += (max_running - running).max(1.0);
-            let zone_penalty = if u.zone == self.zone { 0.0 } else { penalty };
-            let latency =
-                first_event.as_secs_f64() / request.latency_target.as_secs_f64().max(0.001);
-            let score =
-                running / limit.max(1.0) + latency * FIRST_EVENT_WEIGHT + zone_penalty + noise(u);
-            usable.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
-        }
-        // The queues of all entries must not be sent at once to a group that has just formed.
-        if stage == QueueStage::Waiting && unseen > free_seats {
-            return None;
-        }
-        let index = choose(usable, unseen, f64::from(request.draw) / f64::from(u32::MAX))?;
-        let limit = self.upstreams[index].limit(engine, request.gap_target);
-        let upstream = &mut self.upstreams[index];
-        tracing::info!(
-            event = events::SEAT_TAKEN,
-            request = %request.request_id,
-            upstream = %upstream.id,
-            running = upstream.own_requests,
-            others = upstream.peer_requests,
-            limit,
-            picture_ms = age.as_millis() as u64,
-            unseen,
-            waited_ms = now.saturating_sub(request.arrived).as_millis() as u64,
-            candidates,
-            "seat taken"
-        );
-        // A zone that was unreachable is tried with one request at a time.
-        if let Some((failed, backoff_until)) = self.zones.get_mut(&upstream.zone)
-            && *failed >= ZONE_FAILURES
-        {
-            *backoff_until = now + ZONE_BACKOFF;
-        }
-        let is_probe = upstream.record_start(request.is_repeatable, now);
-        upstream.own_tokens = upstream.own_tokens.saturating_add(request.prompt_tokens);
-        let (id, record, address) = (upstream.id.clone(), upstream.record, upstream.address);
-        if let Some(service) = self.services.get_mut(&request.service) {
-            service.record_send(now);
-        }
-        let prompt_tokens = request.prompt_tokens;
-        Some(Seat { upstream: id, record, address, is_probe, prompt_tokens })
-    }
-
-    fn refuse(
+    pub(super) fn refuse(
         &self,
         request: &SeatRequest,
         reason: &'static str,
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -11,10 +11,13 @@
 pub(crate) mod engine;
 pub(crate) mod events;
 pub(crate) mod limits;
+mod placement;
 mod records;
 pub(crate) mod service;
 pub(crate) mod spread;
 pub(crate) mod upstream;
+mod waiting;
+pub(crate) mod warmup;
 
 #[cfg(test)]
 mod tests;
@@ -24,3 +27,4 @@
 pub(crate) use budget::BudgetDecision;
 pub(crate) use desk::Balancer;
 pub(crate) use upstream::SendOutcome;
+pub(crate) use warmup::WarmUpRule;
--- /dev/null
+++ b/papayaproxy/src/balance/placement.rs
@@ -0,0 +1,133 @@
+//! The choice of an upstream for one request.
+
+use super::ask::{QueueStage, Seat, SeatRequest};
+use super::constants::{
+    FIRST_EVENT_WEIGHT, HASH_FACTOR, SCORE_NOISE, ZONE_BACKOFF, ZONE_FAILURES, ZONE_PENALTY,
+    ZONE_PENALTY_PLAIN,
+};
+use super::desk::Balancer;
+use super::events;
+use super::spread::{Candidate, choose};
+use super::upstream::Upstream;
+use crate::base::name::Name;
+use std::time::Duration;
+
+impl Balancer {
+    /// Whether some upstream could take the request once a seat is free.
+    pub(super) fn may_be_served(&self, request: &SeatRequest, now: Duration) -> bool {
+        let mut all = self.upstreams.values().filter(|u| u.service == request.service);
+        all.any(|u| !u.is_broken(now) && !self.is_zone_in_backoff(&u.zone, now))
+    }
+
+    /// When the first upstream that could take the request may get one, if the rate limits of all
+    /// keep it from being sent.
+    pub(super) fn limited_until(&self, request: &SeatRequest, now: Duration) -> Option<Duration> {
+        let fitting = self.upstreams.values().filter(|u| self.may_get(u, request, now));
+        fitting.map(Upstream::limited_until).min().filter(|at| now < *at)
+    }
+
+    /// Whether an upstream may get the request, apart from its load and its rate limit.
+    pub(super) fn may_get(
+        &self,
+        upstream: &Upstream,
+        request: &SeatRequest,
+        now: Duration,
+    ) -> bool {
+        upstream.service == request.service
+            && !request.excluded.contains(&upstream.id)
+            && upstream.is_available(now)
+            && upstream.lets_pass(request.is_repeatable, now)
+            && !self.is_zone_in_backoff(&upstream.zone, now)
+    }
+
+    fn is_zone_in_backoff(&self, zone: &Name, now: Duration) -> bool {
+        *zone != self.zone
+            && self.zones.get(zone).is_some_and(|(_, backoff_until)| now < *backoff_until)
+    }
+
+    /// Takes a seat at one of the least loaded upstreams that have a free one. A timed-out request
+    /// may exceed the limit that keeps all requests on target, but not the slots of the upstream.
+    pub(super) fn seat(
+        &mut self,
+        request: &SeatRequest,
+        stage: QueueStage,
+        now: Duration,
+    ) -> Option<Seat> {
+        let service = self.services.get(&request.service)?;
+        let engine = service.engine.as_ref();
+        let noise = |u: &Upstream| {
+            let hash = (request.draw ^ u.digest).wrapping_mul(HASH_FACTOR);
+            f64::from(hash) / f64::from(u32::MAX) * SCORE_NOISE
+        };
+        let penalty = if engine.is_some() { ZONE_PENALTY } else { ZONE_PENALTY_PLAIN };
+        let age = now.saturating_sub(self.reported_at);
+        let peers = self.entries.saturating_sub(1) as f64;
+        // Requests of the other entries that their load reports do not show yet.
+        let unseen = service.send_rate(now) * peers * age.as_secs_f64();
+        let (may_be_late, latest_first_event) =
+            (request.may_be_late(stage), request.latest_first_event(stage));
+        let mut usable = Vec::new();
+        let (mut candidates, mut free_seats) = (0, 0.0);
+        for (index, u) in self.upstreams.values().enumerate() {
+            if !self.may_get(u, request, now) || now < u.limited_until() {
+                continue;
+            }
+            candidates += 1;
+            let limit = u.limit(engine, request.gap_target);
+            let first_event =
+                engine.map(|e| u.first_event_time(e, request.prompt_tokens)).unwrap_or_default();
+            let duration = engine.map(|e| first_event + u.answer_time(e)).unwrap_or_default();
+            let running =
+                if engine.is_some() { u.running_after(age, duration) } else { u.running() };
+            // An idle upstream is tried: the slowdown learned under load must not keep it idle.
+            let is_idle = u.running() < 1.0;
+            let ends_in_time = now + duration <= request.deadline;
+            let max_running = if may_be_late { f64::from(u.slots).max(limit) } else { limit };
+            let starts_in_time = now + first_event <= latest_first_event;
+            if !(is_idle || (ends_in_time && starts_in_time && running + 1.0 <= max_running)) {
+                continue;
+            }
+            free_seats += (max_running - running).max(1.0);
+            let zone_penalty = if u.zone == self.zone { 0.0 } else { penalty };
+            let latency =
+                first_event.as_secs_f64() / request.latency_target.as_secs_f64().max(0.001);
+            let score =
+                running / limit.max(1.0) + latency * FIRST_EVENT_WEIGHT + zone_penalty + noise(u);
+            usable.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
+        }
+        // The queues of all entries must not be sent at once to a group that has just formed.
+        if stage == QueueStage::Waiting && unseen > free_seats {
+            return None;
+        }
+        let index = choose(usable, unseen, f64::from(request.draw) / f64::from(u32::MAX))?;
+        let limit = self.upstreams[index].limit(engine, request.gap_target);
+        let upstream = &mut self.upstreams[index];
+        tracing::info!(
+            event = events::SEAT_TAKEN,
+            request = %request.request_id,
+            upstream = %upstream.id,
+            running = upstream.own_requests,
+            others = upstream.peer_requests,
+            limit,
+            picture_ms = age.as_millis() as u64,
+            unseen,
+            waited_ms = now.saturating_sub(request.arrived).as_millis() as u64,
+            candidates,
+            "seat taken"
+        );
+        // A zone that was unreachable is tried with one request at a time.
+        if let Some((failed, backoff_until)) = self.zones.get_mut(&upstream.zone)
+            && *failed >= ZONE_FAILURES
+        {
+            *backoff_until = now + ZONE_BACKOFF;
+        }
+        let is_probe = upstream.record_start(request.is_repeatable, now);
+        upstream.own_tokens = upstream.own_tokens.saturating_add(request.prompt_tokens);
+        let (id, record, address) = (upstream.id.clone(), upstream.record, upstream.address);
+        if let Some(service) = self.services.get_mut(&request.service) {
+            service.record_send(now);
+        }
+        let prompt_tokens = request.prompt_tokens;
+        Some(Seat { upstream: id, record, address, is_probe, prompt_tokens })
+    }
+}
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -54,7 +54,7 @@
         zone: zone.into(),
         slots: 12,
         state: UpstreamState::Ready,
-        cold: false,
+        cold: Duration::ZERO,
         started_ms: 1,
     }
 }
@@ -78,7 +78,7 @@
             index += 1;
         }
     }
-    let llm = Service { connections: None, engine: Some(figures()) };
+    let llm = Service { connections: None, warm_up: None, engine: Some(figures()) };
     let config = Config::new(ConfigParts {
         version: 1,
         routes: Vec::new(),
@@ -100,6 +100,8 @@
         ticket,
         request_id: format!("r{ticket}").into(),
         service: "llm".into(),
+        workspace: Name::default(),
+        priority: 0,
         excluded: Vec::new(),
         arrived: now,
         deadline: now + Duration::from_secs(8),
--- /dev/null
+++ b/papayaproxy/src/balance/waiting.rs
@@ -0,0 +1,82 @@
+//! Requests that wait for a seat.
+
+use super::ask::{QueueStage, SeatDecision, SeatRequest};
+use super::constants::{BROKEN_WAIT, RETRY_AFTER_MIN};
+use super::desk::Balancer;
+use crate::base::name::Name;
+use std::time::Duration;
+
+impl Balancer {
+    /// Removes a waiting request.
+    pub(crate) fn withdraw(&mut self, ticket: u64) {
+        for service in self.services.values_mut() {
+            service.waiting.retain(|a| a.ticket != ticket);
+        }
+    }
+
+    /// Decides on waiting requests, after seats were freed or time has passed. Returns the
+    /// decisions by ticket.
+    pub(crate) fn advance(&mut self, now: Duration) -> Vec<(u64, SeatDecision)> {
+        let mut decisions = Vec::new();
+        let names: Vec<Name> = self.services.keys().cloned().collect();
+        for name in names {
+            let mut queue = match self.services.get_mut(&name) {
+                Some(service) if !service.waiting.is_empty() => {
+                    std::mem::take(&mut service.waiting)
+                }
+                _ => continue,
+            };
+            // Resumed streams go first, then requests that can still meet the latency target, then
+            // returning ones; the oldest first in each.
+            queue.sort_by_key(|a| (!a.is_resumed, a.is_returning, a.arrived));
+            let mut remaining = Vec::new();
+            for request in queue {
+                match self.decide(&request, now) {
+                    SeatDecision::Wait => remaining.push(request),
+                    decision => decisions.push((request.ticket, decision)),
+                }
+            }
+            if let Some(service) = self.services.get_mut(&name) {
+                service.waiting = remaining;
+            }
+        }
+        decisions
+    }
+
+    fn decide(&mut self, request: &SeatRequest, now: Duration) -> SeatDecision {
+        if let Some(seat) = self.seat(request, QueueStage::Waiting, now) {
+            return SeatDecision::Grant(seat);
+        }
+        let is_broken = !request.is_resumed && !self.may_be_served(request, now);
+        let wait_until =
+            if is_broken { request.arrived + BROKEN_WAIT } else { request.wait_until() };
+        if now < wait_until {
+            return SeatDecision::Wait;
+        }
+        // The wait is over. One more request in a batch delays the others by less than a refusal
+        // costs this one.
+        match self.seat(request, QueueStage::TimedOut, now) {
+            Some(seat) => SeatDecision::Grant(seat),
+            None => self.refuse(request, "no upstream takes it", request.longest_retry_after()),
+        }
+    }
+
+    pub(super) fn queue(&mut self, request: SeatRequest, now: Duration) -> SeatDecision {
+        let is_broken = !self.may_be_served(&request, now);
+        let Some(service) = self.services.get_mut(&request.service) else {
+            return self.refuse(&request, "service unknown", RETRY_AFTER_MIN);
+        };
+        let ahead =
+            service.waiting.iter().filter(|a| a.is_returning <= request.is_returning).count();
+        let expected_wait = (ahead + 1) as f64 / service.free_rate(now);
+        let max_wait = request.wait_until().saturating_sub(now).as_secs_f64();
+        // The rate of freed seats predicts nothing while no group runs; such a wait is short.
+        if request.is_resumed || is_broken || expected_wait <= max_wait {
+            service.waiting.push(request);
+            return SeatDecision::Wait;
+        }
+        let fraction = f64::from(request.draw) / f64::from(u32::MAX);
+        let range = request.longest_retry_after().saturating_sub(RETRY_AFTER_MIN);
+        self.refuse(&request, "no seat in time", RETRY_AFTER_MIN + range.mul_f64(fraction))
+    }
+}
--- a/papayaproxy/src/catalog/config.rs
+++ b/papayaproxy/src/catalog/config.rs
@@ -134,10 +134,21 @@
 pub(crate) struct Service {
     /// Most connections that one replica accepts from all callers together; `None` if unlimited.
     pub(crate) connections: Option<u32>,
+    /// `None` if its replicas take full load from their start on.
+    pub(crate) warm_up: Option<WarmUp>,
     /// `None` for a service without a model engine.
     pub(crate) engine: Option<EngineFigures>,
 }
 
+/// Load that the replicas of a service take while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct WarmUp {
+    /// Time for which a replica is cold after its start.
+    pub(crate) time: Duration,
+    /// Requests a second that a cold replica takes; above 0.
+    pub(crate) per_second: f64,
+}
+
 /// A workspace, looked up by any of its API keys.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Workspace {
--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -28,8 +28,8 @@
     /// Most requests that run at a time; at least 1.
     pub(crate) slots: u32,
     pub(crate) state: UpstreamState,
-    /// Whether the upstream is still warming up.
-    pub(crate) cold: bool,
+    /// Time for which the upstream was still cold when the record was written; zero if it was warm.
+    pub(crate) cold: Duration,
     /// Unix time of the start in milliseconds; distinguishes two runs under the same id.
     pub(crate) started_ms: u64,
 }
--- a/papayaproxy/src/catalog/mod.rs
+++ b/papayaproxy/src/catalog/mod.rs
@@ -13,7 +13,7 @@
 
 pub(crate) use config::{
     ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service,
-    Workspace,
+    WarmUp, Workspace,
 };
 pub(crate) use directory::{Directory, UpstreamRecord, UpstreamState};
 pub(crate) use follow::{Catalog, StoreRole};
--- a/papayaproxy/src/catalog/tests/directory.rs
+++ b/papayaproxy/src/catalog/tests/directory.rs
@@ -15,7 +15,7 @@
         zone: "a".into(),
         slots: 6,
         state,
-        cold: false,
+        cold: Duration::ZERO,
         started_ms: 1,
     }
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -225,11 +225,19 @@
         }
     }
 
+    /// Priority of the workspace or else of the route; 0 is the most urgent.
+    fn priority(&self) -> u8 {
+        let workspace = self.workspace.as_ref().and_then(|w| w.priority);
+        workspace.unwrap_or(self.route.priority)
+    }
+
     pub(super) fn seat_request(&self, resumed: bool) -> SeatRequest {
         SeatRequest {
             ticket: self.shared.seats.next_ticket(),
             request_id: self.envelope.id.clone(),
             service: self.service.clone(),
+            workspace: self.workspace.as_ref().map(|w| w.name.clone()).unwrap_or_default(),
+            priority: self.priority(),
             excluded: self.history.tried.borrow().clone(),
             // The caller of a stream that goes on elsewhere waits from now on.
             arrived: if resumed { self.shared.clock.now() } else { self.arrived },
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry that forwards directly to upstreams.
 
+use crate::balance::WarmUpRule;
 use crate::balance::budget::BudgetRule;
 use crate::base::name::Name;
 use crate::settings::process::read_address;
@@ -78,6 +79,24 @@
         default: Some("0s"),
         meaning: "duration within which an event of a stream must be passed on; part of it is used to even out the gaps between events, 0s passes each on at once",
     },
+    SettingRow {
+        section: "bounds",
+        key: "evacuate",
+        default: Some("0s"),
+        meaning: "duration after which an availability zone that the operator evacuates must get no request; 0s does not read evacuations",
+    },
+    SettingRow {
+        section: "warmup",
+        key: "ratio",
+        default: Some("0"),
+        meaning: "most requests to a cold upstream in one second, over all entries together, as a multiple of what its service states; 0 sets no limit",
+    },
+    SettingRow {
+        section: "warmup",
+        key: "slack",
+        default: Some("0"),
+        meaning: "additional requests to a cold upstream in one second, over all entries together",
+    },
     SettingRow {
         section: "budget",
         key: "ratio",
@@ -135,6 +154,11 @@
     pub drain: Duration,
     /// Time within which an event of a stream must be passed on.
     pub event_delay: Duration,
+    /// Time after which an evacuated availability zone must get no request; zero if evacuations are
+    /// not read.
+    pub(crate) evacuate: Duration,
+    /// Limit of requests to cold upstreams.
+    pub(crate) warmup: WarmUpRule,
     /// Retry budget.
     pub(crate) budget: BudgetRule,
     /// Log settings.
@@ -165,6 +189,9 @@
         let grace = reader.value("bounds", "grace", parse_duration);
         let drain = reader.value("bounds", "drain", parse_duration);
         let event_delay = reader.value("bounds", "event_delay", parse_duration);
+        let evacuate = reader.value("bounds", "evacuate", parse_duration);
+        let warm_ratio = reader.value("warmup", "ratio", parse_amount);
+        let warm_slack = reader.value("warmup", "slack", parse_amount);
         let ratio = reader.value("budget", "ratio", parse_amount);
         let slack = reader.value("budget", "slack", parse_amount);
         let window = reader.value("budget", "window", parse_duration);
@@ -183,6 +210,8 @@
             grace: grace?,
             drain: drain?,
             event_delay: event_delay?,
+            evacuate: evacuate?,
+            warmup: WarmUpRule { ratio: warm_ratio?, slack: warm_slack? },
             budget: BudgetRule {
                 ratio: ratio?,
                 slack: slack?,
--- a/papayaproxy/src/gateway/tests/seats.rs
+++ b/papayaproxy/src/gateway/tests/seats.rs
@@ -78,7 +78,10 @@
     Config::new(ConfigParts {
         version: 1,
         routes: Vec::new(),
-        services: IndexMap::from([("plain".into(), Service { connections: None, engine: None })]),
+        services: IndexMap::from([(
+            "plain".into(),
+            Service { connections: None, warm_up: None, engine: None },
+        )]),
         workspaces: None,
         limits: ClientLimits::default(),
     })
@@ -94,7 +97,7 @@
             zone: "a".into(),
             slots: SLOTS,
             state: UpstreamState::Ready,
-            cold: false,
+            cold: Duration::ZERO,
             started_ms,
         };
         directory.put(&format!("i-{index}").into(), record, 1);
@@ -126,6 +129,8 @@
             ticket: self.seats.next_ticket(),
             request_id: Name::from("r"),
             service: "plain".into(),
+            workspace: Name::default(),
+            priority: 0,
             excluded: Vec::new(),
             arrived: now,
             deadline: now + Duration::from_secs(2),
--- a/papayaproxy/src/platform/config.rs
+++ b/papayaproxy/src/platform/config.rs
@@ -3,7 +3,7 @@
 use crate::base::name::Name;
 use crate::catalog::{
     ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service,
-    Workspace,
+    WarmUp, Workspace,
 };
 use indexmap::IndexMap;
 use serde::Deserialize;
@@ -60,6 +60,10 @@
 struct WireService {
     name: String,
     max_conns: Option<u32>,
+    /// Time for which a replica is cold after its start, in seconds.
+    warmup_s: Option<f64>,
+    /// Requests a second that a cold replica takes; 0 if it is not limited.
+    cold_per_s: Option<f64>,
     /// Performance figures of the model engine, not its name.
     engine_name: Option<WireEngine>,
 }
@@ -195,7 +199,14 @@
         mean_answer: e.usual.as_ref().map_or(0.0, |u| u.answer),
         experts: Some(decode_experts(&e)).filter(ExpertFigures::is_valid),
     });
-    (wire.name.into(), Service { connections: wire.max_conns, engine })
+    let warm_up = decode_warm_up(wire.warmup_s, wire.cold_per_s);
+    (wire.name.into(), Service { connections: wire.max_conns, warm_up, engine })
+}
+
+fn decode_warm_up(seconds: Option<f64>, per_second: Option<f64>) -> Option<WarmUp> {
+    let time = duration_from_ms(seconds? * 1000.0)?;
+    let per_second = per_second.filter(|rate| rate.is_finite() && *rate > 0.0)?;
+    Some(WarmUp { time, per_second })
 }
 
 fn decode_experts(wire: &WireEngine) -> ExpertFigures {
--- a/papayaproxy/src/platform/tests/mod.rs
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -32,7 +32,7 @@
 #[test]
 fn upstream_parse_valid() {
     let entry = upstream::parse(UPSTREAM_RECORD.as_bytes()).unwrap();
-    assert_eq!((entry.slots, entry.state, entry.cold), (12, UpstreamState::Ready, false));
+    assert_eq!((entry.slots, entry.state, entry.cold), (12, UpstreamState::Ready, Duration::ZERO));
 }
 
 #[rstest]
--- a/papayaproxy/src/platform/upstream.rs
+++ b/papayaproxy/src/platform/upstream.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use snafu::Snafu;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 /// Most slots of a replica: it serves one request at a time on a connection, and a TCP port number
 /// has 16 bits.
@@ -12,6 +13,9 @@
 /// Latest start of a replica in Unix milliseconds: the end of the year 9999.
 const BORN_MAX: u64 = 253_402_300_799_999;
 
+/// Longest time for which a record may state that its replica is cold; a longer one is taken as this.
+const COLD_MAX: Duration = Duration::from_secs(60);
+
 /// Why an upstream record is invalid.
 #[derive(Debug, Snafu)]
 pub(crate) enum RecordError {
@@ -93,7 +97,14 @@
         zone: wire.zone.into(),
         slots: wire.slots.max(1),
         state,
-        cold: wire.cold_remaining_ms > 0.0,
+        cold: decode_cold(wire.cold_remaining_ms),
         started_ms: born,
     })
 }
+
+fn decode_cold(remaining_ms: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(remaining_ms / 1000.0);
+    // What is no time is either negative, or too long to be represented.
+    let bounded = time.unwrap_or(if remaining_ms > 0.0 { COLD_MAX } else { Duration::ZERO });
+    bounded.min(COLD_MAX)
+}
