Balancer: no seats in evacuated availability zones

Cause: the operator evacuates a zone to keep requests from it; the balancer knew no such zone. Change: Balancer::observe_evacuations takes the set of zones. Their upstreams get no seat, resumed and moved streams included, and do not count in the longest time of a request nor toward the circuits that may be open. A request that only evacuated upstreams could take is refused at once, also while it waits. Upstream::readmitted_at is the time at which the last evacuation of its zone ended, for the warm-up. Events 3305 to 3307.

--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -35,6 +35,10 @@
     groups: IndexMap<(Name, Name), bool>,
     /// Per availability zone: consecutive failed connections, and until when it gets no request.
     pub(super) zones: IndexMap<Name, (u32, Duration)>,
+    /// Evacuated availability zones, each with the time since when it gets no request.
+    pub(super) evacuated: IndexMap<Name, Duration>,
+    /// Whether all upstreams are in evacuated zones.
+    pub(super) is_all_evacuated: bool,
     /// Mean time of the peers' last load reports.
     pub(super) reported_at: Duration,
 }
@@ -54,6 +58,8 @@
             sharing: None,
             groups: IndexMap::new(),
             zones: IndexMap::new(),
+            evacuated: IndexMap::new(),
+            is_all_evacuated: false,
             reported_at: Duration::ZERO,
         }
     }
@@ -120,7 +126,8 @@
     ) -> Option<Duration> {
         let figures = self.services.get(service)?.engine.as_ref()?;
         let upstreams = self.upstreams.values();
-        let usable = upstreams.filter(|u| u.service == service && u.is_available(now));
+        let usable = upstreams
+            .filter(|u| u.service == service && u.is_available(now) && !self.is_evacuated(&u.zone));
         let times = usable.map(|u| {
             let is_bound = figures.experts.is_none() || u.is_confirmed(now);
             is_bound.then(|| u.longest_time(figures, prompt, answer))
@@ -185,6 +192,9 @@
         if !self.upstreams.values().any(|u| u.service == request.service) {
             return self.refuse(&request, "no upstream", RETRY_AFTER_MIN);
         }
+        if self.has_only_evacuated(&request) {
+            return self.refuse_evacuated(&request);
+        }
         if let Some(seat) = self.seat(&request, QueueStage::Arriving, now) {
             return SeatDecision::Grant(seat);
         }
@@ -246,7 +256,10 @@
     /// Whether the circuit of `upstream` may be open besides those that are: a bad minute must not empty
     /// the service.
     fn may_take_out(&self, upstream: &Name, service: &Name) -> bool {
-        let others = self.upstreams.values().filter(|u| u.service == *service && u.id != *upstream);
+        let others = self
+            .upstreams
+            .values()
+            .filter(|u| u.service == *service && u.id != *upstream && !self.is_evacuated(&u.zone));
         let (count, out) =
             others.fold((0, 0), |(n, out), u| (n + 1, out + usize::from(u.is_out())));
         let most = ((count + 1) as f64 * CIRCUITS_OPEN_RATIO).max(1.0) as usize;
@@ -299,7 +312,9 @@
         // even if no other upstream has a free slot.
         let Some(current) = self.upstreams.get(upstream) else { return silence >= SILENCE_UNKNOWN };
         let mut others = self.upstreams.values().filter(|u| u.service == current.service);
-        let has_free_slot = |u: &Upstream| u.is_available(now) && u.running() < f64::from(u.slots);
+        let has_free_slot = |u: &Upstream| {
+            u.is_available(now) && !self.is_evacuated(&u.zone) && u.running() < f64::from(u.slots)
+        };
         silence >= current.silence_limit(now)
             && others.any(|u| u.id != current.id && !tried.contains(&u.id) && has_free_slot(u))
     }
--- a/papayaproxy/src/balance/events.rs
+++ b/papayaproxy/src/balance/events.rs
@@ -7,5 +7,8 @@
     SEAT_REFUSED = 3301, "A request got no seat and is refused. Fields: request, service, reason, waiting, retry_ms.";
     RATE_LIMITED = 3304, "An upstream names a limit of requests a second for all entries together, another one, or none any more (absent). Fields: upstream, limit, before.";
     GROUP_CHANGED = 3303, "A lock-step group started or stopped running passes. Fields: group, open, members.";
+    ZONE_EVACUATED = 3305, "The upstreams of an availability zone get no new requests, since the operator evacuates it. upstreams is 0 if none is known there; requests are those of this entry that are still in progress there. Fields: zone, upstreams, requests.";
+    ZONE_READMITTED = 3306, "The evacuation of an availability zone ended, and its upstreams may get requests. requests are those that were in progress throughout. Fields: zone, upstreams, requests, evacuated_ms.";
+    ALL_ZONES_EVACUATED = 3307, "All known upstreams are in evacuated zones, so that all requests are refused. Fields: upstreams, zones.";
     CIRCUIT_CHANGED = 3302, "The circuit of an upstream opened or closed. Fields: upstream, state.";
 }
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod constants;
 pub(crate) mod desk;
 pub(crate) mod engine;
+mod evacuation;
 pub(crate) mod events;
 pub(crate) mod limits;
 mod placement;
--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -16,7 +16,11 @@
     /// Whether some upstream could take the request once a seat is free.
     pub(super) fn may_be_served(&self, request: &SeatRequest, now: Duration) -> bool {
         let mut all = self.upstreams.values().filter(|u| u.service == request.service);
-        all.any(|u| !u.is_broken(now) && !self.is_zone_in_backoff(&u.zone, now))
+        all.any(|u| {
+            !u.is_broken(now)
+                && !self.is_evacuated(&u.zone)
+                && !self.is_zone_in_backoff(&u.zone, now)
+        })
     }
 
     /// When the first upstream that could take the request may get one, if the rate limits of all
@@ -35,6 +39,7 @@
     ) -> bool {
         upstream.service == request.service
             && !request.excluded.contains(&upstream.id)
+            && !self.is_evacuated(&upstream.zone)
             && upstream.is_available(now)
             && upstream.lets_pass(request.is_repeatable, now)
             && !self.is_zone_in_backoff(&upstream.zone, now)
--- a/papayaproxy/src/balance/records.rs
+++ b/papayaproxy/src/balance/records.rs
@@ -46,6 +46,7 @@
         for (_, upstream) in std::mem::replace(&mut self.upstreams, next) {
             self.depart(upstream);
         }
+        self.check_all_evacuated();
     }
 
     /// Keeps the record of an upstream that is no longer in the catalog until its seats are
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -75,6 +75,8 @@
     pub(crate) slowdown: Slowdown,
     /// Slowdown of its rank as its agent reports it; at least 1.
     pub(crate) rank_slowdown: f64,
+    /// When the last evacuation of its zone ended; `None` if it has been in none.
+    pub(crate) readmitted_at: Option<Duration>,
     /// Limit that its last answer named; `None` if it named none.
     rate_limit: Option<RateLimit>,
     /// When that answer arrived, here or at a peer.
@@ -116,6 +118,7 @@
             peer_tokens: 0,
             slowdown: Slowdown::default(),
             rank_slowdown: 1.0,
+            readmitted_at: None,
             rate_limit: None,
             limit_at: Duration::ZERO,
             limit_news_until: Duration::ZERO,
--- a/papayaproxy/src/balance/waiting.rs
+++ b/papayaproxy/src/balance/waiting.rs
@@ -44,6 +44,9 @@
     }
 
     fn decide(&mut self, request: &SeatRequest, now: Duration) -> SeatDecision {
+        if self.has_only_evacuated(request) {
+            return self.refuse_evacuated(request);
+        }
         if let Some(seat) = self.seat(request, QueueStage::Waiting, now) {
             return SeatDecision::Grant(seat);
         }
