Catalog, peers: evacuations from the store and from peers

Cause: the keys op/evacuate/ZONE were not read. Change: with bounds.evacuate above zero, the catalog reads the prefix op/ in pages and watches it in place of op/config; without it, calls stay the same. The set of zones is complete as of a store revision and only replaced by a later one. Freshness carries the set, and Changed its revision; a peer's answer without a set confirms no configuration. No upstream is used before the set is known. /status lists the zones and papaya_evacuated_zone_calls counts the requests in progress there. Events 3109 to 3111.

--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -91,10 +91,10 @@
         let what = "configuration";
         let wait = if reread { Duration::ZERO } else { wait };
         let call = Call { what, sent: catalog.clock.now(), wait };
-        let revision = catalog.active().map(|a| a.revision);
-        let answer = match revision.filter(|_| !reread) {
-            Some(revision) => catalog.store.watch_config(revision, wait).await,
-            None => catalog.store.read_config().await,
+        let revision = catalog.operator_revision().filter(|_| !reread);
+        let answer = match revision {
+            Some(revision) => catalog.watch_operator(revision, wait).await,
+            None => catalog.read_operator().await,
         };
         // A watch may lag behind the store.
         let lag = if reread { Duration::ZERO } else { WATCH_LAG };
@@ -110,8 +110,9 @@
             Ok(watched) => {
                 pause = record_result(health, call, None, pause, now);
                 catalog.observe_recovery(failing);
-                let empty = watched.items.is_empty() && reread;
-                catalog.apply_watched_config(&watched);
+                let empty = watched.config.items.is_empty() && reread;
+                catalog.apply_evacuations(&watched, revision.is_none());
+                catalog.apply_watched_config(&watched.config);
                 catalog.confirm_version(catalog.version(), confirmed_at);
                 (reread, failed) = (empty, false);
                 if empty {
--- a/papayaproxy/src/catalog/constants.rs
+++ b/papayaproxy/src/catalog/constants.rs
@@ -46,6 +46,9 @@
 
 /// Time after the store recovers within which live replicas' records come back, with a margin.
 pub(crate) const LAPSE_GRACE: Duration = Duration::from_millis(2300);
+/// Evacuated zones up to which peers are told of them, so that they fit one datagram. Entries that
+/// rely on peers read the store themselves beyond that.
+pub(crate) const EVACUATIONS_TOLD_MAX: usize = 64;
 /// Removed records to remember; more than are removed while a peer may still list one of them.
 pub(crate) const REMOVED_MAX: usize = 512;
 /// Odd records whose logging is remembered; as many as one page of a listing has.
--- a/papayaproxy/src/catalog/events.rs
+++ b/papayaproxy/src/catalog/events.rs
@@ -11,5 +11,8 @@
     UPSTREAM_LEAVING = 3105, "An upstream receives no new requests. Fields: upstream, reason, revision.";
     UPSTREAM_LAPSED = 3106, "An upstream's record is missing during or after a store outage; the upstream stays in use until the grace period ends. Fields: upstream, revision.";
     ENTRY_IGNORED = 3107, "An upstream's record in the store could not be parsed and is ignored. Fields: upstream, revision, error.";
+    EVACUATION_READ = 3109, "The operator evacuates an availability zone; revision is that of the store as of which this is known. Fields: zone, revision, source.";
+    EVACUATION_GONE = 3110, "The operator no longer evacuates an availability zone. Fields: zone, revision, source.";
+    EVACUATION_IGNORED = 3111, "The key of an evacuation names no valid availability zone and is ignored; only the first 64 bytes are logged. Fields: zone, revision, reason.";
     ROLE_CHANGED = 3108, "The part that the process takes in reading the store changed: independent, reader or relying. Fields: role.";
 }
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -8,6 +8,7 @@
     UPSTREAM_PAUSE_MIN,
 };
 use super::directory::{Directory, ListedUpstream, UpstreamRecord};
+use super::evacuations::Evacuations;
 use super::events;
 use super::freshness::{Freshness, boot_time};
 use crate::base::clock::Clock;
@@ -75,6 +76,8 @@
     pub(super) store: Store,
     pub(super) clock: Clock,
     active: RefCell<Option<ActiveConfig>>,
+    /// `None` if this process does not read evacuations.
+    pub(super) evacuations: Option<RefCell<Evacuations>>,
     pub(super) directory: RefCell<Directory>,
     freshness: Cell<Freshness>,
     /// Calls that read the configuration.
@@ -93,20 +96,27 @@
     role: Cell<StoreRole>,
     /// Longest pause between two watches of the upstreams.
     pub(super) pause: Duration,
-    /// Notified at every change of the configuration or the upstreams.
-    changed: Notify,
+    /// Notified at every change of the configuration, the evacuations or the upstreams.
+    pub(super) changed: Notify,
 }
 
 impl Catalog {
     /// Creates an empty catalog and starts the tasks that follow `store`; they run until the
     /// runtime ends.
     ///
-    /// `drain` is the time within which the removal of an upstream must be known.
-    pub(crate) fn spawn(store: Store, clock: Clock, drain: Duration) -> Rc<Self> {
+    /// `drain` is the time within which the removal of an upstream must be known. Evacuations are
+    /// read only with `reads_evacuations`.
+    pub(crate) fn spawn(
+        store: Store,
+        clock: Clock,
+        drain: Duration,
+        reads_evacuations: bool,
+    ) -> Rc<Self> {
         let catalog = Rc::new(Self {
             store,
             clock,
             active: RefCell::default(),
+            evacuations: reads_evacuations.then(RefCell::default),
             directory: RefCell::default(),
             freshness: Cell::default(),
             config_health: Cell::default(),
@@ -193,6 +203,7 @@
         self.role() != StoreRole::Relying
             || is_old(self.config_age())
             || is_old(self.directory_age())
+            || self.evacuated_zones().is_none()
     }
 
     /// Waits until this process is to call the store.
@@ -220,7 +231,7 @@
         is_failing(&self.config_health) || is_failing(&self.upstream_health)
     }
 
-    /// Waits for the next change of the configuration or the upstreams.
+    /// Waits for the next change of the configuration, the evacuations or the upstreams.
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
     }
--- a/papayaproxy/src/catalog/mod.rs
+++ b/papayaproxy/src/catalog/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod config;
 pub(crate) mod constants;
 pub(crate) mod directory;
+pub(crate) mod evacuations;
 pub(crate) mod events;
 pub(crate) mod follow;
 pub(crate) mod freshness;
@@ -16,4 +17,5 @@
     WarmUp, Workspace,
 };
 pub(crate) use directory::{Directory, UpstreamRecord, UpstreamState};
+pub(crate) use evacuations::EvacuatedZones;
 pub(crate) use follow::{Catalog, StoreRole};
--- a/papayaproxy/src/catalog/tests/store.rs
+++ b/papayaproxy/src/catalog/tests/store.rs
@@ -55,7 +55,7 @@
 
     /// Starts a catalog that follows this store.
     pub(super) fn follow(&self) -> Rc<Catalog> {
-        Catalog::spawn(Store::new(self.server.address), Clock::start(), DRAIN)
+        Catalog::spawn(Store::new(self.server.address), Clock::start(), DRAIN, false)
     }
 
     /// Writes `bytes` under `key`.
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -24,7 +24,7 @@
 use crate::peers::{Hooks, PeerSettings, Peers};
 use crate::platform::Store;
 use crate::quarantine::Quarantine;
-use crate::telemetry::{Metrics, OpsEndpoint, Status, StatusSource};
+use crate::telemetry::{EvacuationStatus, Metrics, OpsEndpoint, Status, StatusSource};
 use indexmap::IndexMap;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
@@ -102,7 +102,10 @@
         let metrics = Metrics::open().map_err(|reason| ProcessError::Metrics { reason })?;
         let listener = bind(settings.address).await?;
         let address = listener.local_addr().unwrap_or(settings.address);
-        let catalog = Catalog::spawn(Store::new(settings.store), clock, settings.drain);
+        let catalog = {
+            let reads_evacuations = !settings.evacuate.is_zero();
+            Catalog::spawn(Store::new(settings.store), clock, settings.drain, reads_evacuations)
+        };
         let balancer = Balancer::new(settings.zone.clone(), settings.budget, CIRCUIT_SETTINGS);
         let seats = Seats::spawn(balancer, clock);
         let quarantine = Rc::new(RefCell::new(Quarantine::default()));
@@ -360,9 +363,13 @@
     /// Updates the balancer whenever the catalog changes.
     async fn follow_catalog(self: Rc<Self>) {
         loop {
-            if let Some(config) = self.catalog.config() {
-                let seats = &self.seats;
+            // Without the evacuations no upstream is used, since a process that starts may know the
+            // rest from a peer before them.
+            let zones = self.catalog.evacuated_zones();
+            if let Some((config, zones)) = self.catalog.config().zip(zones) {
+                let (seats, now) = (&self.seats, self.clock.now());
                 self.catalog.with_directory(|d| seats.with_balancer(|b| b.install(&config, d)));
+                seats.with_balancer(|b| b.observe_evacuations(&zones, now));
                 self.first_ids.borrow_mut().retain(|s| config.services.contains_key(s));
             }
             self.catalog.changed().await;
@@ -401,6 +408,9 @@
     }
 
     fn status(&self) -> Status {
+        let evacuations = self.seats.with_balancer(|balancer| balancer.evacuations());
+        let evacuation =
+            |(zone, calls): (Name, u64)| EvacuationStatus { zone: zone.to_string(), calls };
         Status {
             name: self.settings.name.to_string(),
             role: "entry".to_owned(),
@@ -411,6 +421,7 @@
             leaving: self.is_stopping(),
             calls: self.requests(),
             upstreams: self.seats.with_balancer(|balancer| balancer.upstream_count()) as u64,
+            evacuations: evacuations.into_iter().map(evacuation).collect(),
             ..Status::default()
         }
     }
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -3,12 +3,14 @@
 
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::directory::ListedUpstream;
+use crate::catalog::{Catalog, EvacuatedZones};
 use crate::quarantine::PartNews;
 use crate::ranks::message::{
     AgentHello, GroupContacts, GroupPulse, GroupStatus, MembersQuery, RankMessage,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 
 /// The content of one datagram.
@@ -39,6 +41,8 @@
         version: u64,
         /// Digest of the upstream list.
         list_digest: u64,
+        /// Store revision as of which the evacuated zones are complete; 0 if they are not known.
+        evacuations: u64,
     },
     /// Asks an agent for a [`Message::Group`].
     Members(MembersQuery),
@@ -89,8 +93,8 @@
     pub(crate) age_ms: u64,
 }
 
-/// Ages of an entry's configuration and upstream list.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+/// Ages of an entry's configuration and upstream list, and the evacuated zones.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Freshness {
     /// The query's nonce.
     pub(crate) nonce: u64,
@@ -104,6 +108,25 @@
     pub(crate) list_revision: u64,
     /// Digest of the list.
     pub(crate) list_digest: u64,
+    /// The zones that the operator evacuates, which are as late as the configuration; `None` if the
+    /// sender does not know them or does not read them.
+    pub(crate) evacuations: Option<EvacuatedZones>,
+}
+
+impl Freshness {
+    /// What an entry with `catalog` answers to the query `nonce`.
+    pub(crate) fn of(catalog: &Catalog, nonce: u64) -> Self {
+        let millis = |age: Duration| age.as_millis() as u64;
+        Self {
+            nonce,
+            version: catalog.version(),
+            config_age_ms: catalog.config_age().map(millis),
+            list_age_ms: catalog.directory_age().map(millis),
+            list_revision: catalog.list_revision(),
+            list_digest: catalog.list_digest(),
+            evacuations: catalog.told_evacuations(),
+        }
+    }
 }
 
 /// What an entry fetches from a peer over TCP.
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -272,9 +272,14 @@
                 Ok(Message::Freshness(freshness)) => {
                     tokio::task::spawn_local(self.clone().apply_freshness(from, freshness));
                 }
-                Ok(Message::Changed { version, list_digest }) => {
-                    let follow = self.clone().follow_change(from, version, list_digest);
-                    tokio::task::spawn_local(follow);
+                Ok(Message::Changed { version, list_digest, evacuations }) => {
+                    let catalog = &self.catalog;
+                    let is_known = version <= catalog.version()
+                        && list_digest == catalog.list_digest()
+                        && evacuations <= catalog.evacuations_revision();
+                    if !is_known && catalog.role() == StoreRole::Relying {
+                        tokio::task::spawn_local(self.clone().follow_change(from));
+                    }
                 }
                 Ok(message) => self.handle(from, message).await,
                 Err(error) => {
@@ -289,15 +294,7 @@
         match message {
             Message::Heartbeat(heartbeat) => self.handle_heartbeat(from, heartbeat).await,
             Message::FreshnessQuery { nonce } => {
-                let millis = |age: Duration| age.as_millis() as u64;
-                let freshness = Freshness {
-                    nonce,
-                    version: self.catalog.version(),
-                    config_age_ms: self.catalog.config_age().map(millis),
-                    list_age_ms: self.catalog.directory_age().map(millis),
-                    list_revision: self.catalog.list_revision(),
-                    list_digest: self.catalog.list_digest(),
-                };
+                let freshness = Freshness::of(&self.catalog, nonce);
                 self.send(&Message::Freshness(freshness), &[from]).await;
             }
             Message::Hello(hello) => {
@@ -337,10 +334,12 @@
     async fn apply_freshness(self: Rc<Self>, from: SocketAddr, freshness: Freshness) {
         let sent = self.queries.borrow_mut().shift_remove(&freshness.nonce);
         let Some(sent) = sent else { return };
+        // Before the fetches, so that no upstream is known earlier than the evacuations.
+        let is_current = self.catalog.apply_peer_evacuations(freshness.evacuations);
         if freshness.version > self.catalog.version() {
             self.fetch_config(from).await;
         }
-        if let Some(age) = freshness.config_age_ms {
+        if let Some(age) = freshness.config_age_ms.filter(|_| is_current) {
             let at = sent.saturating_sub(Duration::from_millis(age));
             self.catalog.confirm_version(freshness.version, at);
         }
@@ -366,19 +365,15 @@
             self.catalog.changed().await;
             if self.catalog.role() == StoreRole::Reader {
                 let (version, list_digest) = (self.catalog.version(), self.catalog.list_digest());
+                let evacuations = self.catalog.evacuations_revision();
                 let to = self.table.borrow().live_in_zone(&self.zone);
-                self.send(&Message::Changed { version, list_digest }, &to).await;
+                self.send(&Message::Changed { version, list_digest, evacuations }, &to).await;
             }
         }
     }
 
     /// Queries a reader that has announced a change.
-    async fn follow_change(self: Rc<Self>, from: SocketAddr, version: u64, list_digest: u64) {
-        let is_known =
-            version <= self.catalog.version() && list_digest == self.catalog.list_digest();
-        if is_known || self.catalog.role() != StoreRole::Relying {
-            return;
-        }
+    async fn follow_change(self: Rc<Self>, from: SocketAddr) {
         tokio::time::sleep(CHANGE_DELAY_MAX.mul_f64(rand::random())).await;
         self.query(&[from]).await;
     }
--- a/papayaproxy/src/platform/mod.rs
+++ b/papayaproxy/src/platform/mod.rs
@@ -18,4 +18,6 @@
 
 #[cfg(test)]
 pub(crate) use caller::CallError;
-pub(crate) use store::{FailureSign, Store, StoreError, StoreUpdate};
+pub(crate) use store::{
+    EvacuationChange, FailureSign, OperatorUpdate, Store, StoreError, StoreUpdate,
+};
--- a/papayaproxy/src/platform/names.rs
+++ b/papayaproxy/src/platform/names.rs
@@ -37,6 +37,10 @@
 /// Orders to a replica.
 pub(crate) const ORDER_PATH: &str = "/order";
 
+/// Prefix of the keys that the operator writes.
+pub(crate) const OPERATOR_PREFIX: &str = "op/";
+/// Prefix of the keys of evacuations; the availability zone follows.
+pub(crate) const EVACUATION_PREFIX: &str = "op/evacuate/";
 /// Key of the configuration in the store.
 pub(crate) const CONFIG_KEY: &str = "op/config";
 /// Prefix of the upstream records in the store; the replica's id follows.
--- a/papayaproxy/src/platform/store.rs
+++ b/papayaproxy/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's store, which allows reads and watches only.
 
 use super::caller::{CallError, HttpClient};
-use super::names::{CONFIG_KEY, UPSTREAM_PREFIX};
+use super::names::{CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, UPSTREAM_PREFIX};
 use base64::prelude::BASE64_STANDARD;
 use base64::{DecodeError, Engine as _};
 use bytes::Bytes;
@@ -79,6 +79,26 @@
     pub(crate) revision: u64,
 }
 
+/// The operator began or ended an evacuation.
+#[derive(Clone, Debug)]
+pub(crate) struct EvacuationChange {
+    /// Availability zone as the key names it, not checked.
+    pub(crate) zone: String,
+    /// Whether the key exists. Its value has no meaning.
+    pub(crate) is_evacuated: bool,
+    /// Revision of the last change of the key.
+    pub(crate) revision: u64,
+}
+
+/// Result of a read or a watch of what the operator writes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OperatorUpdate {
+    /// Changes of the configuration, and the revision of the store.
+    pub(crate) config: StoreUpdate,
+    /// Changes of evacuations, in their order; empty unless they were asked for.
+    pub(crate) evacuations: Vec<EvacuationChange>,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireItem {
@@ -104,6 +124,29 @@
     at_rev: u64,
 }
 
+impl WirePage {
+    /// The changes under `prefix` that a watch after `revision` brought.
+    fn into_update(self, prefix: &str, revision: u64) -> StoreUpdate {
+        let items = self.items.into_iter().filter_map(|i| decode(i, prefix)).collect();
+        StoreUpdate { items, revision: self.at_rev.max(revision) }
+    }
+}
+
+impl From<StoreUpdate> for OperatorUpdate {
+    fn from(config: StoreUpdate) -> Self {
+        Self { config, evacuations: Vec::new() }
+    }
+}
+
+/// All pages of a listing.
+struct Listing {
+    items: Vec<WireItem>,
+    /// Revision of the first page.
+    revision: u64,
+    /// Whether an empty page named further ones, which then cannot be asked for.
+    is_truncated: bool,
+}
+
 /// Client of the store.
 pub(crate) struct Store {
     client: HttpClient,
@@ -115,6 +158,27 @@
         Self { client: HttpClient::new(address) }
     }
 
+    /// Reads the configuration and the evacuations.
+    pub(crate) async fn read_operator(&self) -> Result<OperatorUpdate, StoreError> {
+        let listing = self.list(OPERATOR_PREFIX).await?;
+        // A set that lacks an evacuation must not pass for a complete one.
+        if listing.is_truncated {
+            let reason = "an empty page is followed by others".to_owned();
+            return Err(StoreError::Malformed { reason });
+        }
+        Ok(split(listing.items, listing.revision))
+    }
+
+    /// Waits up to `wait` for changes of the configuration and the evacuations after `revision`.
+    pub(crate) async fn watch_operator(
+        &self,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<OperatorUpdate, StoreError> {
+        let page = self.watch(OPERATOR_PREFIX, revision, wait).await?;
+        Ok(split(page.items, page.at_rev.max(revision)))
+    }
+
     /// Reads the configuration. The update has no items if the operator has not written one yet.
     pub(crate) async fn read_config(&self) -> Result<StoreUpdate, StoreError> {
         let path = format!("/kv-key?key={CONFIG_KEY}");
@@ -128,10 +192,18 @@
 
     /// Lists the upstream records.
     pub(crate) async fn read_upstreams(&self) -> Result<StoreUpdate, StoreError> {
-        let mut update = StoreUpdate::default();
+        let Listing { items, revision, .. } = self.list(UPSTREAM_PREFIX).await?;
+        let items = items.into_iter().filter_map(|i| decode(i, UPSTREAM_PREFIX)).collect();
+        Ok(StoreUpdate { items, revision })
+    }
+
+    /// Reads all pages of the keys that begin with `prefix`.
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        let mut items = Vec::new();
+        let mut revision = 0;
         let mut after = String::new();
         for index in 0..PAGES_MAX {
-            let mut path = format!("/kv-range?pathPrefix={UPSTREAM_PREFIX}");
+            let mut path = format!("/kv-range?pathPrefix={prefix}");
             if !after.is_empty() {
                 path.push_str("&after=");
                 path.extend(form_urlencoded::byte_serialize(after.as_bytes()));
@@ -141,12 +213,13 @@
             // Later pages may be newer than the first. The watch starts at the revision of the
             // first page, so that no change is missed.
             if index == 0 {
-                update.revision = page.at_rev;
+                revision = page.at_rev;
             }
             let last = page.items.last().map(|item| item.key.clone());
-            update.items.extend(page.items.into_iter().filter_map(|i| decode(i, UPSTREAM_PREFIX)));
+            let is_truncated = page.has_more && last.is_none();
+            items.extend(page.items);
             match last.filter(|_| page.has_more) {
-                None => return Ok(update),
+                None => return Ok(Listing { items, revision, is_truncated }),
                 Some(last) if last <= after => {
                     let reason = format!("the page after '{after}' ends with '{last}'");
                     return Err(StoreError::Malformed { reason });
@@ -163,7 +236,8 @@
         revision: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let mut update = self.watch(CONFIG_KEY, revision, wait).await?;
+        let page = self.watch(CONFIG_KEY, revision, wait).await?;
+        let mut update = page.into_update(CONFIG_KEY, revision);
         // The prefix also covers keys that are longer than the configuration's.
         update.items.retain(|item| item.key.is_empty());
         Ok(update)
@@ -175,7 +249,8 @@
         revision: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        self.watch(UPSTREAM_PREFIX, revision, wait).await
+        let page = self.watch(UPSTREAM_PREFIX, revision, wait).await?;
+        Ok(page.into_update(UPSTREAM_PREFIX, revision))
     }
 
     async fn watch(
@@ -183,13 +258,11 @@
         prefix: &str,
         revision: u64,
         wait: Duration,
-    ) -> Result<StoreUpdate, StoreError> {
+    ) -> Result<WirePage, StoreError> {
         let wait_ms = wait.as_millis();
         let path = format!("/kv-watch?pathPrefix={prefix}&after={revision}&waitMs={wait_ms}");
         let body = self.call(&path, wait + CALL_TIMEOUT).await?.unwrap_or_default();
-        let page: WirePage = parse(&body)?;
-        let items = page.items.into_iter().filter_map(|i| decode(i, prefix)).collect();
-        Ok(StoreUpdate { items, revision: page.at_rev.max(revision) })
+        parse(&body)
     }
 
     /// Makes one call. Returns `None` for status 404.
@@ -212,6 +285,25 @@
     serde_json::from_slice(body).map_err(|e| StoreError::Malformed { reason: e.to_string() })
 }
 
+/// Sorts items under the operator's prefix; those with unknown keys are dropped.
+fn split(items: Vec<WireItem>, revision: u64) -> OperatorUpdate {
+    let mut update = OperatorUpdate::default();
+    update.config.revision = revision;
+    for item in items {
+        if let Some(zone) = item.key.strip_prefix(EVACUATION_PREFIX) {
+            let (zone, is_evacuated) = (zone.to_owned(), !item.deleted);
+            update.evacuations.push(EvacuationChange {
+                zone,
+                is_evacuated,
+                revision: item.revision,
+            });
+        } else if item.key == CONFIG_KEY {
+            update.config.items.extend(decode(item, CONFIG_KEY));
+        }
+    }
+    update
+}
+
 /// Decodes an item; `None` if its key does not begin with `prefix`.
 fn decode(item: WireItem, prefix: &str) -> Option<Item> {
     let key = item.key.strip_prefix(prefix)?.to_owned();
--- a/papayaproxy/src/telemetry/gauges.rs
+++ b/papayaproxy/src/telemetry/gauges.rs
@@ -4,6 +4,7 @@
 use super::metrics::Metrics;
 use super::ops::StatusSource;
 use super::status::Status;
+use opentelemetry::KeyValue;
 
 /// An observable gauge with its name, help text and source.
 struct Gauge {
@@ -53,4 +54,14 @@
             .with_callback(move |observer| observer.observe((gauge.value)(&status()), &[]))
             .build();
     }
+    let status = status.clone();
+    meter
+        .u64_observable_gauge("papaya_evacuated_zone_calls")
+        .with_description("Calls still in progress in an evacuated availability zone, by zone")
+        .with_callback(move |observer| {
+            for evacuation in status().evacuations {
+                observer.observe(evacuation.calls, &[KeyValue::new("zone", evacuation.zone)]);
+            }
+        })
+        .build();
 }
--- a/papayaproxy/src/telemetry/mod.rs
+++ b/papayaproxy/src/telemetry/mod.rs
@@ -14,4 +14,4 @@
 pub use log::{LogFormat, LogGuard, open_log};
 pub use metrics::Metrics;
 pub use ops::{OpsEndpoint, StatusSource};
-pub use status::Status;
+pub use status::{EvacuationStatus, Status};
--- a/papayaproxy/src/telemetry/status.rs
+++ b/papayaproxy/src/telemetry/status.rs
@@ -29,6 +29,18 @@
     pub peers: u64,
     /// Upstreams considered live.
     pub upstreams: u64,
+    /// Availability zones that the operator evacuates; left out if there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<EvacuationStatus>,
+}
+
+/// An evacuated availability zone, as one process sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// Name of the zone.
+    pub zone: String,
+    /// Calls of the process that are still in progress there.
+    pub calls: u64,
 }
 
 impl Status {
