Tests of zone evacuation

Change: one test per failure: keys on later pages and other keys under op/, the setting absent, a deletion that no watch tells of, a store that is away, late sets of peers and of the store, invalid names, 16 entries that learn from readers, one that never reaches the store, seats, refusals, circuits, and an entry that starts during an evacuation. The fake store pages its listings and tells of lost history by prefix.

--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -6,6 +6,7 @@
 mod budget_fleet;
 mod budget_late;
 mod circuits;
+mod evacuations;
 mod limits;
 mod patterns;
 mod records;
--- a/papayaproxy/src/catalog/tests/odd_entries.rs
+++ b/papayaproxy/src/catalog/tests/odd_entries.rs
@@ -95,7 +95,7 @@
         wait_for_ready(&catalog, &["n", "o"]).await;
         store.put("servers/m", entry("s", 1));
         wait_for_ready(&catalog, &["m", "n", "o"]).await;
-        store.content.borrow_mut().is_history_gone = true;
+        store.content.borrow_mut().gone_prefix = Some("servers/");
         store.put("servers/p", entry("s", 4));
         wait_for_ready(&catalog, &["m", "n", "o", "p"]).await;
     });
@@ -174,7 +174,7 @@
         let catalog = store.follow();
         wait_for_ready(&catalog, &["m"]).await;
         for _ in 0..3 {
-            store.content.borrow_mut().is_history_gone = true;
+            store.content.borrow_mut().gone_prefix = Some("servers/");
             store.wait_for_calls("/kv-range servers/", 1).await;
         }
         assert_eq!(lines.count("upstream record ignored"), 1);
--- a/papayaproxy/src/catalog/tests/store.rs
+++ b/papayaproxy/src/catalog/tests/store.rs
@@ -24,8 +24,10 @@
     /// Items by key: the JSON text of `value`, or `None` if deleted, and the revision.
     items: IndexMap<String, (Option<String>, u64)>,
     revision: u64,
-    /// Whether the next watch of upstreams is told that its history is gone.
-    pub(super) is_history_gone: bool,
+    /// The next watch of this prefix is told that its history is gone.
+    pub(super) gone_prefix: Option<&'static str>,
+    /// Items in a page of a listing; `None` for all.
+    pub(super) page_items: Option<usize>,
     /// Body of the next answer to a watch of upstreams in place of the right one.
     pub(super) watch_body: Option<String>,
     /// Whether each page of a listing is followed by the same page.
@@ -42,7 +44,7 @@
 #[derive(Clone)]
 pub(super) struct FakeStore {
     pub(super) content: Rc<RefCell<Content>>,
-    server: FakeServer,
+    pub(super) server: FakeServer,
 }
 
 impl FakeStore {
@@ -72,6 +74,13 @@
         self.change(key, None);
     }
 
+    /// Deletes `key` so that no watch tells of it.
+    pub(super) fn delete_unseen(&self, key: &str) {
+        let mut content = self.content.borrow_mut();
+        content.revision += 1;
+        content.items.shift_remove(key);
+    }
+
     fn change(&self, key: &str, value: Option<String>) {
         let mut content = self.content.borrow_mut();
         content.revision += 1;
@@ -156,8 +165,8 @@
             let (_, after) = content.cut_late.take().unwrap_or_default();
             return vec![Action::Wait(after), Action::Close];
         }
-        _ if content.is_history_gone && prefix == "servers/" => {
-            content.is_history_gone = false;
+        _ if content.gone_prefix == Some(prefix.as_str()) => {
+            content.gone_prefix = None;
             (0, 410, String::new())
         }
         _ if content.watch_body.is_some() && prefix == "servers/" => {
@@ -184,8 +193,10 @@
         let value = value.as_ref()?;
         Some(format!(r#"{{"key":"{key}","value":{value},"revision":{revision},"created":1}}"#))
     });
-    let items: Vec<String> = items.collect();
-    let (more, at) = (content.is_endless, content.revision);
+    let mut items: Vec<String> = items.collect();
+    let page_items = content.page_items.unwrap_or(items.len());
+    let (more, at) = (content.is_endless || items.len() > page_items, content.revision);
+    items.truncate(page_items);
     format!(r#"{{"items":[{}],"hasMore":{more},"atRev":{at}}}"#, items.join(","))
 }
 
--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod deadly;
 mod endless;
+mod evacuations;
 mod first_ids;
 mod handover;
 mod log_lines;
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -183,6 +183,9 @@
         };
         let (wait, body) = if target.starts_with("/kv-key") {
             (0, item("op/config", &config))
+        } else if target.starts_with("/kv-range?pathPrefix=op/") {
+            let items = item("op/config", &config) + "," + &item("op/evacuate/a", "{}");
+            (0, format!(r#"{{"items":[{items}],"hasMore":false,"atRev":5}}"#))
         } else if target.starts_with("/kv-range") {
             let entry = |(i, address): (usize, &SocketAddr)| {
                 let value = format!(
@@ -232,6 +235,12 @@
         Self::open_settings(replicas, "127.0.0.1:0", "", "", config, grace).await
     }
 
+    /// The same as [`TestGateway::open`] with evacuations, of which the store has one of the zone `a`.
+    pub(crate) async fn open_evacuated(replicas: &[&FakeServer]) -> Self {
+        let bounds = "1s\nevacuate = 5s";
+        Self::open_settings(replicas, "127.0.0.1:0", "", "", CONFIG.to_owned(), bounds).await
+    }
+
     async fn open_text(replicas: &[&FakeServer], peers: &str, seeds: &str, budget: &str) -> Self {
         Self::open_settings(replicas, peers, seeds, budget, CONFIG.to_owned(), "1s").await
     }
