Readiness: an entry that does not know the evacuations says so

Cause: an entry that starts uses no upstream before it knows the evacuated zones, and gave the reason "no upstreams".

--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -394,6 +394,7 @@
         let reason = match () {
             () if self.is_stopping() => "stopping",
             () if self.catalog.config().is_none() => "no configuration",
+            () if self.catalog.evacuated_zones().is_none() => "evacuations unknown",
             () if self.seats.with_balancer(|balancer| balancer.upstream_count()) == 0 => {
                 "no upstreams"
             }
