Balancer: admission by reported load, priority and workspace

Cause: load reports of entries are 0.3 to 0.7 s old, and each entry by itself sends to the seats that they show. Change: the lead's pulse names the requests at each rank. From these every entry computes the rate at which the service can start requests, and admits the part of the fleet's demand that fits, the urgent first, with max-min shares of workspaces (balance/admission.rs, shares.rs). Heartbeats carry the demand by priority. Replicas are told the urgency where a service has several priorities. A rank whose callers have left a stalled group tells of the stall for a second more (entries sent 440 requests into a held group). Entries named to agents rotate, as 48 of 67 fit.

--- a/papayaproxy/src/balance/ask.rs
+++ b/papayaproxy/src/balance/ask.rs
@@ -1,8 +1,8 @@
 //! Requests for a seat at an upstream: their limits, and the decisions on them.
 
 use super::constants::{
-    CALLER_SILENCE, FIRST_EVENT_RATIO, RETRY_AFTER_MAX, RETRY_AFTER_RATIO, RETURNING_WAIT,
-    WAIT_RATIO,
+    CALLER_SILENCE, FIRST_EVENT_RATIO, RETRY_AFTER_MAX, RETRY_AFTER_MIN, RETRY_AFTER_RATIO,
+    RETURNING_WAIT, WAIT_RATIO,
 };
 use crate::base::name::Name;
 use std::net::SocketAddr;
@@ -77,6 +77,15 @@
     Refuse(Refusal),
 }
 
+/// Why a request gets no seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoSeat {
+    /// No upstream that may get it has a free one.
+    Full,
+    /// More requests arrive than can be served on time, and others come first.
+    OverCapacity,
+}
+
 /// When a request is considered for a seat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum QueueStage {
@@ -111,6 +120,13 @@
         }
     }
 
+    /// A random delay after which the client may retry.
+    pub(crate) fn random_retry_after(&self) -> Duration {
+        let fraction = f64::from(self.draw) / f64::from(u32::MAX);
+        let range = self.longest_retry_after().saturating_sub(RETRY_AFTER_MIN);
+        RETRY_AFTER_MIN + range.mul_f64(fraction)
+    }
+
     /// Longest delay after which the client may retry.
     pub(crate) fn longest_retry_after(&self) -> Duration {
         let limit = self.deadline.saturating_sub(self.arrived);
--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -107,3 +107,25 @@
 
 /// Spreads the bits of a product over the whole word.
 pub(super) const HASH_FACTOR: u32 = 0x9E37_79B9;
+
+/// Time within which the load of a service is brought back to its limit; several times the age of load
+/// reports, so that the correction does not overshoot.
+pub(crate) const ADMISSION_CORRECTION: Duration = Duration::from_millis(1000);
+/// Multiple of the computed rate up to which requests are admitted: the durations that it is computed
+/// from are estimates, and a refusal costs a caller more than a slightly longer pass.
+pub(crate) const ADMISSION_MARGIN: f64 = 1.05;
+/// Part of an engine's slots up to which requests are admitted however slow its passes are: right after
+/// a shift of demand they are slow for a moment only.
+pub(crate) const ADMISSION_SLOTS: f64 = 0.8;
+/// Time constant of the demand. A burst is noticed within it; single requests are averaged out over the
+/// fleet.
+pub(crate) const DEMAND_DECAY: Duration = Duration::from_millis(700);
+/// Part of the room that each priority keeps at least, in proportion to its demand.
+pub(crate) const PRIORITY_FLOOR: f64 = 0.1;
+/// Factor on the position of a request that was refused before, among those of its priority: it is
+/// rather admitted than a new one.
+pub(crate) const RETURNING_ADVANTAGE: f64 = 0.6;
+/// Time constant of the workspaces' shares; it covers some tens of requests of an entry.
+pub(crate) const SHARE_DECAY: Duration = Duration::from_secs(4);
+/// Age up to which a replica's reported load is used.
+pub(crate) const LOAD_MAX_AGE: Duration = Duration::from_millis(1500);
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -1,7 +1,7 @@
 //! The load balancer's core: gives each request a seat at an upstream, queues it or refuses it.
 
 use super::arrivals::Arrivals;
-use super::ask::{QueueStage, Refusal, Seat, SeatDecision, SeatRequest};
+use super::ask::{NoSeat, QueueStage, Refusal, Seat, SeatDecision, SeatRequest};
 use super::budget::{BudgetDecision, BudgetRule};
 use super::constants::{
     CIRCUITS_OPEN_RATIO, RETRY_AFTER_MIN, SILENCE_UNKNOWN, ZONE_BACKOFF, ZONE_FAILURES,
@@ -11,8 +11,8 @@
 use super::upstream::{SendOutcome, Upstream};
 use crate::base::name::Name;
 use crate::limits::CircuitSettings;
-use crate::peers::PeerLoads;
-use crate::peers::message::UpstreamLoad;
+use crate::peers::message::{DemandRate, UpstreamLoad, digest};
+use crate::peers::{PeerDemand, PeerLoads};
 use crate::ranks::message::GroupStatus;
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -37,6 +37,8 @@
     pub(super) zones: IndexMap<Name, (u32, Duration)>,
     /// Mean time of the peers' last load reports.
     pub(super) reported_at: Duration,
+    /// Whether requests are admitted by the load that agents report.
+    pub(crate) by_load: bool,
 }
 
 impl Balancer {
@@ -55,6 +57,7 @@
             groups: IndexMap::new(),
             zones: IndexMap::new(),
             reported_at: Duration::ZERO,
+            by_load: false,
         }
     }
 
@@ -73,6 +76,25 @@
         }
     }
 
+    /// Updates the peers' demand.
+    pub(crate) fn observe_demand(&mut self, demand: &PeerDemand) {
+        for (name, service) in &mut self.services {
+            let name = digest(name);
+            service.demand.clear_peers();
+            for ((_, priority), rate) in demand.iter().filter(|((service, _), _)| *service == name)
+            {
+                service.demand.observe_peers(*priority, *rate);
+            }
+        }
+    }
+
+    /// Demand for the services with an engine at this entry, to be sent to the peers.
+    pub(crate) fn demand(&self, now: Duration) -> Vec<DemandRate> {
+        let is_limited = |service: &Service| self.by_load && service.engine.is_some();
+        let engines = self.services.iter().filter(|(_, service)| is_limited(service));
+        engines.flat_map(|(name, service)| service.demand.rates(digest(name), now)).collect()
+    }
+
     /// Updates the number of entries that share the retry budgets; `None` if it is unknown.
     pub(crate) fn share_budgets(&mut self, entries: Option<usize>) {
         self.sharing = entries;
@@ -100,6 +122,8 @@
             };
             upstream.observe_group(status.open, now);
             upstream.rank_slowdown = f64::from(member.slowdown).max(1.0);
+            let age = Duration::from_millis(status.loads_ms.into());
+            upstream.observe_load(member.requests, now.saturating_sub(age));
             match status.pass_ms > 0.0 {
                 true => upstream.slowdown.observe_pass(figures, mean, f64::from(status.pass_ms)),
                 false => upstream.slowdown.observe_idle(),
@@ -185,8 +209,16 @@
         if !self.upstreams.values().any(|u| u.service == request.service) {
             return self.refuse(&request, "no upstream", RETRY_AFTER_MIN);
         }
-        if let Some(seat) = self.seat(&request, QueueStage::Arriving, now) {
-            return SeatDecision::Grant(seat);
+        if let Some(service) = self.services.get_mut(&request.service) {
+            service.demand.record(request.priority, &request.workspace, now);
+        }
+        match self.seat(&request, QueueStage::Arriving, now) {
+            Ok(seat) => return SeatDecision::Grant(seat),
+            Err(NoSeat::OverCapacity) => {
+                let wait = request.random_retry_after();
+                return self.refuse(&request, "over capacity", wait);
+            }
+            Err(NoSeat::Full) => {}
         }
         if let Some(opens_at) = self.limited_until(&request, now)
             && opens_at > request.wait_until()
--- a/papayaproxy/src/balance/events.rs
+++ b/papayaproxy/src/balance/events.rs
@@ -7,5 +7,6 @@
     SEAT_REFUSED = 3301, "A request got no seat and is refused. Fields: request, service, reason, waiting, retry_ms.";
     RATE_LIMITED = 3304, "An upstream names a limit of requests a second for all entries together, another one, or none any more (absent). Fields: upstream, limit, before.";
     GROUP_CHANGED = 3303, "A lock-step group started or stopped running passes. Fields: group, open, members.";
+    OVER_CAPACITY = 3320, "More requests arrive than a service can serve on time, and the request is refused; `fraction` of those of its priority and workspace are admitted. Fields: request, service, priority, workspace, capacity and demand (requests a second, of all entries), fraction.";
     CIRCUIT_CHANGED = 3302, "The circuit of an upstream opened or closed. Fields: upstream, state.";
 }
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -3,6 +3,7 @@
 //! Contains no I/O, clock or randomness: each method takes `now`, and random bits come with the
 //! request.
 
+mod admission;
 mod arrivals;
 pub(crate) mod ask;
 pub(crate) mod budget;
@@ -14,6 +15,7 @@
 mod placement;
 mod records;
 pub(crate) mod service;
+mod shares;
 pub(crate) mod spread;
 pub(crate) mod upstream;
 mod waiting;
--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -1,9 +1,10 @@
 //! The choice of an upstream for one request.
 
-use super::ask::{QueueStage, Seat, SeatRequest};
+use super::admission::{Candidate as Admitted, Capacity, Verdict};
+use super::ask::{NoSeat, QueueStage, Seat, SeatRequest};
 use super::constants::{
-    FIRST_EVENT_WEIGHT, HASH_FACTOR, SCORE_NOISE, ZONE_BACKOFF, ZONE_FAILURES, ZONE_PENALTY,
-    ZONE_PENALTY_PLAIN,
+    ADMISSION_SLOTS, FIRST_EVENT_WEIGHT, HASH_FACTOR, SCORE_NOISE, ZONE_BACKOFF, ZONE_FAILURES,
+    ZONE_PENALTY, ZONE_PENALTY_PLAIN,
 };
 use super::desk::Balancer;
 use super::events;
@@ -45,6 +46,26 @@
             && self.zones.get(zone).is_some_and(|(_, backoff_until)| now < *backoff_until)
     }
 
+    /// Whether the service has capacity for the request, if its replicas report their load. Resumed
+    /// streams have been admitted before.
+    fn admission(
+        &self,
+        request: &SeatRequest,
+        capacity: &Capacity,
+        now: Duration,
+    ) -> Option<Verdict> {
+        let service = self.services.get(&request.service).filter(|_| !request.is_resumed)?;
+        // Another hash than the one that chooses the upstream.
+        let draw = request.draw.rotate_left(16).wrapping_mul(HASH_FACTOR);
+        let candidate = Admitted {
+            priority: request.priority,
+            workspace: &request.workspace,
+            is_returning: request.is_returning,
+            draw: f64::from(draw) / f64::from(u32::MAX),
+        };
+        service.demand.verdict(capacity, candidate, now)
+    }
+
     /// Takes a seat at one of the least loaded upstreams that have a free one. A timed-out request
     /// may exceed the limit that keeps all requests on target, but not the slots of the upstream.
     pub(super) fn seat(
@@ -52,8 +73,8 @@
         request: &SeatRequest,
         stage: QueueStage,
         now: Duration,
-    ) -> Option<Seat> {
-        let service = self.services.get(&request.service)?;
+    ) -> Result<Seat, NoSeat> {
+        let service = self.services.get(&request.service).ok_or(NoSeat::Full)?;
         let engine = service.engine.as_ref();
         let noise = |u: &Upstream| {
             let hash = (request.draw ^ u.digest).wrapping_mul(HASH_FACTOR);
@@ -62,12 +83,12 @@
         let penalty = if engine.is_some() { ZONE_PENALTY } else { ZONE_PENALTY_PLAIN };
         let age = now.saturating_sub(self.reported_at);
         let peers = self.entries.saturating_sub(1) as f64;
-        // Requests of the other entries that their load reports do not show yet.
-        let unseen = service.send_rate(now) * peers * age.as_secs_f64();
         let (may_be_late, latest_first_event) =
             (request.may_be_late(stage), request.latest_first_event(stage));
         let mut usable = Vec::new();
         let (mut candidates, mut free_seats) = (0, 0.0);
+        let mut capacity = Capacity::default();
+        let mut reports_age = Duration::ZERO;
         for (index, u) in self.upstreams.values().enumerate() {
             if !self.may_get(u, request, now) || now < u.limited_until() {
                 continue;
@@ -77,8 +98,17 @@
             let first_event =
                 engine.map(|e| u.first_event_time(e, request.prompt_tokens)).unwrap_or_default();
             let duration = engine.map(|e| first_event + u.answer_time(e)).unwrap_or_default();
-            let running =
-                if engine.is_some() { u.running_after(age, duration) } else { u.running() };
+            let reported = u.reported_load(now).filter(|_| self.by_load);
+            let running = match reported {
+                Some((load, age)) => load * remaining_part(age, duration),
+                None if engine.is_some() => u.running_after(age, duration),
+                None => u.running(),
+            };
+            if let Some(engine) = engine {
+                let most = limit.max(f64::from(engine.slots) * ADMISSION_SLOTS);
+                capacity.add(reported.map(|(load, _)| load), most, duration);
+                reports_age = reports_age.max(reported.map_or(Duration::ZERO, |(_, age)| age));
+            }
             // An idle upstream is tried: the slowdown learned under load must not keep it idle.
             let is_idle = u.running() < 1.0;
             let ends_in_time = now + duration <= request.deadline;
@@ -95,11 +125,24 @@
                 running / limit.max(1.0) + latency * FIRST_EVENT_WEIGHT + zone_penalty + noise(u);
             usable.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
         }
+        let verdict = self.admission(request, &capacity, now);
+        if let Some(refused) = verdict.filter(|v| !v.is_admitted) {
+            if stage == QueueStage::Arriving {
+                log_refused(request, &refused);
+            }
+            return Err(NoSeat::OverCapacity);
+        }
+        // Requests of the other entries that no load report shows yet.
+        let unseen = match verdict {
+            Some(v) => v.demand.min(v.capacity) * reports_age.as_secs_f64(),
+            None => service.send_rate(now) * peers * age.as_secs_f64(),
+        };
         // The queues of all entries must not be sent at once to a group that has just formed.
         if stage == QueueStage::Waiting && unseen > free_seats {
-            return None;
+            return Err(NoSeat::Full);
         }
-        let index = choose(usable, unseen, f64::from(request.draw) / f64::from(u32::MAX))?;
+        let draw = f64::from(request.draw) / f64::from(u32::MAX);
+        let index = choose(usable, unseen, draw).ok_or(NoSeat::Full)?;
         let limit = self.upstreams[index].limit(engine, request.gap_target);
         let upstream = &mut self.upstreams[index];
         tracing::info!(
@@ -128,6 +171,25 @@
             service.record_send(now);
         }
         let prompt_tokens = request.prompt_tokens;
-        Some(Seat { upstream: id, record, address, is_probe, prompt_tokens })
+        Ok(Seat { upstream: id, record, address, is_probe, prompt_tokens })
     }
 }
+
+/// Part of the requests that are still in progress after `age`, if each takes `duration`.
+fn remaining_part(age: Duration, duration: Duration) -> f64 {
+    (1.0 - age.as_secs_f64() / duration.as_secs_f64().max(0.001)).max(0.0)
+}
+
+fn log_refused(request: &SeatRequest, verdict: &Verdict) {
+    tracing::info!(
+        event = events::OVER_CAPACITY,
+        request = %request.request_id,
+        service = %request.service,
+        priority = request.priority,
+        workspace = %request.workspace,
+        capacity = verdict.capacity,
+        demand = verdict.demand,
+        fraction = verdict.fraction,
+        "more requests than can be served on time"
+    );
+}
--- a/papayaproxy/src/balance/service.rs
+++ b/papayaproxy/src/balance/service.rs
@@ -1,6 +1,7 @@
 //! State of one service at one entry: engine figures, retry budget, queue, and the rates at which
 //! requests are sent and seats are freed.
 
+use super::admission::Demand;
 use super::ask::SeatRequest;
 use super::budget::{Budget, BudgetRule};
 use super::constants::{FREE_RATE_MIN, FREE_RATE_WEIGHT, FREED_SEATS_MAX, SEND_RATE_DECAY};
@@ -13,6 +14,8 @@
     /// Timing figures of the engine; `None` for a plain service.
     pub(crate) engine: Option<EngineFigures>,
     pub(crate) budget: Budget,
+    /// Demand by priority; used only if the replicas report their load.
+    pub(crate) demand: Demand,
     /// Requests that wait for a seat.
     pub(crate) waiting: Vec<SeatRequest>,
     /// Seats freed per second by requests of this entry, as a moving average.
@@ -29,6 +32,7 @@
         Self {
             engine: None,
             budget: Budget::new(rule),
+            demand: Demand::default(),
             waiting: Vec::new(),
             free_rate: 0.0,
             last_freed: Duration::ZERO,
--- a/papayaproxy/src/balance/tests/budget_fleet.rs
+++ b/papayaproxy/src/balance/tests/budget_fleet.rs
@@ -221,6 +221,7 @@
             version: 1,
             known_peers: if with_peers { peers } else { Vec::new() },
             loads: Vec::new(),
+            demand: Vec::new(),
         };
         for to in to {
             let SocketAddr::V4(v4) = to else { continue };
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -128,7 +128,10 @@
         open,
         pass_ms: 0.0,
         requests: 0.0,
-        members: members.map(|i| GroupMember { address: address(i), slowdown: 1.0 }).collect(),
+        loads_ms: 0,
+        members: members
+            .map(|i| GroupMember { address: address(i), slowdown: 1.0, requests: None })
+            .collect(),
     }
 }
 
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -2,8 +2,8 @@
 
 use super::constants::{
     BROKEN_TTL, CIRCUIT_JITTER, FOREIGN_BACKOFF, FULL_BACKOFF, HASH_FACTOR, IDLE_FULL_BACKOFF,
-    LIMIT_NEWS_TIME, LOW_LOAD_RATIO, PLAIN_LIMIT_FACTOR, SILENCE_BROKEN, SILENCE_HEALTHY,
-    SILENCE_UNKNOWN, STATUS_MAX_AGE, UNREACHED_BACKOFF,
+    LIMIT_NEWS_TIME, LOAD_MAX_AGE, LOW_LOAD_RATIO, PLAIN_LIMIT_FACTOR, SILENCE_BROKEN,
+    SILENCE_HEALTHY, SILENCE_UNKNOWN, STATUS_MAX_AGE, UNREACHED_BACKOFF,
 };
 use super::engine::Slowdown;
 use super::events;
@@ -47,6 +47,17 @@
     }
 }
 
+/// Load of a replica, as its agent reports it.
+#[derive(Clone, Copy, Debug)]
+struct ReportedLoad {
+    /// Requests of all entries that ran or waited.
+    requests: f64,
+    /// When that was so.
+    at: Duration,
+    /// Requests of this entry that were started before the report arrived.
+    own_started: u64,
+}
+
 /// State of one upstream, as one entry knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
@@ -63,6 +74,8 @@
     pub(crate) slots: u32,
     /// When it started, in Unix milliseconds.
     pub(crate) started_ms: u64,
+    /// Requests of this entry that were started.
+    own_started: u64,
     /// Requests of this entry that are in progress.
     pub(crate) own_requests: u32,
     /// Requests of the other entries, by their last load reports.
@@ -71,6 +84,8 @@
     pub(crate) own_tokens: u32,
     /// The same of the other entries, by their last load reports.
     pub(crate) peer_tokens: u32,
+    /// Load that its agent reported last; `None` if its agent reports none.
+    reported: Option<ReportedLoad>,
     /// Slowdown of its passes.
     pub(crate) slowdown: Slowdown,
     /// Slowdown of its rank as its agent reports it; at least 1.
@@ -110,10 +125,12 @@
             address: entry.address,
             slots: entry.slots,
             started_ms: entry.started_ms,
+            own_started: 0,
             own_requests: 0,
             peer_requests: 0,
             own_tokens: 0,
             peer_tokens: 0,
+            reported: None,
             slowdown: Slowdown::default(),
             rank_slowdown: 1.0,
             rate_limit: None,
@@ -189,6 +206,21 @@
         f64::from(self.own_requests) + f64::from(self.peer_requests) * (1.0 - ended).max(0.0)
     }
 
+    /// Takes the load that its agent reports as of `at`.
+    pub(crate) fn observe_load(&mut self, requests: Option<u8>, at: Duration) {
+        let own_started = self.own_started;
+        self.reported = requests.map(|n| ReportedLoad { requests: n.into(), at, own_started });
+    }
+
+    /// Running and waiting requests of all entries by the last report, with those that this entry
+    /// has sent since, and the age of the report. `None` without a recent report.
+    pub(crate) fn reported_load(&self, now: Duration) -> Option<(f64, Duration)> {
+        let load = self.reported?;
+        let age = now.saturating_sub(load.at);
+        let since = self.own_started.saturating_sub(load.own_started);
+        (age < LOAD_MAX_AGE).then_some((load.requests + since as f64, age))
+    }
+
     /// Most requests that it is given. A slow rank gets fewer, since all ranks of its group wait
     /// for it.
     pub(crate) fn limit(&self, engine: Option<&EngineFigures>, gap: Option<Duration>) -> f64 {
@@ -322,6 +354,7 @@
     /// Records that a request is sent to it; returns whether the request is a probe of its circuit.
     pub(crate) fn record_start(&mut self, is_repeatable: bool, now: Duration) -> bool {
         self.own_requests += 1;
+        self.own_started += 1;
         if let Some(limit) = &mut self.rate_limit {
             limit.next_send = now + limit.interval;
         }
--- a/papayaproxy/src/balance/waiting.rs
+++ b/papayaproxy/src/balance/waiting.rs
@@ -44,7 +44,7 @@
     }
 
     fn decide(&mut self, request: &SeatRequest, now: Duration) -> SeatDecision {
-        if let Some(seat) = self.seat(request, QueueStage::Waiting, now) {
+        if let Ok(seat) = self.seat(request, QueueStage::Waiting, now) {
             return SeatDecision::Grant(seat);
         }
         let is_broken = !request.is_resumed && !self.may_be_served(request, now);
@@ -56,8 +56,8 @@
         // The wait is over. One more request in a batch delays the others by less than a refusal
         // costs this one.
         match self.seat(request, QueueStage::TimedOut, now) {
-            Some(seat) => SeatDecision::Grant(seat),
-            None => self.refuse(request, "no upstream takes it", request.longest_retry_after()),
+            Ok(seat) => SeatDecision::Grant(seat),
+            Err(_) => self.refuse(request, "no upstream takes it", request.longest_retry_after()),
         }
     }
 
@@ -75,8 +75,6 @@
             service.waiting.push(request);
             return SeatDecision::Wait;
         }
-        let fraction = f64::from(request.draw) / f64::from(u32::MAX);
-        let range = request.longest_retry_after().saturating_sub(RETRY_AFTER_MIN);
-        self.refuse(&request, "no seat in time", RETRY_AFTER_MIN + range.mul_f64(fraction))
+        self.refuse(&request, "no seat in time", request.random_retry_after())
     }
 }
--- a/papayaproxy/src/catalog/config.rs
+++ b/papayaproxy/src/catalog/config.rs
@@ -1,7 +1,7 @@
 //! The operator's configuration: routes, services, workspaces and client limits.
 
 use crate::base::name::Name;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -203,6 +203,8 @@
     /// Services by name.
     pub(crate) services: IndexMap<Name, Service>,
     hosts: IndexMap<Name, IndexMap<Name, Arc<Route>>>,
+    /// Services that get requests of more than one priority.
+    ranked: IndexSet<Name>,
     workspaces: Option<IndexMap<Name, Arc<Workspace>>>,
 }
 
@@ -221,14 +223,24 @@
     /// Indexes routes by host and path prefix.
     pub(crate) fn new(parts: ConfigParts) -> Self {
         let mut hosts: IndexMap<Name, IndexMap<Name, Arc<Route>>> = IndexMap::new();
+        let mut priorities: IndexMap<Name, IndexSet<u8>> = IndexMap::new();
         for (host, route) in parts.routes {
+            for (service, _) in &route.services {
+                priorities.entry(service.clone()).or_default().insert(route.priority);
+            }
             hosts.entry(host).or_default().insert(route.prefix.clone(), Arc::new(route));
         }
+        let all = parts.workspaces.iter().flat_map(IndexMap::values);
+        let of_workspaces: IndexSet<Option<u8>> = all.map(|w| w.priority).collect();
+        let is_ranked = |of_routes: &IndexSet<u8>| of_routes.len() > 1 || of_workspaces.len() > 1;
+        priorities.retain(|_, of_routes| is_ranked(of_routes));
+        let ranked = priorities.into_keys().collect();
         Self {
             version: parts.version,
             limits: parts.limits,
             services: parts.services,
             hosts,
+            ranked,
             workspaces: parts.workspaces,
         }
     }
@@ -241,6 +253,11 @@
         ends.into_iter().find_map(|end| routes.get(&path[..end]))
     }
 
+    /// Whether requests to `service` have different priorities.
+    pub(crate) fn is_ranked(&self, service: &str) -> bool {
+        self.ranked.contains(service)
+    }
+
     /// Looks up the workspace that owns `key`.
     pub(crate) fn key_owner(&self, key: &str) -> KeyOwner {
         match &self.workspaces {
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -231,6 +231,12 @@
         workspace.unwrap_or(self.route.priority)
     }
 
+    /// Urgency to state to the upstream; `None` if all requests to the service have the same.
+    pub(super) fn urgency(&self) -> Option<u8> {
+        let config = self.shared.catalog.config();
+        config.filter(|c| c.is_ranked(&self.service)).map(|_| self.priority())
+    }
+
     pub(super) fn seat_request(&self, resumed: bool) -> SeatRequest {
         SeatRequest {
             ticket: self.shared.seats.next_ticket(),
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -103,7 +103,8 @@
         let listener = bind(settings.address).await?;
         let address = listener.local_addr().unwrap_or(settings.address);
         let catalog = Catalog::spawn(Store::new(settings.store), clock, settings.drain);
-        let balancer = Balancer::new(settings.zone.clone(), settings.budget, CIRCUIT_SETTINGS);
+        let mut balancer = Balancer::new(settings.zone.clone(), settings.budget, CIRCUIT_SETTINGS);
+        balancer.by_load = settings.by_load;
         let seats = Seats::spawn(balancer, clock);
         let quarantine = Rc::new(RefCell::new(Quarantine::default()));
         let meters = Meters::new(&metrics);
@@ -136,6 +137,7 @@
         };
         let (load_seats, peer_seats, group_seats) = (seats.clone(), seats.clone(), seats);
         let (own_limits, peer_limits) = (load_seats.clone(), load_seats.clone());
+        let (own_demand, peer_demand) = (load_seats.clone(), load_seats.clone());
         let (own_parts, peer_parts) = (quarantine.clone(), quarantine);
         let peers = Peers::bind(
             peer_settings,
@@ -149,6 +151,10 @@
                         b.share_budgets(size.sharing);
                     });
                 }),
+                demand: Box::new(move || own_demand.with_balancer(|b| b.demand(clock.now()))),
+                observe_demand: Box::new(move |demand| {
+                    peer_demand.with_balancer(|b| b.observe_demand(demand));
+                }),
                 observe_group: Box::new(move |status| {
                     group_seats.with_balancer(|b| b.observe_group(status, clock.now()));
                 }),
--- a/papayaproxy/src/gateway/send.rs
+++ b/papayaproxy/src/gateway/send.rs
@@ -119,6 +119,7 @@
             replica: &seat.seat().upstream,
             workspace: self.workspace.as_ref().map(|w| w.name.as_str()),
             time_left: Some(self.time_left()),
+            urgency: self.urgency(),
             last_event,
         };
         let mut request = Request::new(Full::new(self.body.bytes.clone()));
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -85,6 +85,12 @@
         default: Some("0s"),
         meaning: "duration after which an availability zone that the operator evacuates must get no request; 0s does not read evacuations",
     },
+    SettingRow {
+        section: "admission",
+        key: "by_load",
+        default: Some("false"),
+        meaning: "true to refuse what a service can't serve on time by the load that its agents report, the least urgent first",
+    },
     SettingRow {
         section: "warmup",
         key: "ratio",
@@ -157,6 +163,8 @@
     /// Time after which an evacuated availability zone must get no request; zero if evacuations are
     /// not read.
     pub(crate) evacuate: Duration,
+    /// Whether requests are admitted by the load that agents report.
+    pub(crate) by_load: bool,
     /// Limit of requests to cold upstreams.
     pub(crate) warmup: WarmUpRule,
     /// Retry budget.
@@ -192,6 +200,7 @@
         let evacuate = reader.value("bounds", "evacuate", parse_duration);
         let warm_ratio = reader.value("warmup", "ratio", parse_amount);
         let warm_slack = reader.value("warmup", "slack", parse_amount);
+        let by_load = reader.value("admission", "by_load", parse_flag);
         let ratio = reader.value("budget", "ratio", parse_amount);
         let slack = reader.value("budget", "slack", parse_amount);
         let window = reader.value("budget", "window", parse_duration);
@@ -211,6 +220,7 @@
             drain: drain?,
             event_delay: event_delay?,
             evacuate: evacuate?,
+            by_load: by_load?,
             warmup: WarmUpRule { ratio: warm_ratio?, slack: warm_slack? },
             budget: BudgetRule {
                 ratio: ratio?,
--- a/papayaproxy/src/gateway/tests/deadly.rs
+++ b/papayaproxy/src/gateway/tests/deadly.rs
@@ -123,6 +123,7 @@
                 version: 7,
                 known_peers: Vec::new(),
                 loads: Vec::new(),
+                demand: Vec::new(),
             };
             send(&peer, &Message::Heartbeat(heartbeat), &[own.parse().unwrap()]).await;
             tokio::time::sleep(Duration::from_millis(150)).await;
--- a/papayaproxy/src/peers/constants.rs
+++ b/papayaproxy/src/peers/constants.rs
@@ -28,6 +28,10 @@
 pub(crate) const KNOWN_PEERS_MAX: usize = 48;
 /// Upstream loads in one heartbeat, so that it fits one datagram.
 pub(crate) const LOADS_MAX: usize = 160;
+/// Units of a rate in a heartbeat that make one request a second.
+pub(crate) const RATE_UNITS: f64 = 16.0;
+/// Rates of demand in one heartbeat.
+pub(crate) const DEMAND_MAX: usize = 16;
 /// Agents in one answer to a hello, so that it fits one datagram.
 pub(crate) const CONTACTS_MAX: usize = 64;
 /// Least interval between two queries for the members of one group.
--- a/papayaproxy/src/peers/groups.rs
+++ b/papayaproxy/src/peers/groups.rs
@@ -67,6 +67,9 @@
                 member.slowdown = slowdown;
             }
         }
+        status.loads_ms = pulse.loads_ms;
+        let mut loads = pulse.loads.into_iter();
+        status.members.iter_mut().for_each(|m| m.requests = loads.next());
         PulseOutcome::Status(status.clone())
     }
 }
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -65,6 +65,19 @@
     pub(crate) known_peers: Vec<SocketAddr>,
     /// Load that the sender puts on each upstream.
     pub(crate) loads: Vec<UpstreamLoad>,
+    /// Rates at which the sender receives requests for services that admit by priority.
+    pub(crate) demand: Vec<DemandRate>,
+}
+
+/// Rate at which one entry receives requests of one priority for one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct DemandRate {
+    /// The service's name, by its [`digest`].
+    pub(crate) service: u32,
+    /// 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// Requests in 16 seconds.
+    pub(crate) rate: u16,
 }
 
 /// Load that one entry puts on one upstream.
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -2,16 +2,17 @@
 
 use super::agents::Agents;
 use super::constants::{
-    CHANGE_DELAY_MAX, CONTACTS_MAX, DATAGRAM_BYTES, KNOWN_PEERS_EVERY, LOADS_INTERVAL, LOADS_MAX,
-    QUERY_AGE, QUERY_INTERVAL, QUERY_PEERS, RELY_CHECKS, RELY_DOUBT_AGE,
+    CHANGE_DELAY_MAX, CONTACTS_MAX, DATAGRAM_BYTES, DEMAND_MAX, KNOWN_PEERS_EVERY, KNOWN_PEERS_MAX,
+    LOADS_INTERVAL, LOADS_MAX, QUERY_AGE, QUERY_INTERVAL, QUERY_PEERS, RELY_CHECKS, RELY_DOUBT_AGE,
 };
 use super::events;
 use super::groups::{Groups, PulseOutcome};
 use super::message::{
-    FetchReply, FetchRequest, Freshness, Heartbeat, LimitNews, Message, UpstreamLoad, send,
+    DemandRate, FetchReply, FetchRequest, Freshness, Heartbeat, LimitNews, Message, UpstreamLoad,
+    send,
 };
 use super::relay;
-use super::table::{FleetSize, PeerLoads, Table};
+use super::table::{FleetSize, PeerDemand, PeerLoads, Table};
 use crate::base::clock::Clock;
 use crate::base::name::{Incarnation, Name};
 use crate::base::supervise::restart_on_panic;
@@ -55,7 +56,7 @@
     is_fetching: Cell<bool>,
     agents: RefCell<Agents>,
     groups: RefCell<Groups>,
-    /// Position in the list of a large group's agents from which the next hello is answered.
+    /// Position in the lists of agents and entries from which the next hello is answered.
     contact_offset: Cell<usize>,
     hooks: Hooks,
 }
@@ -67,6 +68,10 @@
 pub(crate) struct Hooks {
     /// Returns the load that this entry puts on each upstream.
     pub(crate) loads: Box<dyn Fn() -> Vec<UpstreamLoad>>,
+    /// Returns the rates at which this entry receives requests.
+    pub(crate) demand: Box<dyn Fn() -> Vec<DemandRate>>,
+    /// Called when the peers' demand may have changed.
+    pub(crate) observe_demand: Box<dyn Fn(&PeerDemand)>,
     /// Called when the peer loads may have changed.
     pub(crate) observe_loads: ObserveLoads,
     /// Called for each status of a lock-step group.
@@ -144,6 +149,7 @@
         let size = table.size(now);
         let reported_at = table.loads_time().unwrap_or(now);
         (self.hooks.observe_loads)(&table.peer_loads(), size, reported_at);
+        (self.hooks.observe_demand)(&table.peer_demand());
     }
 
     /// Whether entries of other availability zones are known and all of them are silent.
@@ -154,7 +160,9 @@
     /// Registers an agent. Returns the addresses of its group's agents and of live entries.
     fn register_agent(&self, from: SocketAddr, hello: AgentHello) -> GroupContacts {
         let service = hello.service.clone();
-        let mut entries = self.table.borrow().known_peers(0);
+        // A message holds only some entries of a large fleet; the hellos that follow get others.
+        let mut entries = self.table.borrow().known_peers(self.contact_offset.get());
+        self.contact_offset.set(self.contact_offset.get() + KNOWN_PEERS_MAX);
         entries.extend(self.socket.local_addr().ok());
         let config = self.catalog.config();
         let engine = config.as_ref().and_then(|c| c.services.get(&service)?.engine.as_ref());
@@ -163,7 +171,6 @@
         // A datagram holds some of the agents of a large group; the hellos that follow get others.
         if agents.len() > CONTACTS_MAX {
             let offset = self.contact_offset.get() % agents.len();
-            self.contact_offset.set(offset + CONTACTS_MAX);
             agents.rotate_left(offset);
             agents.truncate(CONTACTS_MAX);
         }
@@ -208,6 +215,8 @@
     async fn send_heartbeat(&self, with_peers: bool, to: &[SocketAddr]) {
         let mut loads = (self.hooks.loads)();
         loads.truncate(LOADS_MAX);
+        let mut demand = (self.hooks.demand)();
+        demand.truncate(DEMAND_MAX);
         let sequence = self.sequence.get() + 1;
         self.sequence.set(sequence);
         let known_peers = with_peers.then(|| self.table.borrow().known_peers(sequence as usize));
@@ -218,6 +227,7 @@
             version: self.catalog.version(),
             known_peers: known_peers.unwrap_or_default(),
             loads,
+            demand,
         };
         self.send(&Message::Heartbeat(heartbeat), to).await;
     }
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -1,11 +1,11 @@
 //! The table of peers: which entries are live and what load they report. Uses no I/O and no clock.
 
 use super::constants::{
-    HEARTBEAT_INTERVAL, HEARTBEAT_PEERS, KNOWN_PEERS_MAX, PEER_RETENTION, PEER_TIMEOUT,
+    HEARTBEAT_INTERVAL, HEARTBEAT_PEERS, KNOWN_PEERS_MAX, PEER_RETENTION, PEER_TIMEOUT, RATE_UNITS,
     READERS_MIN, RELY_ENTRIES_MIN, SETTLING_TIME_MAX, ZONE_TIMEOUT,
 };
 use super::events;
-use super::message::{Heartbeat, UpstreamLoad, digest};
+use super::message::{DemandRate, Heartbeat, UpstreamLoad, digest};
 use crate::base::name::{Incarnation, Name};
 use indexmap::IndexMap;
 use std::net::SocketAddr;
@@ -15,6 +15,9 @@
 /// tokens of those whose response has not begun.
 pub(crate) type PeerLoads = IndexMap<u32, (u32, u32)>;
 
+/// Requests a second that the peers receive, by the digest of the service's name and by priority.
+pub(crate) type PeerDemand = IndexMap<(u32, u8), f64>;
+
 #[derive(Clone, Debug)]
 struct Peer {
     zone: Name,
@@ -24,6 +27,7 @@
     sequence: u64,
     version: u64,
     loads: Vec<UpstreamLoad>,
+    demand: Vec<DemandRate>,
 }
 
 /// The other entries.
@@ -203,6 +207,7 @@
             sequence: heartbeat.sequence,
             version: heartbeat.version,
             loads: heartbeat.loads,
+            demand: heartbeat.demand,
         });
         let zone = slot.as_ref().map(|p| p.zone.clone()).unwrap_or_default();
         if !was_live {
@@ -223,6 +228,7 @@
             if now.saturating_sub(peer.heard_at) > PEER_TIMEOUT {
                 peer.is_live = false;
                 peer.loads.clear();
+                peer.demand.clear();
                 lost.push(*address);
             }
         }
@@ -248,6 +254,16 @@
         sum
     }
 
+    /// Sum of the live peers' demand.
+    pub(crate) fn peer_demand(&self) -> PeerDemand {
+        let mut sum = PeerDemand::new();
+        for demand in self.peers.values().flatten().flat_map(|p| &p.demand) {
+            let rate = sum.entry((demand.service, demand.priority)).or_default();
+            *rate += f64::from(demand.rate) / RATE_UNITS;
+        }
+        sum
+    }
+
     /// Mean time at which the live peers' load reports arrived; `None` without live peers.
     pub(crate) fn loads_time(&self) -> Option<Duration> {
         let live = self.peers.values().flatten().filter(|p| p.is_live).map(|p| p.heard_at);
--- a/papayaproxy/src/peers/tests/groups.rs
+++ b/papayaproxy/src/peers/tests/groups.rs
@@ -11,12 +11,14 @@
     let member = |i: u16| GroupMember {
         address: format!("10.0.1.1:{}", 8000 + i).parse().unwrap(),
         slowdown: 1.0,
+        requests: Some(3),
     };
     GroupStatus {
         group: ("llm".into(), "g0".into()),
         open: true,
         pass_ms: 60.0,
         requests: 3.0,
+        loads_ms: 0,
         members: (0..members).map(member).collect(),
     }
 }
@@ -29,6 +31,8 @@
         pass_ms: 80.0,
         requests: 5.0,
         slow: vec![(2, 4.0), (900, 2.0)],
+        loads: vec![4, 2],
+        loads_ms: 50,
     }
 }
 
--- a/papayaproxy/src/peers/tests/mod.rs
+++ b/papayaproxy/src/peers/tests/mod.rs
@@ -27,6 +27,7 @@
         version: 3,
         known_peers: Vec::new(),
         loads: vec![UpstreamLoad { upstream: digest("i-1"), running: 2, tokens: 900 }],
+        demand: Vec::new(),
     }
 }
 
--- a/papayaproxy/src/peers/tests/mutated.rs
+++ b/papayaproxy/src/peers/tests/mutated.rs
@@ -68,7 +68,7 @@
     new[1][2] = vec![3, 7, 11];
     let changes = Arc::new(changes(0, &old, &new));
     let group = (Name::from("llm"), Name::from("g0"));
-    let members = vec![GroupMember { address: address(9), slowdown: 2.0 }; 3];
+    let members = vec![GroupMember { address: address(9), slowdown: 2.0, requests: Some(3) }; 3];
     let command = |command| {
         let lead_command = LeadCommand { term: 65_536, epoch: 1, command };
         Message::Rank(RankMessage::Command(Box::new(lead_command)))
@@ -84,6 +84,7 @@
             open: true,
             pass_ms: 60.0,
             requests: 3.0,
+            loads_ms: 0,
             members,
         }),
         Message::Pulse(GroupPulse {
@@ -93,6 +94,8 @@
             pass_ms: 60.0,
             requests: 3.0,
             slow: vec![(1, 3.0)],
+            loads: vec![9],
+            loads_ms: 0,
         }),
         Message::Parts(PartNews {
             crashes: vec![(crash(1), 40), (crash(2), 30)],
--- a/papayaproxy/src/platform/names.rs
+++ b/papayaproxy/src/platform/names.rs
@@ -23,6 +23,8 @@
 pub(crate) const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-token-usage");
 /// Parts of the prompt in order, separated by commas, each with its id, a colon and its tokens.
 pub(crate) const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
+/// Urgency of a request at the replica, from 0, the most urgent, to 9; a request without it counts as 5.
+pub(crate) const URGENCY: HeaderName = HeaderName::from_static("x-request-urgency");
 /// Id of the last event that the caller of a stream has received.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/papayaproxy/src/platform/request.rs
+++ b/papayaproxy/src/platform/request.rs
@@ -2,7 +2,7 @@
 
 use super::names::{
     API_KEY, DEADLINE_MS, EXPECTED_REPLICA, LAST_EVENT_ID, PROMPT_PARTS, REQUEST_ID, TOKEN_USAGE,
-    WORKSPACE,
+    URGENCY, WORKSPACE,
 };
 use crate::base::name::Name;
 use crate::gateway::hops::copy_end_to_end;
@@ -12,6 +12,9 @@
 use std::borrow::Cow;
 use std::time::Duration;
 
+/// Urgency of the least urgent requests.
+const URGENCY_MAX: u8 = 9;
+
 /// Client headers that are never forwarded unchanged.
 const REPLACED_HEADERS: [HeaderName; 6] =
     [API_KEY, WORKSPACE, EXPECTED_REPLICA, DEADLINE_MS, CONTENT_LENGTH, EXPECT];
@@ -62,6 +65,9 @@
     /// Name of the workspace; `None` if the request has none.
     pub(crate) workspace: Option<&'a str>,
     pub(crate) time_left: Option<Duration>,
+    /// Urgency of the request among those of its service; 0 is the most urgent. `None` leaves the header
+    /// of the client unchanged.
+    pub(crate) urgency: Option<u8>,
     /// Event after which the stream resumes; `None` leaves the header of the client unchanged.
     pub(crate) last_event: Option<u64>,
 }
@@ -77,6 +83,9 @@
     if let Some(left) = attempt.time_left {
         headers.insert(DEADLINE_MS, HeaderValue::from(left.as_millis() as u64));
     }
+    if let Some(urgency) = attempt.urgency {
+        headers.insert(URGENCY, HeaderValue::from(u16::from(urgency.min(URGENCY_MAX))));
+    }
     if let Some(event) = attempt.last_event {
         headers.insert(LAST_EVENT_ID, HeaderValue::from(event));
     }
--- a/papayaproxy/src/platform/tests/mod.rs
+++ b/papayaproxy/src/platform/tests/mod.rs
@@ -95,8 +95,13 @@
         ("x-strange", "kept"),
     ]);
     let time_left = Some(Duration::from_millis(1500));
-    let attempt =
-        AttemptHeaders { replica: "i-1", workspace: Some("w1"), time_left, last_event: Some(12) };
+    let attempt = AttemptHeaders {
+        replica: "i-1",
+        workspace: Some("w1"),
+        time_left,
+        urgency: Some(2),
+        last_event: Some(12),
+    };
     let expected = headers(&[
         ("x-request-id", "r1"),
         ("x-model", "m"),
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -97,6 +97,8 @@
 pub(crate) const STALL_MIN: Duration = Duration::from_millis(450);
 /// The same in recent pass durations; the longer of the two applies.
 pub(crate) const STALL_PASSES: f64 = 4.0;
+/// Time for which a rank that has seen a stall reports it after its last request has left.
+pub(crate) const STALL_MEMORY: Duration = Duration::from_millis(1000);
 
 /// Minimum load assumed for a group that has just formed: its requests are about to return.
 pub(crate) const INITIAL_LOAD: f64 = 0.6;
--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -166,8 +166,7 @@
 
     /// Running and waiting requests as a fraction of the group's slots; may exceed 1.
     fn load(&self) -> f64 {
-        let requests = |r: &AgentReport| f64::from(r.status.running + r.status.waiting);
-        let sum: f64 = self.reports.values().map(|(r, _)| requests(r)).sum();
+        let sum: f64 = self.reports.values().map(|(r, _)| f64::from(requests(r))).sum();
         let slots = self.figures.map_or(1, |f| f.rank_requests.max(1));
         sum / (f64::from(self.size().max(1)) * f64::from(slots))
     }
@@ -217,17 +216,23 @@
     /// Status of the group with all members that this rank has heard of.
     pub(super) fn group_status(&self) -> Option<GroupStatus> {
         let status = self.local.status()?;
-        let member =
-            |r: &AgentReport| GroupMember { address: r.replica, slowdown: r.status.slowdown };
+        let member = |r: &AgentReport| GroupMember {
+            address: r.replica,
+            slowdown: r.status.slowdown,
+            requests: Some(u8::try_from(requests(r)).unwrap_or(u8::MAX)),
+        };
         let reports = (0..status.size).filter_map(|rank| self.reports.get(&rank));
         let members: Vec<GroupMember> = reports.map(|(r, _)| member(r)).collect();
-        let requests = |r: &AgentReport| f64::from(r.status.running + r.status.waiting);
-        let sum: f64 = self.reports.values().map(|(r, _)| requests(r)).sum();
+        let sum: f64 = self.reports.values().map(|(r, _)| f64::from(requests(r))).sum();
+        let now = self.clock.now();
+        let ages = self.reports.values().map(|(_, at)| now.saturating_sub(*at));
+        let age = ages.sum::<Duration>() / u32::try_from(self.reports.len().max(1)).unwrap_or(1);
         Some(GroupStatus {
             group: (self.service.clone(), status.group.clone()),
             open: status.open && !self.pass_clock.is_stalled(self.clock.now()),
             pass_ms: self.pass_clock.pass_ms as f32,
             requests: (sum / members.len().max(1) as f64) as f32,
+            loads_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
             members,
         })
     }
@@ -255,6 +260,12 @@
             // Only the lead hears of all members.
             members: if is_lead { members_digest(&group.members) } else { 0 },
             slow: if is_lead { slow.map(|(i, m)| (i, m.slowdown)).collect() } else { Vec::new() },
+            // A rank that does not lead hears of the others' loads too late.
+            loads: match is_lead {
+                true => group.members.iter().filter_map(|m| m.requests).collect(),
+                false => Vec::new(),
+            },
+            loads_ms: group.loads_ms,
             group: group.group,
             open: running,
             pass_ms: group.pass_ms,
@@ -263,3 +274,8 @@
         self.send(&Message::Pulse(pulse), &self.contacts.entries()).await;
     }
 }
+
+/// Running and waiting requests of a rank.
+fn requests(report: &AgentReport) -> u32 {
+    report.status.running.saturating_add(report.status.waiting)
+}
--- a/papayaproxy/src/ranks/message.rs
+++ b/papayaproxy/src/ranks/message.rs
@@ -203,6 +203,8 @@
     pub(crate) pass_ms: f32,
     /// Requests that run or wait, as the mean over all replicas.
     pub(crate) requests: f32,
+    /// Mean age of the members' loads, in milliseconds.
+    pub(crate) loads_ms: u16,
     /// The group's replicas.
     pub(crate) members: Vec<GroupMember>,
 }
@@ -230,6 +232,10 @@
     /// Members slower than usual: position among the members, and pass time relative to the
     /// published figures.
     pub(crate) slow: Vec<(u16, f32)>,
+    /// Requests that run or wait, by position among the members; empty if the sender does not know.
+    pub(crate) loads: Vec<u8>,
+    /// Mean age of these, in milliseconds.
+    pub(crate) loads_ms: u16,
 }
 
 /// Digest of members' addresses.
@@ -246,4 +252,6 @@
     pub(crate) address: SocketAddr,
     /// Pass time relative to the published figures; 1 is usual, more is slower.
     pub(crate) slowdown: f32,
+    /// Requests that run or wait; `None` if the sender does not know.
+    pub(crate) requests: Option<u8>,
 }
--- a/papayaproxy/src/ranks/pass.rs
+++ b/papayaproxy/src/ranks/pass.rs
@@ -1,6 +1,6 @@
 //! Measures the duration of a group's passes and detects stalls.
 
-use super::constants::{PASS_WINDOW, STALL_MIN, STALL_PASSES};
+use super::constants::{PASS_WINDOW, STALL_MEMORY, STALL_MIN, STALL_PASSES};
 use super::message::RankStatus;
 use std::time::Duration;
 
@@ -14,6 +14,8 @@
     /// When a new pass was last seen, or the rank had no requests or held a pass.
     progress_at: Duration,
     last_step: u64,
+    /// When the rank last had requests.
+    busy_at: Duration,
 }
 
 impl PassClock {
@@ -26,10 +28,14 @@
     /// Takes a status report of the rank.
     pub(crate) fn observe(&mut self, status: &RankStatus, now: Duration) {
         let elapsed = now.saturating_sub(self.window_start);
-        if status.step != self.last_step
-            || status.running + status.waiting == 0
-            || status.held.is_some()
-        {
+        let is_idle = status.running + status.waiting == 0;
+        if !is_idle {
+            self.busy_at = now;
+        }
+        // Callers leave a group that stands, so that a rank without requests soon says nothing about
+        // the group: a stall that it has seen is believed a while longer.
+        let is_doubtful = self.is_stalled(now) && now < self.busy_at + STALL_MEMORY;
+        if status.step != self.last_step || (is_idle && !is_doubtful) || status.held.is_some() {
             (self.last_step, self.progress_at) = (status.step, now);
         }
         if status.step < self.window_step {
--- a/papayaproxy/src/ranks/tests/pass.rs
+++ b/papayaproxy/src/ranks/tests/pass.rs
@@ -38,3 +38,22 @@
     }
     assert!((clock.pass_ms - expected).abs() < 0.1, "{}", clock.pass_ms);
 }
+
+/// Callers leave a group that stands; a rank without requests must not tell that it runs again.
+#[test]
+fn observe_stalled_group_left_by_callers_not_running() {
+    let mut clock = PassClock::default();
+    let at = Duration::from_millis;
+    clock.observe(&status(5, 4), at(100));
+    clock.observe(&status(5, 4), at(700));
+    assert!(clock.is_stalled(at(700)));
+    clock.observe(&status(5, 0), at(800));
+    assert!(clock.is_stalled(at(800)));
+    clock.observe(&status(6, 0), at(900));
+    assert!(!clock.is_stalled(at(900)), "a pass has begun");
+    // With no requests nothing proves a stall for good.
+    clock.observe(&status(6, 4), at(1000));
+    clock.observe(&status(6, 4), at(2000));
+    clock.observe(&status(6, 0), at(3100));
+    assert!(!clock.is_stalled(at(3100)));
+}
