--- a/papayaproxy/src/balance/events.rs
+++ b/papayaproxy/src/balance/events.rs
@@ -10,5 +10,6 @@
     ZONE_EVACUATED = 3305, "The upstreams of an availability zone get no new requests, since the operator evacuates it. upstreams is 0 if none is known there; requests are those of this entry that are still in progress there. Fields: zone, upstreams, requests.";
     ZONE_READMITTED = 3306, "The evacuation of an availability zone ended, and its upstreams may get requests. requests are those that were in progress throughout. Fields: zone, upstreams, requests, evacuated_ms.";
     ALL_ZONES_EVACUATED = 3307, "All known upstreams are in evacuated zones, so that all requests are refused. Fields: upstreams, zones.";
+    OVER_CAPACITY = 3320, "More requests arrive than a service can serve on time, and the request is refused; `fraction` of those of its priority and workspace are admitted. Fields: request, service, priority, workspace, capacity and demand (requests a second, of all entries), fraction.";
     CIRCUIT_CHANGED = 3302, "The circuit of an upstream opened or closed. Fields: upstream, state.";
 }
--- a/papayaproxy/src/catalog/tests/evacuations.rs
+++ b/papayaproxy/src/catalog/tests/evacuations.rs
@@ -154,6 +154,8 @@
             let (address, zone) = (address(number), "a".into());
             let settings = PeerSettings { address, seeds, zone, incarnation };
             let hooks = Hooks {
+                demand: Box::new(Vec::new),
+                observe_demand: Box::new(|_| {}),
                 loads: Box::new(Vec::new),
                 observe_loads: Box::new(|_, _, _| {}),
                 observe_group: Box::new(|_| {}),
