--- a/papayaproxy/src/balance/admission.rs
+++ b/papayaproxy/src/balance/admission.rs
@@ -5,9 +5,7 @@
 //! the fleet stays at its limit without messages between the entries. If demand exceeds the rate, the
 //! least urgent requests are refused first.
 
-use super::constants::{
-    ADMISSION_CORRECTION, ADMISSION_MARGIN, DEMAND_DECAY, PRIORITY_FLOOR, RETURNING_ADVANTAGE,
-};
+use super::constants::{ADMISSION_CORRECTION, ADMISSION_MARGIN, DEMAND_DECAY, PRIORITY_FLOOR};
 use super::shares::Shares;
 use crate::base::name::Name;
 use crate::peers::constants::RATE_UNITS;
@@ -18,8 +16,8 @@
 /// Rate at which a service can start requests, summed over its replicas.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Capacity {
-    /// Requests a second.
-    pub(crate) rate: f64,
+    /// Requests a second, of the replicas whose load is known.
+    rate: f64,
     /// Replicas whose load is known.
     known: u32,
     /// Replicas that may get requests.
@@ -39,9 +37,11 @@
         self.rate += ends + (limit - load) / ADMISSION_CORRECTION.as_secs_f64();
     }
 
-    /// Whether enough replicas report their load to decide by it.
-    fn is_known(&self) -> bool {
-        self.known > 0 && self.known * 2 >= self.usable
+    /// Requests a second of all replicas, those whose load is not known taken as the others; `None` if
+    /// too few report their load.
+    fn total(&self) -> Option<f64> {
+        let is_known = self.known > 0 && self.known * 2 >= self.usable;
+        is_known.then(|| self.rate.max(0.0) * f64::from(self.usable) / f64::from(self.known))
     }
 }
 
@@ -69,17 +69,16 @@
 pub(crate) struct Demand {
     own: IndexMap<u8, Rate>,
     peers: IndexMap<u8, f64>,
-    shares: Shares,
+    /// By priority.
+    shares: IndexMap<u8, Shares>,
 }
 
 /// A request to be admitted.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Candidate<'a> {
+pub(crate) struct Applicant<'a> {
     /// 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) workspace: &'a Name,
-    /// Whether the client was refused before.
-    pub(crate) is_returning: bool,
     /// Uniform from 0 to 1.
     pub(crate) draw: f64,
 }
@@ -92,6 +91,8 @@
     pub(crate) capacity: f64,
     /// Requests a second that all entries receive.
     pub(crate) demand: f64,
+    /// The same of the other entries.
+    pub(crate) peers: f64,
     /// Part of the demand of the request's priority that is admitted.
     pub(crate) fraction: f64,
 }
@@ -100,7 +101,7 @@
     /// Counts a request that arrived at this entry.
     pub(crate) fn record(&mut self, priority: u8, workspace: &Name, now: Duration) {
         self.own.entry(priority).or_default().record(now);
-        self.shares.record(workspace, now);
+        self.shares.entry(priority).or_default().record(workspace, now);
     }
 
     /// Updates the rate at which the peers together receive requests of a priority.
@@ -139,13 +140,10 @@
     pub(crate) fn verdict(
         &self,
         capacity: &Capacity,
-        request: Candidate<'_>,
+        request: Applicant<'_>,
         now: Duration,
     ) -> Option<Verdict> {
-        if !capacity.is_known() {
-            return None;
-        }
-        let room = capacity.rate.max(0.0) * ADMISSION_MARGIN;
+        let room = capacity.total()? * ADMISSION_MARGIN;
         let own_class = self.total(request.priority, now);
         let (mut urgent, mut demand) = (0.0, 0.0);
         for priority in self.priorities() {
@@ -153,16 +151,15 @@
             demand += rate;
             urgent += if priority < request.priority { rate } else { 0.0 };
         }
-        // The urgent come first, but no priority is shut out: each keeps a part of the room.
+        // The urgent come first, but no priority is shut out: each keeps a part of the room in
+        // proportion to its demand.
         let floor = PRIORITY_FLOOR * room / demand.max(f64::MIN_POSITIVE);
-        let left = (room - urgent) / own_class.max(f64::MIN_POSITIVE);
-        let fraction = left.max(floor).clamp(0.0, 1.0);
-        let position = match request.is_returning {
-            true => request.draw * RETURNING_ADVANTAGE,
-            false => request.draw,
-        };
-        let share = self.shares.fraction(request.workspace, fraction);
-        let is_admitted = demand <= room || position < share;
-        Some(Verdict { is_admitted, capacity: room, demand, fraction: share })
+        let left = room * (1.0 - PRIORITY_FLOOR) - urgent;
+        let fraction = (left / own_class.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0) + floor;
+        let shares = self.shares.get(&request.priority);
+        let share = shares.map_or(fraction, |s| s.fraction(request.workspace, fraction));
+        let is_admitted = demand <= room || request.draw < share;
+        let peers = self.peers.values().sum();
+        Some(Verdict { is_admitted, capacity: room, demand, peers, fraction: share.min(1.0) })
     }
 }
--- a/papayaproxy/src/balance/ask.rs
+++ b/papayaproxy/src/balance/ask.rs
@@ -106,6 +106,11 @@
         self.arrived + self.latency_target.mul_f64(WAIT_RATIO)
     }
 
+    /// Whether no attempt has been made before at this entry.
+    pub(crate) fn is_first_attempt(&self) -> bool {
+        !self.is_resumed && self.excluded.is_empty()
+    }
+
     /// Whether a seat that misses the latency target will do: the request is already late, or would
     /// otherwise be refused.
     pub(crate) fn may_be_late(&self, stage: QueueStage) -> bool {
--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -122,10 +122,7 @@
 pub(crate) const DEMAND_DECAY: Duration = Duration::from_millis(700);
 /// Part of the room that each priority keeps at least, in proportion to its demand.
 pub(crate) const PRIORITY_FLOOR: f64 = 0.1;
-/// Factor on the position of a request that was refused before, among those of its priority: it is
-/// rather admitted than a new one.
-pub(crate) const RETURNING_ADVANTAGE: f64 = 0.6;
-/// Time constant of the workspaces' shares; it covers some tens of requests of an entry.
-pub(crate) const SHARE_DECAY: Duration = Duration::from_secs(4);
+/// Time constant of the workspaces' shares; it covers some tens of requests of an entry in a large fleet.
+pub(crate) const SHARE_DECAY: Duration = Duration::from_secs(10);
 /// Age up to which a replica's reported load is used.
 pub(crate) const LOAD_MAX_AGE: Duration = Duration::from_millis(1500);
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -219,10 +219,16 @@
         if self.has_only_evacuated(&request) {
             return self.refuse_evacuated(&request);
         }
-        if let Some(service) = self.services.get_mut(&request.service) {
+        let seat = self.seat(&request, QueueStage::Arriving, now);
+        // After the decision, which must not count the request that it is on.
+        if self.by_load
+            && request.is_first_attempt()
+            && let Some(service) = self.services.get_mut(&request.service)
+            && service.engine.is_some()
+        {
             service.demand.record(request.priority, &request.workspace, now);
         }
-        match self.seat(&request, QueueStage::Arriving, now) {
+        match seat {
             Ok(seat) => return SeatDecision::Grant(seat),
             Err(NoSeat::OverCapacity) => {
                 let wait = request.random_retry_after();
--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -1,6 +1,6 @@
 //! The choice of an upstream for one request.
 
-use super::admission::{Candidate as Admitted, Capacity, Verdict};
+use super::admission::{Applicant, Capacity, Verdict};
 use super::ask::{NoSeat, QueueStage, Seat, SeatRequest};
 use super::constants::{
     ADMISSION_SLOTS, FIRST_EVENT_WEIGHT, HASH_FACTOR, SCORE_NOISE, ZONE_BACKOFF, ZONE_FAILURES,
@@ -51,24 +51,22 @@
             && self.zones.get(zone).is_some_and(|(_, backoff_until)| now < *backoff_until)
     }
 
-    /// Whether the service has capacity for the request, if its replicas report their load. Resumed
-    /// streams have been admitted before.
+    /// Whether the service has capacity for the request, if its replicas report their load.
     fn admission(
         &self,
         request: &SeatRequest,
         capacity: &Capacity,
         now: Duration,
     ) -> Option<Verdict> {
-        let service = self.services.get(&request.service).filter(|_| !request.is_resumed)?;
+        let service = self.services.get(&request.service)?;
         // Another hash than the one that chooses the upstream.
         let draw = request.draw.rotate_left(16).wrapping_mul(HASH_FACTOR);
-        let candidate = Admitted {
+        let applicant = Applicant {
             priority: request.priority,
             workspace: &request.workspace,
-            is_returning: request.is_returning,
             draw: f64::from(draw) / f64::from(u32::MAX),
         };
-        service.demand.verdict(capacity, candidate, now)
+        service.demand.verdict(capacity, applicant, now)
     }
 
     /// Takes a seat at one of the least loaded upstreams that have a free one. A timed-out request
@@ -93,7 +91,7 @@
         let mut usable = Vec::new();
         let (mut candidates, mut free_seats) = (0, 0.0);
         let mut capacity = Capacity::default();
-        let mut reports_age = Duration::ZERO;
+        let (mut report_ages, mut reports) = (Duration::ZERO, 0u32);
         for (index, u) in self.upstreams.values().enumerate() {
             if !self.may_get(u, request, now) || now < u.limited_until() {
                 continue;
@@ -111,8 +109,11 @@
             };
             if let Some(engine) = engine {
                 let most = limit.max(f64::from(engine.slots) * ADMISSION_SLOTS);
-                capacity.add(reported.map(|(load, _)| load), most, duration);
-                reports_age = reports_age.max(reported.map_or(Duration::ZERO, |(_, age)| age));
+                let usual = u.first_event_time(engine, engine.mean_prompt as u32);
+                capacity.add(reported.map(|(load, _)| load), most, usual + u.answer_time(engine));
+                if let Some((_, age)) = reported {
+                    (report_ages, reports) = (report_ages + age, reports + 1);
+                }
             }
             // An idle upstream is tried: the slowdown learned under load must not keep it idle.
             let is_idle = u.running() < 1.0;
@@ -131,15 +132,16 @@
             usable.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
         }
         let verdict = self.admission(request, &capacity, now);
-        if let Some(refused) = verdict.filter(|v| !v.is_admitted) {
-            if stage == QueueStage::Arriving {
-                log_refused(request, &refused);
-            }
+        // A request is admitted or refused once; later it waits for the seat of one that has ended.
+        let is_decided = stage != QueueStage::Arriving || !request.is_first_attempt();
+        if let Some(refused) = verdict.filter(|v| !v.is_admitted && !is_decided) {
+            log_refused(request, &refused);
             return Err(NoSeat::OverCapacity);
         }
+        let mean_age = report_ages.as_secs_f64() / f64::from(reports.max(1));
         // Requests of the other entries that no load report shows yet.
         let unseen = match verdict {
-            Some(v) => v.demand.min(v.capacity) * reports_age.as_secs_f64(),
+            Some(v) => v.peers.min(v.capacity) * mean_age,
             None => service.send_rate(now) * peers * age.as_secs_f64(),
         };
         // The queues of all entries must not be sent at once to a group that has just formed.
--- a/papayaproxy/src/balance/shares.rs
+++ b/papayaproxy/src/balance/shares.rs
@@ -27,22 +27,36 @@
     }
 
     /// Part of a workspace's requests that is admitted if `fraction` of all requests is: requests up
-    /// to an equal share all are, and what that leaves is divided evenly (max-min fairness).
+    /// to an equal share go first, and what that leaves is divided evenly (max-min fairness). The
+    /// request that asks must not be counted yet.
     pub(crate) fn fraction(&self, workspace: &Name, fraction: f64) -> f64 {
-        let Some(own) = self.recent.get(workspace) else { return fraction };
-        let mut counts: Vec<f64> = self.recent.values().copied().collect();
+        let total: f64 = self.recent.values().sum();
+        if self.recent.len() < 2 {
+            return fraction;
+        }
+        // An entry sees few requests of each workspace. Each count is taken together with the mean, so
+        // that only workspaces far above the others stand out from chance.
+        let mean = total / self.recent.len() as f64;
+        let mut counts: Vec<f64> = self.recent.values().map(|count| count + mean).collect();
         counts.sort_by(f64::total_cmp);
-        let mut room = counts.iter().sum::<f64>() * fraction;
-        let mut left = counts.len();
-        for count in counts {
-            let share = room / left as f64;
-            if count >= share {
-                // Every workspace from here on is above the equal share.
-                return (share / own).min(1.0);
-            }
-            room -= count;
-            left -= 1;
+        let share = equal_share(&counts, counts.iter().sum::<f64>() * fraction);
+        let part = |count: f64| (share / (count + mean)).min(1.0);
+        let admitted: f64 = self.recent.values().map(|count| count * part(*count)).sum();
+        let own = self.recent.get(workspace).copied().unwrap_or_default();
+        // Without this the heavy ones would be refused more than the light ones are admitted.
+        part(own) * fraction * total / admitted.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// The largest share up to which each of the ascending `counts` is served whole, if `room` is served in
+/// all.
+fn equal_share(counts: &[f64], mut room: f64) -> f64 {
+    for (index, count) in counts.iter().enumerate() {
+        let share = room / (counts.len() - index) as f64;
+        if *count >= share {
+            return share;
         }
-        1.0
+        room -= count;
     }
+    f64::INFINITY
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -233,7 +233,7 @@
 
     /// Urgency to state to the upstream; `None` if all requests to the service have the same.
     pub(super) fn urgency(&self) -> Option<u8> {
-        let config = self.shared.catalog.config();
+        let config = self.shared.catalog.config().filter(|_| self.shared.admits_by_load());
         config.filter(|c| c.is_ranked(&self.service)).map(|_| self.priority())
     }
 
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -336,6 +336,11 @@
         self.progress.borrow().time_left(self.clock.now()).unwrap_or_default()
     }
 
+    /// Whether requests are admitted by the load that agents report.
+    pub(crate) fn admits_by_load(&self) -> bool {
+        self.settings.by_load
+    }
+
     /// Time within which an event of a stream must be passed on.
     pub(crate) fn event_delay(&self) -> Duration {
         self.settings.event_delay
--- a/papayaproxy/src/peers/groups.rs
+++ b/papayaproxy/src/peers/groups.rs
@@ -60,16 +60,17 @@
         (status.open, status.pass_ms, status.requests) =
             (pulse.open, pulse.pass_ms, pulse.requests);
         if pulse.members != 0 {
-            status.members.iter_mut().for_each(|m| m.slowdown = 1.0);
+            status.loads_ms = pulse.loads_ms;
+            let mut loads = pulse.loads.into_iter();
+            for member in &mut status.members {
+                (member.slowdown, member.requests) = (1.0, loads.next());
+            }
         }
         for (index, slowdown) in pulse.slow {
             if let Some(member) = status.members.get_mut(usize::from(index)) {
                 member.slowdown = slowdown;
             }
         }
-        status.loads_ms = pulse.loads_ms;
-        let mut loads = pulse.loads.into_iter();
-        status.members.iter_mut().for_each(|m| m.requests = loads.next());
         PulseOutcome::Status(status.clone())
     }
 }
--- a/papayaproxy/src/ranks/pass.rs
+++ b/papayaproxy/src/ranks/pass.rs
@@ -14,6 +14,8 @@
     /// When a new pass was last seen, or the rank had no requests or held a pass.
     progress_at: Duration,
     last_step: u64,
+    /// Whether the rank had requests and no pass when it last had any.
+    saw_stall: bool,
     /// When the rank last had requests.
     busy_at: Duration,
 }
@@ -34,7 +36,10 @@
         }
         // Callers leave a group that stands, so that a rank without requests soon says nothing about
         // the group: a stall that it has seen is believed a while longer.
-        let is_doubtful = self.is_stalled(now) && now < self.busy_at + STALL_MEMORY;
+        if !is_idle || now >= self.busy_at + STALL_MEMORY {
+            self.saw_stall = !is_idle && status.step == self.last_step && self.is_stalled(now);
+        }
+        let is_doubtful = self.saw_stall && status.step == self.last_step;
         if status.step != self.last_step || (is_idle && !is_doubtful) || status.held.is_some() {
             (self.last_step, self.progress_at) = (status.step, now);
         }
