Balancer: limit of the requests to cold replicas

Cause: a replica that has just started crashes if all entries together send it more than its service states, and entries do not see each other's requests in time. Change: balance/warmup.rs keeps until when an upstream counts as cold (its record, its first sight, its group that runs again) and when this entry may send it the next request: floor(bound / entries) in any second, coldPerS / entries on average; with more entries than the bound, those that a rendezvous hash ranks first. Entries pass the ids of those they have heard. A record that states the same cold time at a later revision counts as changed, also in the digest that relying entries compare.

--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -98,6 +98,21 @@
 /// Time for which heartbeats tell the peers of another rate limit; datagrams may be lost.
 pub(crate) const LIMIT_NEWS_TIME: Duration = Duration::from_millis(1000);
 
+/// Span in which requests to a cold upstream are counted: a second, and as much as the times that
+/// requests take to arrive may differ.
+pub(crate) const SEND_SPAN: Duration = Duration::from_millis(1100);
+/// Time after its start in which an entry sends nothing to cold upstreams: 0.9 s in which the others
+/// hear of it (a heartbeat interval and a half among 70 entries), and [`SEND_SPAN`], in which
+/// requests count that they sent before, or that its own run before sent until its end.
+pub(crate) const ENTRY_HOLD: Duration = Duration::from_millis(2000);
+/// Time after its start in which an entry does not take upstreams that it finds for new ones.
+pub(crate) const FOUND_AT_START_TIME: Duration = Duration::from_millis(2000);
+/// Time after an upstream became cold in which a record of it may be read that was written before:
+/// watches of the store lag by up to a second.
+pub(crate) const RECORD_DELAY_MAX: Duration = Duration::from_millis(1000);
+/// Shortest extension of the time for which an upstream counts as cold that is logged.
+pub(crate) const COLD_LOG_MIN: Duration = Duration::from_millis(100);
+
 /// Part of a service's upstreams whose circuits may be open at a time, but one at least: what is left
 /// takes the load of the rest with half as much again.
 pub(crate) const CIRCUITS_OPEN_RATIO: f64 = 1.0 / 3.0;
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -9,6 +9,7 @@
 use super::events;
 use super::service::Service;
 use super::upstream::{SendOutcome, Upstream};
+use super::warmup::{FleetView, WarmUpRule};
 use crate::base::name::Name;
 use crate::limits::CircuitSettings;
 use crate::peers::PeerLoads;
@@ -37,11 +38,20 @@
     pub(super) zones: IndexMap<Name, (u32, Duration)>,
     /// Mean time of the peers' last load reports.
     pub(super) reported_at: Duration,
+    /// What is known of the fleet, for the limits of cold upstreams.
+    pub(super) fleet: FleetView,
 }
 
 impl Balancer {
-    /// Creates a balancer without upstreams, for an entry in availability zone `zone`.
-    pub(crate) fn new(zone: Name, budget_rule: BudgetRule, circuit: CircuitSettings) -> Self {
+    /// Creates a balancer without upstreams, for an entry in availability zone `zone` that started
+    /// at `started`.
+    pub(crate) fn new(
+        zone: Name,
+        budget_rule: BudgetRule,
+        circuit: CircuitSettings,
+        warm_up: WarmUpRule,
+        started: Duration,
+    ) -> Self {
         Self {
             zone,
             budget_rule,
@@ -55,6 +65,7 @@
             groups: IndexMap::new(),
             zones: IndexMap::new(),
             reported_at: Duration::ZERO,
+            fleet: FleetView::new(warm_up, started),
         }
     }
 
@@ -73,14 +84,17 @@
         }
     }
 
-    /// Updates the number of entries that share the retry budgets; `None` if it is unknown.
+    /// Updates the number of entries that share the retry budgets and the limits of cold upstreams;
+    /// `None` if it is unknown.
     pub(crate) fn share_budgets(&mut self, entries: Option<usize>) {
         self.sharing = entries;
+        self.observe_fleet_size(entries.map(|n| n.max(self.entries)));
     }
 
     /// Updates the upstreams of a lock-step group from the status that its lead reports.
     pub(crate) fn observe_group(&mut self, status: &GroupStatus, now: Duration) {
         let open = self.groups.insert(status.group.clone(), status.open);
+        let has_formed = status.open && open == Some(false);
         if open != Some(status.open) {
             tracing::info!(
                 event = events::GROUP_CHANGED,
@@ -99,6 +113,9 @@
                 continue;
             };
             upstream.observe_group(status.open, now);
+            if has_formed {
+                upstream.mark_group_formed(now);
+            }
             upstream.rank_slowdown = f64::from(member.slowdown).max(1.0);
             match status.pass_ms > 0.0 {
                 true => upstream.slowdown.observe_pass(figures, mean, f64::from(status.pass_ms)),
@@ -188,11 +205,11 @@
         if let Some(seat) = self.seat(&request, QueueStage::Arriving, now) {
             return SeatDecision::Grant(seat);
         }
-        if let Some(opens_at) = self.limited_until(&request, now)
+        if let Some((opens_at, reason)) = self.limited_until(&request, now)
             && opens_at > request.wait_until()
         {
             let wait = opens_at.saturating_sub(now).max(RETRY_AFTER_MIN);
-            return self.refuse(&request, "rate limited", wait.min(request.longest_retry_after()));
+            return self.refuse(&request, reason.as_str(), wait.min(request.longest_retry_after()));
         }
         if !request.is_returning && !request.is_resumed && !self.may_be_served(&request, now) {
             // No seat is freed soon. The later the client retries, the more likely it is served.
--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -12,6 +12,25 @@
 use crate::base::name::Name;
 use std::time::Duration;
 
+/// What keeps requests from the upstreams that could take them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LimitReason {
+    /// The upstreams name limits of requests a second.
+    RateLimited,
+    /// The upstreams are cold.
+    WarmingUp,
+}
+
+impl LimitReason {
+    /// Reason for a refusal.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::RateLimited => "rate limited",
+            Self::WarmingUp => "warming up",
+        }
+    }
+}
+
 impl Balancer {
     /// Whether some upstream could take the request once a seat is free.
     pub(super) fn may_be_served(&self, request: &SeatRequest, now: Duration) -> bool {
@@ -19,11 +38,18 @@
         all.any(|u| !u.is_broken(now) && !self.is_zone_in_backoff(&u.zone, now))
     }
 
-    /// When the first upstream that could take the request may get one, if the rate limits of all
-    /// keep it from being sent.
-    pub(super) fn limited_until(&self, request: &SeatRequest, now: Duration) -> Option<Duration> {
+    /// When the first upstream that could take the request may get one, and what limits it, if the
+    /// limits of all keep it from being sent.
+    pub(super) fn limited_until(
+        &self,
+        request: &SeatRequest,
+        now: Duration,
+    ) -> Option<(Duration, LimitReason)> {
         let fitting = self.upstreams.values().filter(|u| self.may_get(u, request, now));
-        fitting.map(Upstream::limited_until).min().filter(|at| now < *at)
+        let first = fitting.min_by_key(|u| u.limited_until(now))?;
+        let is_cold = first.cold_limited_until(now) > first.rate_limited_until();
+        let reason = if is_cold { LimitReason::WarmingUp } else { LimitReason::RateLimited };
+        Some((first.limited_until(now), reason)).filter(|(at, _)| now < *at)
     }
 
     /// Whether an upstream may get the request, apart from its load and its rate limit.
@@ -69,7 +95,7 @@
         let mut usable = Vec::new();
         let (mut candidates, mut free_seats) = (0, 0.0);
         for (index, u) in self.upstreams.values().enumerate() {
-            if !self.may_get(u, request, now) || now < u.limited_until() {
+            if !self.may_get(u, request, now) || now < u.limited_until(now) {
                 continue;
             }
             candidates += 1;
@@ -113,6 +139,7 @@
             unseen,
             waited_ms = now.saturating_sub(request.arrived).as_millis() as u64,
             candidates,
+            cold = upstream.is_cold(now),
             "seat taken"
         );
         // A zone that was unreachable is tried with one request at a time.
--- a/papayaproxy/src/balance/service.rs
+++ b/papayaproxy/src/balance/service.rs
@@ -4,7 +4,7 @@
 use super::ask::SeatRequest;
 use super::budget::{Budget, BudgetRule};
 use super::constants::{FREE_RATE_MIN, FREE_RATE_WEIGHT, FREED_SEATS_MAX, SEND_RATE_DECAY};
-use crate::catalog::EngineFigures;
+use crate::catalog::{EngineFigures, WarmUp};
 use std::time::Duration;
 
 /// State of one service at this entry.
@@ -12,6 +12,8 @@
 pub(crate) struct Service {
     /// Timing figures of the engine; `None` for a plain service.
     pub(crate) engine: Option<EngineFigures>,
+    /// Load that its replicas take while they are cold; `None` if they take all from the start on.
+    pub(crate) warm_up: Option<WarmUp>,
     pub(crate) budget: Budget,
     /// Requests that wait for a seat.
     pub(crate) waiting: Vec<SeatRequest>,
@@ -28,6 +30,7 @@
     pub(crate) fn new(rule: BudgetRule) -> Self {
         Self {
             engine: None,
+            warm_up: None,
             budget: Budget::new(rule),
             waiting: Vec::new(),
             free_rate: 0.0,
--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -4,6 +4,7 @@
 use crate::balance::budget::BudgetRule;
 use crate::balance::desk::Balancer;
 use crate::balance::upstream::SendOutcome;
+use crate::balance::warmup::WarmUpRule;
 use crate::base::name::Name;
 use crate::catalog::directory::{Directory, UpstreamRecord, UpstreamState};
 use crate::catalog::{ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Service};
@@ -69,7 +70,8 @@
         first_wait: Duration::from_secs(1),
         longest_wait: Duration::from_secs(5),
     };
-    let mut balancer = Balancer::new("a".into(), rule, circuit);
+    let mut balancer =
+        Balancer::new("a".into(), rule, circuit, WarmUpRule::default(), Duration::ZERO);
     let mut directory = Directory::default();
     let mut index = 0;
     for zone in zones {
@@ -86,7 +88,7 @@
         workspaces: None,
         limits: ClientLimits::default(),
     });
-    balancer.install(&config, &directory);
+    balancer.install(&config, &directory, START);
     balancer.observe_peers(&PeerLoads::new(), 8, START);
     (balancer, directory, config)
 }
@@ -369,7 +371,7 @@
     let new = UpstreamRecord { started_ms: 2, ..old.clone() };
     directory.put(&id(1), old, 1);
     directory.put(&id(2), new, 2);
-    balancer.install(&config, &directory);
+    balancer.install(&config, &directory, START);
     let seat = granted(balancer.offer(request(1, START), START)).unwrap();
     assert_eq!(seat.upstream, id(2));
     assert_eq!(balancer.upstream_count(), 1);
--- a/papayaproxy/src/balance/tests/records.rs
+++ b/papayaproxy/src/balance/tests/records.rs
@@ -22,8 +22,8 @@
     let (mut balancer, directory, config) = balancer(&["a"]);
     let seat = granted(balancer.offer(request(1, START), START)).unwrap();
     let index = (0..4).find(|index| id(*index) == seat.upstream).unwrap();
-    balancer.install(&config, &without(&directory, index).0);
-    balancer.install(&config, &directory);
+    balancer.install(&config, &without(&directory, index).0, START);
+    balancer.install(&config, &directory, START);
     assert_eq!(balancer.loads().len(), 1);
     balancer.release(&seat, SendOutcome::Good, START);
     assert!(balancer.loads().is_empty());
@@ -40,7 +40,7 @@
     let (mut next, mut record) = without(&directory, index);
     record.started_ms += 1;
     next.put(&old.upstream, record, 2);
-    balancer.install(&config, &next);
+    balancer.install(&config, &next, START);
     assert!(balancer.loads().is_empty());
     let mut tickets = 2..;
     let new = loop {
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -8,6 +8,7 @@
 use super::engine::Slowdown;
 use super::events;
 use super::limits::RateLimit;
+use super::warmup::WarmUpState;
 use crate::base::name::Name;
 use crate::catalog::{EngineFigures, UpstreamRecord};
 use crate::limits::{Circuit, CircuitSettings, CircuitState};
@@ -81,6 +82,7 @@
     limit_at: Duration,
     /// Until when the peers are told of the limit, or of its end.
     limit_news_until: Duration,
+    pub(super) warm_up: WarmUpState,
     circuit: Circuit,
     backoff_until: Duration,
     /// When its group was last reported broken, if not reported running since.
@@ -119,6 +121,7 @@
             rate_limit: None,
             limit_at: Duration::ZERO,
             limit_news_until: Duration::ZERO,
+            warm_up: WarmUpState::default(),
             circuit: Circuit::new(circuit),
             backoff_until: Duration::ZERO,
             broken_at: None,
@@ -302,13 +305,21 @@
         (now < self.limit_news_until).then_some((limit, self.limit_at))
     }
 
-    /// From when on its limit allows this entry a request; zero without a limit.
-    pub(crate) fn limited_until(&self) -> Duration {
+    /// From when on its limits allow this entry a request; zero without a limit.
+    pub(crate) fn limited_until(&self, now: Duration) -> Duration {
+        self.rate_limited_until().max(self.cold_limited_until(now))
+    }
+
+    /// From when on the limit that it names allows this entry a request; zero without one.
+    pub(super) fn rate_limited_until(&self) -> Duration {
         self.rate_limit.map_or(Duration::ZERO, |limit| limit.next_send)
     }
 
     /// Records whether its group runs passes.
     pub(crate) fn observe_group(&mut self, is_open: bool, now: Duration) {
+        if is_open && self.broken_at.is_some() {
+            self.mark_group_formed(now);
+        }
         self.broken_at = (!is_open).then_some(now);
         if is_open && !self.is_confirmed(now) {
             // Rejections from before the group formed no longer apply.
@@ -325,6 +336,7 @@
         if let Some(limit) = &mut self.rate_limit {
             limit.next_send = now + limit.interval;
         }
+        self.count_cold_send(now);
         if !is_repeatable {
             self.circuit.start_unprobed(now);
             return false;
--- a/papayaproxy/src/balance/waiting.rs
+++ b/papayaproxy/src/balance/waiting.rs
@@ -3,6 +3,7 @@
 use super::ask::{QueueStage, SeatDecision, SeatRequest};
 use super::constants::{BROKEN_WAIT, RETRY_AFTER_MIN};
 use super::desk::Balancer;
+use super::placement::LimitReason;
 use crate::base::name::Name;
 use std::time::Duration;
 
@@ -63,12 +64,18 @@
 
     pub(super) fn queue(&mut self, request: SeatRequest, now: Duration) -> SeatDecision {
         let is_broken = !self.may_be_served(&request, now);
+        // Where only the limits of cold upstreams bind, no seat has to be freed.
+        let limited = self.limited_until(&request, now);
+        let cold_rate = match limited {
+            Some((_, LimitReason::WarmingUp)) => self.cold_rate(&request.service, now),
+            _ => 0.0,
+        };
         let Some(service) = self.services.get_mut(&request.service) else {
             return self.refuse(&request, "service unknown", RETRY_AFTER_MIN);
         };
         let ahead =
             service.waiting.iter().filter(|a| a.is_returning <= request.is_returning).count();
-        let expected_wait = (ahead + 1) as f64 / service.free_rate(now);
+        let expected_wait = (ahead + 1) as f64 / (service.free_rate(now) + cold_rate);
         let max_wait = request.wait_until().saturating_sub(now).as_secs_f64();
         // The rate of freed seats predicts nothing while no group runs; such a wait is short.
         if request.is_resumed || is_broken || expected_wait <= max_wait {
--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -65,6 +65,11 @@
         records.filter(|(_, record)| record.state == UpstreamState::Ready)
     }
 
+    /// Store revision of the last change of a record; 0 if there is none.
+    pub(crate) fn revision(&self, id: &str) -> u64 {
+        self.rows.get(id).map_or(0, |row| row.revision)
+    }
+
     /// All records, to be sent to a peer.
     pub(crate) fn list(&self) -> Vec<ListedUpstream> {
         let rows = self.rows.iter();
@@ -77,7 +82,7 @@
         ids.sort_unstable();
         let mut hasher = xxhash_rust::xxh3::Xxh3::new();
         for id in ids {
-            let record = &self.rows[id].record;
+            let Row { record, revision, .. } = &self.rows[id];
             let text = format!(
                 "{id} {} {} {} {} {:?} {};",
                 record.service,
@@ -88,6 +93,10 @@
                 record.started_ms
             );
             hasher.update(text.as_bytes());
+            if !record.cold.is_zero() {
+                // A replica that becomes cold once more may write the same record.
+                hasher.update(format!("{} {revision};", record.cold.as_millis()).as_bytes());
+            }
         }
         hasher.digest()
     }
@@ -103,7 +112,9 @@
         if known.is_some_and(|r| r.revision > revision) {
             return false;
         }
-        let changed = known.is_none_or(|r| r.record != record || r.lapsed_at.is_some());
+        let is_cold_anew = |r: &Row| !record.cold.is_zero() && r.revision < revision;
+        let changed =
+            known.is_none_or(|r| r.record != record || r.lapsed_at.is_some() || is_cold_anew(r));
         if changed {
             log_put(id, known, &record, revision);
         }
--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -15,6 +15,7 @@
     connections: Counter<u64>,
     lost_seats: Gauge<i64>,
     repeats: Counter<u64>,
+    cold_upstreams: Gauge<u64>,
 }
 
 impl Meters {
@@ -47,6 +48,12 @@
                 .u64_counter("papaya_gateway_repeats")
                 .with_description("Further attempts decided on, by service and result")
                 .build(),
+            cold_upstreams: meter
+                .u64_gauge("papaya_gateway_cold_upstreams")
+                .with_description(
+                    "Upstreams that count as cold, so that requests to them are limited",
+                )
+                .build(),
         }
     }
 
@@ -60,6 +67,11 @@
         self.lost_seats.record(seats, &[]);
     }
 
+    /// Records the number of upstreams that count as cold.
+    pub(crate) fn record_cold_upstreams(&self, upstreams: u64) {
+        self.cold_upstreams.record(upstreams, &[]);
+    }
+
     /// Records the decision on a further attempt of a request.
     pub(crate) fn record_repeat(&self, service: &str, result: &'static str) {
         let labels =
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -103,7 +103,13 @@
         let listener = bind(settings.address).await?;
         let address = listener.local_addr().unwrap_or(settings.address);
         let catalog = Catalog::spawn(Store::new(settings.store), clock, settings.drain);
-        let balancer = Balancer::new(settings.zone.clone(), settings.budget, CIRCUIT_SETTINGS);
+        let balancer = Balancer::new(
+            settings.zone.clone(),
+            settings.budget,
+            CIRCUIT_SETTINGS,
+            settings.warmup,
+            clock.now(),
+        );
         let seats = Seats::spawn(balancer, clock);
         let quarantine = Rc::new(RefCell::new(Quarantine::default()));
         let meters = Meters::new(&metrics);
@@ -135,6 +141,7 @@
             incarnation,
         };
         let (load_seats, peer_seats, group_seats) = (seats.clone(), seats.clone(), seats);
+        let entry_seats = load_seats.clone();
         let (own_limits, peer_limits) = (load_seats.clone(), load_seats.clone());
         let (own_parts, peer_parts) = (quarantine.clone(), quarantine);
         let peers = Peers::bind(
@@ -149,6 +156,9 @@
                         b.share_budgets(size.sharing);
                     });
                 }),
+                observe_entries: Box::new(move |ids| {
+                    entry_seats.with_balancer(|b| b.observe_entries(ids));
+                }),
                 observe_group: Box::new(move |status| {
                     group_seats.with_balancer(|b| b.observe_group(status, clock.now()));
                 }),
@@ -361,8 +371,9 @@
     async fn follow_catalog(self: Rc<Self>) {
         loop {
             if let Some(config) = self.catalog.config() {
-                let seats = &self.seats;
-                self.catalog.with_directory(|d| seats.with_balancer(|b| b.install(&config, d)));
+                let (seats, now) = (&self.seats, self.clock.now());
+                self.catalog
+                    .with_directory(|d| seats.with_balancer(|b| b.install(&config, d, now)));
                 self.first_ids.borrow_mut().retain(|s| config.services.contains_key(s));
             }
             self.catalog.changed().await;
@@ -378,6 +389,9 @@
             self.pool.close_expired();
             self.meters.count_connections(self.pool.take_opened());
             self.meters.record_lost_seats(self.seats.lost_seats());
+            let now = self.clock.now();
+            let cold = self.seats.with_balancer(|balancer| balancer.cold_upstreams(now));
+            self.meters.record_cold_upstreams(cold as u64);
             *self.status.lock().unwrap_or_else(PoisonError::into_inner) = self.status();
             tokio::time::sleep(STATE_INTERVAL).await;
         }
--- a/papayaproxy/src/gateway/tests/seats.rs
+++ b/papayaproxy/src/gateway/tests/seats.rs
@@ -2,7 +2,7 @@
 //! anew. Each seat counted at an upstream must belong to a request.
 
 use crate::balance::budget::BudgetRule;
-use crate::balance::{Balancer, Refusal, SeatRequest, SendOutcome};
+use crate::balance::{Balancer, Refusal, SeatRequest, SendOutcome, WarmUpRule};
 use crate::base::clock::Clock;
 use crate::base::name::Name;
 use crate::catalog::directory::UpstreamRecord;
@@ -117,8 +117,13 @@
         let circuit =
             CircuitSettings { bad_ratio: 0.5, bad_streak: 3, first_wait: wait, longest_wait: wait };
         let clock = Clock::start();
-        let seats = Seats::spawn(Balancer::new("a".into(), rule, circuit), clock);
-        seats.with_balancer(|b| b.install(&config(), &directory(&[Some(1); UPSTREAMS as usize])));
+        let seats = Seats::spawn(
+            Balancer::new("a".into(), rule, circuit, WarmUpRule::default(), Duration::ZERO),
+            clock,
+        );
+        seats.with_balancer(|b| {
+            b.install(&config(), &directory(&[Some(1); UPSTREAMS as usize]), Duration::ZERO);
+        });
         Self { seats, clock, asked: 0, asking: Vec::new(), seated: Vec::new() }
     }
 
@@ -171,7 +176,8 @@
             }
             Step::Wait(ms) => tokio::time::advance(Duration::from_millis(ms)).await,
             Step::Install(runs) => {
-                self.seats.with_balancer(|b| b.install(&config(), &directory(&runs)));
+                self.seats
+                    .with_balancer(|b| b.install(&config(), &directory(&runs), Duration::ZERO));
             }
             Step::Leave(_) | Step::Begin(_) | Step::End(..) => {}
         }
@@ -195,7 +201,7 @@
         // Upstreams that had left come back, with what was counted at them.
         for run in [1, 2] {
             let runs = [Some(run); UPSTREAMS as usize];
-            self.seats.with_balancer(|b| b.install(&config(), &directory(&runs)));
+            self.seats.with_balancer(|b| b.install(&config(), &directory(&runs), Duration::ZERO));
             let loads = self.seats.with_balancer(|b| b.loads());
             assert!(loads.is_empty(), "{loads:?} after all requests have ended");
         }
--- a/papayaproxy/src/peers/mod.rs
+++ b/papayaproxy/src/peers/mod.rs
@@ -14,4 +14,4 @@
 mod tests;
 
 pub(crate) use node::{Hooks, PeerSettings, Peers};
-pub(crate) use table::PeerLoads;
+pub(crate) use table::{EntryIds, PeerLoads};
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -11,7 +11,7 @@
     FetchReply, FetchRequest, Freshness, Heartbeat, LimitNews, Message, UpstreamLoad, send,
 };
 use super::relay;
-use super::table::{FleetSize, PeerLoads, Table};
+use super::table::{EntryIds, FleetSize, PeerLoads, Table};
 use crate::base::clock::Clock;
 use crate::base::name::{Incarnation, Name};
 use crate::base::supervise::restart_on_panic;
@@ -69,6 +69,8 @@
     pub(crate) loads: Box<dyn Fn() -> Vec<UpstreamLoad>>,
     /// Called when the peer loads may have changed.
     pub(crate) observe_loads: ObserveLoads,
+    /// Called with the ids of the entries when these may have changed.
+    pub(crate) observe_entries: Box<dyn Fn(EntryIds)>,
     /// Called for each status of a lock-step group.
     pub(crate) observe_group: Box<dyn Fn(&GroupStatus)>,
     /// Returns the rate limits that have changed lately.
@@ -143,6 +145,7 @@
         let mut table = self.table.borrow_mut();
         let size = table.size(now);
         let reported_at = table.loads_time().unwrap_or(now);
+        (self.hooks.observe_entries)(table.entry_ids());
         (self.hooks.observe_loads)(&table.peer_loads(), size, reported_at);
     }
 
--- a/papayaproxy/src/peers/table.rs
+++ b/papayaproxy/src/peers/table.rs
@@ -8,7 +8,7 @@
 use super::message::{Heartbeat, UpstreamLoad, digest};
 use crate::base::name::{Incarnation, Name};
 use indexmap::IndexMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Load of all peers by the digest of the upstream's id: requests in progress, and the prompt
@@ -52,6 +52,29 @@
     pub(crate) sharing: Option<usize>,
 }
 
+/// Ids of the entries: digests of their addresses, the same at all entries.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct EntryIds {
+    /// Id of this entry.
+    pub(crate) own: u64,
+    /// Ids of the others that were heard, live or not.
+    pub(crate) heard: Vec<u64>,
+}
+
+impl EntryIds {
+    /// Id of the entry at `address`.
+    pub(crate) fn id(address: SocketAddr) -> u64 {
+        let mut bytes = [0; 18];
+        let ip = match address.ip().to_canonical() {
+            IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+            IpAddr::V6(ip) => ip,
+        };
+        bytes[..16].copy_from_slice(&ip.octets());
+        bytes[16..].copy_from_slice(&address.port().to_be_bytes());
+        xxhash_rust::xxh3::xxh3_64(&bytes)
+    }
+}
+
 impl Table {
     /// A table with the peers `seeds`; `own_address` is never added as a peer.
     pub(crate) fn new(own_address: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
@@ -155,6 +178,15 @@
         FleetSize { most: self.max_entries, sharing }
     }
 
+    /// Ids of this entry and of those that it has heard.
+    pub(crate) fn entry_ids(&self) -> EntryIds {
+        let heard = self.peers.iter().filter(|(_, peer)| peer.is_some());
+        EntryIds {
+            own: self.own_address.map(EntryIds::id).unwrap_or_default(),
+            heard: heard.map(|(address, _)| EntryIds::id(*address)).collect(),
+        }
+    }
+
     /// Records the most entries that a peer has seen.
     pub(crate) fn record_told(&mut self, entries: u16) {
         self.told_entries = self.told_entries.max(entries.into());
