Balancer: tests of the limit of cold upstreams

Cause: the bound was untested, and entries made up for one whole interval. Change: a property test over starts, cuts, late records, restarts and unequal views, and one test for each kind of failure. A request that is late makes the next one earlier by 40 ms at most.

--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -101,6 +101,9 @@
 /// Span in which requests to a cold upstream are counted: a second, and as much as the times that
 /// requests take to arrive may differ.
 pub(crate) const SEND_SPAN: Duration = Duration::from_millis(1100);
+/// Delay of a request to a cold upstream that does not delay the next ones. Seats are assigned to
+/// waiting requests each 40 ms.
+pub(crate) const SEND_LATENESS: Duration = Duration::from_millis(40);
 /// Time after its start in which an entry sends nothing to cold upstreams: 0.9 s in which the others
 /// hear of it (a heartbeat interval and a half among 70 entries), and [`SEND_SPAN`], in which
 /// requests count that they sent before, or that its own run before sent until its end.
--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -11,3 +11,4 @@
 mod records;
 mod spread;
 mod stops;
+mod warmup;
--- a/papayaproxy/src/balance/warmup.rs
+++ b/papayaproxy/src/balance/warmup.rs
@@ -5,7 +5,7 @@
 //! the B entries that a rendezvous hash over entries and upstream ranks first.
 
 use super::constants::{
-    COLD_LOG_MIN, ENTRY_HOLD, FOUND_AT_START_TIME, RECORD_DELAY_MAX, SEND_SPAN,
+    COLD_LOG_MIN, ENTRY_HOLD, FOUND_AT_START_TIME, RECORD_DELAY_MAX, SEND_LATENESS, SEND_SPAN,
 };
 use super::desk::Balancer;
 use super::events;
@@ -165,8 +165,9 @@
         }
         self.sent.push_back(now);
         let Some(share) = self.share.filter(|_| now < self.cold_until) else { return };
-        // One interval may be made up for: waiting requests are looked at every few milliseconds only.
-        let begin = self.next_send.max(now.saturating_sub(share.interval));
+        // Waiting requests are looked at every few milliseconds only, which must not lower the rate.
+        // More is not made up for: a warm-up is short, and all entries would do so in it.
+        let begin = self.next_send.max(now.saturating_sub(SEND_LATENESS));
         self.next_send = begin.saturating_add(share.interval);
     }
 }
