Gateway: bounds from the memory of the host, slow readers are cut

Cause: what an entry holds for clients that read slowly was not counted, and the kernel's socket buffers grew up to 4 MB a connection; hosts have 112 to 512 MB.

Change: setting host.memory. Bytes for a client count until its connection has accepted them, plain answers too; a stream is read up to the bound of its client in bytes. Socket buffers are set. Without the setting, bounds are as before.

--- a/papayaproxy/src/base/metered.rs
+++ b/papayaproxy/src/base/metered.rs
@@ -1,5 +1,6 @@
 //! Connections that bound what their other side may send: how much a connection reads before other
-//! tasks run, and how much it reads that moves no message on.
+//! tasks run, and how much it reads that moves no message on. They also tell whether their other side
+//! reads.
 //!
 //! HTTP has parts without a limit of their own, such as interim answers or the digits of a chunk's
 //! size.
@@ -7,11 +8,13 @@
 use super::constants::{TURN_BYTES, UNUSED_BYTES_MAX};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -19,6 +22,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Meter {
     unused: Cell<usize>,
+    /// Whether the kernel accepted none of the bytes that were to be written last.
+    blocked: Cell<bool>,
+    /// Whether the connection is reset when it is dropped.
+    resets: Cell<bool>,
 }
 
 /// A TCP connection whose reads are counted and bounded.
@@ -42,6 +49,16 @@
     pub(crate) fn progress(&self) {
         self.unused.set(0);
     }
+
+    /// Whether the other side reads so slowly that the kernel accepts no further bytes for it.
+    pub(crate) fn is_blocked(&self) -> bool {
+        self.blocked.get()
+    }
+
+    /// Resets the connection when it is dropped, so that the kernel drops what is not read.
+    pub(crate) fn reset_on_drop(&self) {
+        self.resets.set(true);
+    }
 }
 
 impl MeteredStream {
@@ -52,6 +69,27 @@
     }
 }
 
+impl Drop for MeteredStream {
+    fn drop(&mut self) {
+        if self.meter.resets.get()
+            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            tracing::debug!(%error, "cannot reset a connection");
+        }
+    }
+}
+
+/// Sets both buffers of a socket to `bytes`. The kernel takes twice as much for its own records, and
+/// adapts them no longer.
+///
+/// # Errors
+/// The operating system refuses it.
+pub(crate) fn set_buffers<'s>(socket: impl Into<SockRef<'s>>, bytes: usize) -> io::Result<()> {
+    let socket = socket.into();
+    socket.set_send_buffer_size(bytes)?;
+    socket.set_recv_buffer_size(bytes)
+}
+
 impl<B> MeteredBody<B> {
     pub(crate) fn new(body: B, meter: Rc<Meter>) -> Self {
         Self { body, meter }
@@ -95,7 +133,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.meter.blocked.set(polled.is_pending());
+        polled
     }
 
     fn poll_write_vectored(
@@ -103,7 +143,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.meter.blocked.set(polled.is_pending());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/papayaproxy/src/gateway/body.rs
+++ b/papayaproxy/src/gateway/body.rs
@@ -1,9 +1,10 @@
 //! Response bodies sent to clients.
 
+use super::clients::{Client, HeldBytes};
 use super::pacing::Pacer;
 use super::process::InFlight;
 use crate::base::clock::Clock;
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
 use std::pin::Pin;
@@ -16,16 +17,16 @@
 
 pub(crate) enum ResponseBody {
     /// A complete body; `None` once it has been sent, or if it is empty.
-    Full(Option<Bytes>),
+    Full(Option<HeldBytes>),
     /// The body of a stream in progress.
     Relay(RelayBody),
 }
 
 /// Part of a stream that its relay passes on.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) enum RelayFrame {
     /// Whole events, and the time on the process clock at which they arrived.
-    Events(Bytes, Duration),
+    Events(HeldBytes, Duration),
     /// The stream is complete.
     End,
 }
@@ -38,7 +39,7 @@
     pacer: Pacer,
     clock: Clock,
     /// The next events and the timer of their release.
-    held: Option<(Bytes, Pin<Box<Sleep>>)>,
+    held: Option<(HeldBytes, Pin<Box<Sleep>>)>,
     /// Cancels the relay when the body is dropped.
     _stop: DropGuard,
     /// Counts the request as in progress until its last event has been sent.
@@ -57,7 +58,7 @@
         Self { frames, pacer, clock, held: None, _stop: stop, _in_flight: in_flight }
     }
 
-    fn poll_events(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+    fn poll_events(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<HeldBytes>>> {
         if self.held.is_none() {
             let (bytes, arrived) = match ready!(self.frames.poll_recv(context)) {
                 Some(RelayFrame::Events(bytes, arrived)) => (bytes, arrived),
@@ -80,18 +81,27 @@
 impl ResponseBody {
     /// A complete body that consists of `bytes`.
     pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Some(bytes.into()).filter(|b: &Bytes| !b.is_empty()))
+        Self::Full(Some(bytes.into()).filter(|b: &Bytes| !b.is_empty()).map(HeldBytes::from))
+    }
+
+    /// Counts a complete body as held for `client` until its connection has accepted it.
+    pub(crate) fn count_for(&mut self, client: &Rc<Client>) {
+        if let Self::Full(Some(bytes)) = self
+            && !bytes.is_counted()
+        {
+            bytes.count_for(client);
+        }
     }
 }
 
 impl Body for ResponseBody {
-    type Data = Bytes;
+    type Data = HeldBytes;
     type Error = io::Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+    ) -> Poll<Option<io::Result<Frame<HeldBytes>>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Relay(relay) => {
@@ -106,7 +116,9 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Self::Full(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.remaining() as u64))
+            }
             Self::Relay(_) => SizeHint::default(),
         }
     }
--- a/papayaproxy/src/gateway/buffer.rs
+++ b/papayaproxy/src/gateway/buffer.rs
@@ -94,6 +94,8 @@
             }
             bytes.extend_from_slice(&data);
         }
+        // What is kept for a client counts by its length from here on.
+        bytes.shrink_to_fit();
         Ok(Buffered { bytes: bytes.into(), _charge: charge })
     }
 }
--- a/papayaproxy/src/gateway/constants.rs
+++ b/papayaproxy/src/gateway/constants.rs
@@ -53,6 +53,17 @@
 pub(crate) const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(15);
 /// Frames buffered between the relay of a stream and the client connection.
 pub(crate) const RELAY_QUEUE_FRAMES: usize = 16;
+/// Bytes that a piece held for a client counts beside its own: the entries that it takes in queues, and
+/// the least that is allocated for it.
+pub(crate) const PIECE_BYTES: usize = 256;
+/// Part of the limit of what is held for clients from which on slow readers are cut.
+pub(crate) const SLOW_BEGIN_FRACTION: f64 = 0.85;
+/// Part of the limit down to which they are then cut, so that each shortage is one round.
+pub(crate) const SLOW_END_FRACTION: f64 = 0.75;
+/// Least age of undelivered bytes for which a client is cut below the limit. Above the time for which
+/// events are held back on purpose, and below the 3 s after which the kernel gives up a connection
+/// that accepts nothing.
+pub(crate) const SLOW_AGE_MIN: Duration = Duration::from_millis(1000);
 /// Fraction of a route's gap target up to which events are held back to even out the gaps; the rest
 /// covers network and timer delays.
 pub(crate) const PACE_GAP_RATIO: f64 = 0.9;
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -2,6 +2,7 @@
 
 use super::body::ResponseBody;
 use super::buffer::{BufferError, Buffered};
+use super::clients::Client;
 use super::codes;
 use super::constants::{
     DEADLINE_DEFAULT, LATENCY_TARGET_DEFAULT, READY_AGE_MAX, RETRY_AFTER_STOPPING,
@@ -16,7 +17,7 @@
 use crate::balance::constants::RETURNING_TIME_RATIO;
 use crate::base::accept::accept;
 use crate::base::code::Code;
-use crate::base::metered::{MeteredBody, MeteredStream};
+use crate::base::metered::{MeteredBody, MeteredStream, set_buffers};
 use crate::catalog::config::KeyOwner;
 use crate::catalog::{ClientLimits, Config, Route, Workspace};
 use crate::platform::request;
@@ -85,12 +86,20 @@
         tracing::debug!(%error, "cannot set socket options of a client connection");
     }
     let limits = shared.catalog.config().map_or_else(ClientLimits::default, |c| c.limits);
+    // The kernel's bytes count toward the memory of the process, too.
+    if let Some(bytes) = shared.clients.bounds.client_socket
+        && let Err(error) = set_buffers(&stream, bytes)
+    {
+        tracing::debug!(%error, "cannot set the buffers of a client connection");
+    }
     let (stream, meter) = MeteredStream::new(stream);
+    let client = shared.clients.open(meter.clone());
+    let (service_client, service_meter) = (client.clone(), meter.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        meter.progress();
-        let (shared, meter) = (shared.clone(), meter.clone());
-        let request = request.map(|body| MeteredBody::new(body, meter));
-        async move { Ok::<_, Infallible>(handle_request(shared, request).await) }
+        service_meter.progress();
+        let (shared, client) = (shared.clone(), service_client.clone());
+        let request = request.map(|body| MeteredBody::new(body, service_meter.clone()));
+        async move { Ok::<_, Infallible>(handle_request(shared, request, client).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -105,8 +114,12 @@
         ended = connection.as_mut() => ended,
         () = closed_unread(&close) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = client.cut() => return meter.reset_on_drop(),
+            }
         }
+        () = client.cut() => return meter.reset_on_drop(),
     };
     if let Err(error) = ended {
         tracing::debug!(%error, "client connection failed");
@@ -123,11 +136,13 @@
 async fn handle_request(
     shared: Rc<Shared>,
     request: Request<ClientBody>,
+    client: Rc<Client>,
 ) -> Response<ResponseBody> {
-    let mut response = match prepare(&shared, request).await {
+    let mut response = match prepare(&shared, request, &client).await {
         Ok(exchange) => exchange.run().await,
         Err(response) => response,
     };
+    response.body_mut().count_for(&client);
     // A kept-alive connection would bring further requests to an entry that is not ready.
     if shared.is_stopping() || !shared.is_ready() {
         refuse::close_connection(&mut response);
@@ -140,9 +155,11 @@
 async fn prepare(
     shared: &Rc<Shared>,
     request: Request<ClientBody>,
+    client: &Rc<Client>,
 ) -> Result<Exchange, Response<ResponseBody>> {
     let arrived = shared.clock.now();
     let envelope = request::read_envelope(request.headers());
+    client.begin(&envelope.id);
     let reject = |code: Code, retry_after: Option<Duration>| {
         let id = &envelope.id;
         let code_text = code.to_string();
@@ -211,6 +228,7 @@
     );
     Ok(Exchange {
         shared: shared.clone(),
+        client: client.clone(),
         shared_parts: shared_keys(&service, &envelope.prompt_parts),
         in_flight: Rc::new(shared.track_request(&envelope.id, &route)),
         latency_target: route.latency_target.unwrap_or(LATENCY_TARGET_DEFAULT),
--- a/papayaproxy/src/gateway/events.rs
+++ b/papayaproxy/src/gateway/events.rs
@@ -21,4 +21,6 @@
     HANDOVER_FAILED = 3015, "A stream at a silent upstream was tried at another one without success; it stays, and is tried again while the upstream is silent. Fields: request, reason.";
     HANDOVER_ENDED = 3016, "A silent upstream went on with its stream, so the attempt at another one was given up. Fields: request, upstream.";
     REPEAT_GRANTED = 3017, "The retry budget allows a further attempt. Fields: as for 3005; repeats includes this one.";
+    READER_CUT = 3018, "A client that reads slowly was cut, since what is held for clients nears its limit; request is its last one, held in bytes, oldest_ms the age of its oldest undelivered bytes. Fields: request, code, held, oldest_ms, total, limit.";
+    CLIENT_MEMORY = 3019, "What is held for clients has come near its limit, or is well below it again; held and limit in bytes, clients is the number of those for which bytes are held. Fields: short, held, limit, clients.";
 }
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 use super::attempts::{Answer, FailedAttempt, ResponseHead, ResumePoint, StopReason};
 use super::body::ResponseBody;
 use super::buffer::{BufferError, Buffered};
+use super::clients::Client;
 use super::codes;
 use super::constants::{
     ATTEMPT_TIME_MIN, FAILURE_BYTES_MAX, NOT_RUN_MAX, PLAIN_SILENCE_FACTOR, PLAIN_SILENCE_MIN,
@@ -38,6 +39,8 @@
     pub(crate) shared: Rc<Shared>,
     /// Counts the request as in progress until its response, including a stream, has ended.
     pub(crate) in_flight: Rc<InFlight>,
+    /// The connection of the client.
+    pub(crate) client: Rc<Client>,
     pub(crate) envelope: Envelope,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Name,
--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -15,6 +15,8 @@
     connections: Counter<u64>,
     lost_seats: Gauge<i64>,
     repeats: Counter<u64>,
+    held: Gauge<u64>,
+    cuts: Counter<u64>,
 }
 
 impl Meters {
@@ -47,6 +49,14 @@
                 .u64_counter("papaya_gateway_repeats")
                 .with_description("Further attempts decided on, by service and result")
                 .build(),
+            held: meter
+                .u64_gauge("papaya_gateway_held_bytes")
+                .with_description("Bytes held for clients that have not read them")
+                .build(),
+            cuts: meter
+                .u64_counter("papaya_gateway_readers_cut")
+                .with_description("Clients cut since they read slowly and memory was short")
+                .build(),
         }
     }
 
@@ -55,6 +65,12 @@
         self.connections.add(connections, &[]);
     }
 
+    /// Records the bytes held for clients, and adds to the number of clients cut.
+    pub(crate) fn record_clients(&self, held: u64, cuts: u64) {
+        self.held.record(held, &[]);
+        self.cuts.add(cuts, &[]);
+    }
+
     /// Records the seats counted at upstreams that no request holds.
     pub(crate) fn record_lost_seats(&self, seats: i64) {
         self.lost_seats.record(seats, &[]);
--- a/papayaproxy/src/gateway/mod.rs
+++ b/papayaproxy/src/gateway/mod.rs
@@ -4,7 +4,9 @@
 
 pub(crate) mod attempts;
 pub(crate) mod body;
+pub(crate) mod bounds;
 pub(crate) mod buffer;
+pub(crate) mod clients;
 pub(crate) mod codes;
 pub(crate) mod constants;
 pub(crate) mod crash;
@@ -21,6 +23,7 @@
 pub(crate) mod process;
 pub(crate) mod progress;
 pub(crate) mod reader;
+pub(crate) mod readers;
 pub(crate) mod ready;
 pub(crate) mod refuse;
 pub(crate) mod relay;
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -7,7 +7,7 @@
 use crate::base::clock::Clock;
 use crate::base::constants::ANSWER_BUFFER_BYTES;
 use crate::base::error::with_sources;
-use crate::base::metered::{Meter, MeteredBody, MeteredStream};
+use crate::base::metered::{Meter, MeteredBody, MeteredStream, set_buffers};
 use crate::base::name::Name;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -72,11 +72,14 @@
     clock: Clock,
     idle: RefCell<IndexMap<SocketAddr, Vec<Connection>>>,
     opened: Cell<u64>,
+    /// Size of the socket buffers of a connection in bytes, if it is set.
+    socket_bytes: Option<usize>,
 }
 
 impl Pool {
-    pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, idle: RefCell::default(), opened: Cell::new(0) }
+    /// No connections yet; each gets socket buffers of `socket_bytes`.
+    pub(crate) fn new(clock: Clock, socket_bytes: Option<usize>) -> Self {
+        Self { clock, idle: RefCell::default(), opened: Cell::new(0), socket_bytes }
     }
 
     /// Number of connections opened since the previous call.
@@ -164,7 +167,13 @@
 
     async fn open(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         let connect = async {
-            let stream = TcpStream::connect(address).await?;
+            let new = if address.is_ipv4() { TcpSocket::new_v4 } else { TcpSocket::new_v6 };
+            let socket = new()?;
+            // Before the connection is made, so that its window fits.
+            if let Some(bytes) = self.socket_bytes {
+                set_buffers(&socket, bytes)?;
+            }
+            let stream = socket.connect(address).await?;
             stream.set_nodelay(true)?;
             let socket = socket2::SockRef::from(&stream);
             socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -1,9 +1,11 @@
 //! The running entry: shared state, readiness and graceful stop.
 
+use super::bounds::MemoryBounds;
 use super::buffer::BufferBudget;
+use super::clients::Clients;
 use super::constants::{
-    BUFFER_BYTES_MAX, KEY_AGE_FRACTION, READY_AGE_MAX, SEAT_INTERVAL, STATE_INTERVAL,
-    STOP_CLOSE_FRACTION, STOP_STRICT_AFTER, UNFINISHED_LOGGED_MAX,
+    KEY_AGE_FRACTION, READY_AGE_MAX, SEAT_INTERVAL, STATE_INTERVAL, STOP_CLOSE_FRACTION,
+    STOP_STRICT_AFTER, UNFINISHED_LOGGED_MAX,
 };
 use super::edge;
 use super::envelope::Envelope;
@@ -69,6 +71,8 @@
     connections: Rc<()>,
     /// Bodies that are buffered whole.
     pub(crate) buffers: BufferBudget,
+    /// What is held for the clients.
+    pub(crate) clients: Rc<Clients>,
     ready: Cell<bool>,
     status: Arc<Mutex<Status>>,
     /// Load exchange with the other entries; set once it runs.
@@ -108,12 +112,13 @@
         let quarantine = Rc::new(RefCell::new(Quarantine::default()));
         let meters = Meters::new(&metrics);
         let status = Arc::new(Mutex::new(Status::default()));
+        let bounds = MemoryBounds::new(settings.memory);
         let shared = Rc::new(Shared {
             clock,
             incarnation,
             catalog: catalog.clone(),
             seats: seats.clone(),
-            pool: Pool::new(clock),
+            pool: Pool::new(clock, bounds.replica_socket),
             quarantine: quarantine.clone(),
             first_ids: Rc::default(),
             meters,
@@ -121,7 +126,8 @@
             accept_end: CancellationToken::new(),
             progress: RefCell::new(Progress::new(settings.grace)),
             connections: Rc::default(),
-            buffers: BufferBudget::new(BUFFER_BYTES_MAX),
+            buffers: BufferBudget::new(bounds.bodies),
+            clients: Clients::new(clock, bounds),
             ready: Cell::new(false),
             status: status.clone(),
             peers: OnceCell::new(),
@@ -376,6 +382,8 @@
             self.quarantine.borrow_mut().expire(self.clock.now());
             self.update_readiness();
             self.pool.close_expired();
+            self.clients.review();
+            self.meters.record_clients(self.clients.held() as u64, self.clients.take_cuts());
             self.meters.count_connections(self.pool.take_opened());
             self.meters.record_lost_seats(self.seats.lost_seats());
             *self.status.lock().unwrap_or_else(PoisonError::into_inner) = self.status();
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -3,7 +3,6 @@
 
 use super::attempts::{Answer, FailedAttempt, ResumePoint, StopReason, media_type_of};
 use super::body::{RelayBody, RelayFrame, ResponseBody};
-use super::constants::RELAY_QUEUE_FRAMES;
 use super::events;
 use super::exchange::Exchange;
 use super::handover::{Handover, Raced};
@@ -42,9 +41,9 @@
 
 /// Starts the relay of the stream that `reader` reads first, and returns the response for the client.
 pub(crate) fn spawn(exchange: Exchange, reader: StreamReader) -> Response<ResponseBody> {
-    let (sender, frames) = channel(RELAY_QUEUE_FRAMES);
+    let (sender, frames) = channel(exchange.shared.clients.bounds.frames);
     let stop = CancellationToken::new();
-    let shared = exchange.shared.clone();
+    let (shared, client) = (exchange.shared.clone(), exchange.client.clone());
     let pacer = Pacer::new(exchange.route.gap_target, shared.event_delay(), exchange.deadline);
     let in_flight = exchange.in_flight.clone();
     let body = RelayBody::new(frames, pacer, shared.clock, stop.clone().drop_guard(), in_flight);
@@ -54,7 +53,8 @@
     let (id, arrived) = (exchange.envelope.id.clone(), exchange.arrived);
     tokio::task::spawn_local(async move {
         let relayed = stop.run_until_cancelled(relay(exchange, reader, sender)).await;
-        if relayed.is_none() {
+        // One that was cut is logged as such.
+        if relayed.is_none() && !client.is_cut() {
             let took_ms = shared.clock.now().saturating_sub(arrived).as_millis() as u64;
             tracing::info!(event = events::CALLER_LEFT, request = %id, took_ms, "caller left");
         }
@@ -212,8 +212,13 @@
             previous = Some(now);
             handover.since.set(now);
         }
-        let frame = RelayFrame::Events(batch.bytes, now);
-        match timeout(exchange.time_left(), sender.send(frame)).await {
+        // The replica is read as long as it sends, up to the bound of the client: it would cut an
+        // answer that is not read for some seconds.
+        let sent = async {
+            exchange.client.wait_for_room(batch.bytes.len()).await;
+            sender.send(RelayFrame::Events(exchange.client.hold(batch.bytes), now)).await
+        };
+        match timeout(exchange.time_left(), sent).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return RelayOutcome::CallerLeft,
             // The caller reads too slowly.
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -11,6 +11,9 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// Least memory of a host, in megabytes.
+const MEMORY_MIN: f64 = 32.0;
+
 pub(crate) const ROWS: &[SettingRow] = &[
     SettingRow { section: "process", key: "name", default: None, meaning: "name of the process" },
     SettingRow {
@@ -97,6 +100,12 @@
         default: Some("0"),
         meaning: "additional requests to a cold upstream in one second, over all entries together",
     },
+    SettingRow {
+        section: "host",
+        key: "memory",
+        default: Some("0"),
+        meaning: "memory of the host in megabytes (1,048,576 bytes), 0 or at least 32: bounds of buffered bodies, of what is held for clients and of socket buffers follow from it; 0 bounds only buffered bodies, at 24",
+    },
     SettingRow {
         section: "budget",
         key: "ratio",
@@ -159,6 +168,8 @@
     pub(crate) evacuate: Duration,
     /// Limit of requests to cold upstreams.
     pub(crate) warmup: WarmUpRule,
+    /// Memory of the host in megabytes; zero if it is not stated.
+    pub(crate) memory: f64,
     /// Retry budget.
     pub(crate) budget: BudgetRule,
     /// Log settings.
@@ -192,6 +203,7 @@
         let evacuate = reader.value("bounds", "evacuate", parse_duration);
         let warm_ratio = reader.value("warmup", "ratio", parse_amount);
         let warm_slack = reader.value("warmup", "slack", parse_amount);
+        let memory = reader.value("host", "memory", parse_memory);
         let ratio = reader.value("budget", "ratio", parse_amount);
         let slack = reader.value("budget", "slack", parse_amount);
         let window = reader.value("budget", "window", parse_duration);
@@ -212,6 +224,7 @@
             event_delay: event_delay?,
             evacuate: evacuate?,
             warmup: WarmUpRule { ratio: warm_ratio?, slack: warm_slack? },
+            memory: memory?,
             budget: BudgetRule {
                 ratio: ratio?,
                 slack: slack?,
@@ -236,6 +249,12 @@
     text.parse().map_err(|_| "true or false".to_owned())
 }
 
+/// Reads the memory of a host; less than the least is a mistake of the unit.
+fn parse_memory(text: &str) -> Result<f64, String> {
+    let memory = parse_amount(text).ok().filter(|m| *m == 0.0 || *m >= MEMORY_MIN);
+    memory.ok_or_else(|| format!("0, or a number of megabytes of at least {MEMORY_MIN}"))
+}
+
 fn parse_amount(text: &str) -> Result<f64, String> {
     let amount = text.parse().ok().filter(|a: &f64| a.is_finite() && *a >= 0.0);
     amount.ok_or_else(|| "a number that is zero or greater".to_owned())
