Gateway: unsent bytes of the kernel are bounded, not its send buffers

Cause: with send buffers of 14 and 28 kB an answer of 1 MB took 10 to 190 ms on a loopback interface, in place of 2 to 10 ms; with receive buffers of 56 kB, 48 answers of 60 kB stood still for more than half a second (trials).

Change: TCP_NOTSENT_LOWAT of 16 kB and socket buffers of 128 kB where host.memory is set.

--- a/papayaproxy/src/base/metered.rs
+++ b/papayaproxy/src/base/metered.rs
@@ -79,15 +79,27 @@
     }
 }
 
-/// Sets both buffers of a socket to `bytes`. The kernel takes twice as much for its own records, and
-/// adapts them no longer.
+/// Bounds of a socket's buffers in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SocketBuffers {
+    /// Size of each, for data and again as much for the kernel's records.
+    pub(crate) size: usize,
+    /// Data that is not sent yet, from which on the socket accepts no more.
+    pub(crate) unsent: usize,
+}
+
+/// Sets the buffers of a socket. The kernel does not adapt their size any longer.
 ///
 /// # Errors
 /// The operating system refuses it.
-pub(crate) fn set_buffers<'s>(socket: impl Into<SockRef<'s>>, bytes: usize) -> io::Result<()> {
+pub(crate) fn set_buffers<'s>(
+    socket: impl Into<SockRef<'s>>,
+    buffers: SocketBuffers,
+) -> io::Result<()> {
     let socket = socket.into();
-    socket.set_send_buffer_size(bytes)?;
-    socket.set_recv_buffer_size(bytes)
+    socket.set_send_buffer_size(buffers.size)?;
+    socket.set_recv_buffer_size(buffers.size)?;
+    socket.set_tcp_notsent_lowat(buffers.unsent as u32)
 }
 
 impl<B> MeteredBody<B> {
--- a/papayaproxy/src/gateway/body.rs
+++ b/papayaproxy/src/gateway/body.rs
@@ -86,9 +86,7 @@
 
     /// Counts a complete body as held for `client` until its connection has accepted it.
     pub(crate) fn count_for(&mut self, client: &Rc<Client>) {
-        if let Self::Full(Some(bytes)) = self
-            && !bytes.is_counted()
-        {
+        if let Self::Full(Some(bytes)) = self {
             bytes.count_for(client);
         }
     }
--- a/papayaproxy/src/gateway/bounds.rs
+++ b/papayaproxy/src/gateway/bounds.rs
@@ -2,6 +2,7 @@
 
 use super::constants::{BUFFER_BYTES_MAX, PIECE_BYTES, RELAY_QUEUE_FRAMES};
 use crate::base::constants::ANSWER_BUFFER_BYTES;
+use crate::base::metered::SocketBuffers;
 
 /// Bounds in bytes. Those that are `None` are not set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,10 +15,8 @@
     pub(crate) client: Option<usize>,
     /// Frames of a stream that are held for its client.
     pub(crate) frames: usize,
-    /// Size of the socket buffers of a client connection, each way.
-    pub(crate) client_socket: Option<usize>,
-    /// Size of the socket buffers of a connection to a replica, each way.
-    pub(crate) replica_socket: Option<usize>,
+    /// Buffers of the kernel for a connection, to a client or a replica.
+    pub(crate) sockets: Option<SocketBuffers>,
 }
 
 /// Bytes of a megabyte, as the platform states memory.
@@ -32,15 +31,14 @@
 const CLIENT_FRACTION: usize = 16;
 /// Range of the bound of one client, in bytes.
 const CLIENT_RANGE: (usize, usize) = (256 << 10, 2 << 20);
-/// Part of the memory for the socket buffer of one client connection: a host of 112 MB has 2,870
-/// descriptors, and the kernel takes twice the size that is set.
-const CLIENT_SOCKET_FRACTION: usize = 8192;
-/// Range of the socket buffers of a client connection, in bytes.
-const CLIENT_SOCKET_RANGE: (usize, usize) = (8 << 10, 64 << 10);
-/// Part of the memory for the socket buffer of one connection to a replica, of which there are fewer.
-const REPLICA_SOCKET_FRACTION: usize = 2048;
-/// Range of the socket buffers of a connection to a replica, in bytes.
-const REPLICA_SOCKET_RANGE: (usize, usize) = (32 << 10, 256 << 10);
+/// Bytes that the kernel holds unsent for a client before it accepts no more. Small send buffers would
+/// bound this too, but also what is on its way: with 14 to 28 kB of them an answer of 1 MB took 10 to
+/// 190 ms on a loopback interface, in place of 2 to 10 ms.
+const UNSENT_BYTES: usize = 16 << 10;
+/// Size of the socket buffers in bytes, each way. A receive buffer of less than two segments makes the
+/// sender wait for its window: on a loopback interface, with segments of 64 kB and buffers of 56 kB, 48
+/// answers of 60 kB stood still for more than half a second.
+const SOCKET_BYTES: usize = 128 << 10;
 
 impl MemoryBounds {
     /// Bounds for a host with `megabytes` of memory; zero if its memory is not known.
@@ -51,12 +49,10 @@
                 clients: None,
                 client: None,
                 frames: RELAY_QUEUE_FRAMES,
-                client_socket: None,
-                replica_socket: None,
+                sockets: None,
             };
         }
         let memory = (megabytes * MEGABYTE) as usize;
-        let part = |fraction: usize, (least, most)| (memory / fraction).clamp(least, most);
         let clients = memory / CLIENTS_FRACTION;
         let client = (clients / CLIENT_FRACTION).clamp(CLIENT_RANGE.0, CLIENT_RANGE.1);
         Self {
@@ -65,20 +61,18 @@
             client: Some(client),
             // The bytes bind first, since each piece counts for this much at least.
             frames: client / PIECE_BYTES,
-            client_socket: Some(part(CLIENT_SOCKET_FRACTION, CLIENT_SOCKET_RANGE)),
-            replica_socket: Some(part(REPLICA_SOCKET_FRACTION, REPLICA_SOCKET_RANGE)),
+            sockets: Some(SocketBuffers { size: SOCKET_BYTES, unsent: UNSENT_BYTES }),
         }
     }
 
-    /// What the kernel holds at most for a client connection that accepts no further bytes. It takes
-    /// twice the size that is set.
+    /// What the kernel holds for a client that reads nothing, with its records.
     pub(crate) fn client_kernel(&self) -> usize {
-        self.client_socket.map_or(0, |b| b * 2)
+        self.sockets.map_or(0, |s| 2 * s.unsent)
     }
 
     /// What a connection to a replica holds at most while its stream is not read: a buffer, two frames
-    /// of its size, and what the kernel holds.
+    /// of its size, and what the kernel holds, which is twice the size that is set.
     pub(crate) fn replica_unread(&self) -> usize {
-        self.replica_socket.map_or(0, |b| 3 * ANSWER_BUFFER_BYTES + b * 2)
+        self.sockets.map_or(0, |s| 3 * ANSWER_BUFFER_BYTES + 2 * s.size)
     }
 }
--- a/papayaproxy/src/gateway/clients.rs
+++ b/papayaproxy/src/gateway/clients.rs
@@ -234,11 +234,6 @@
 }
 
 impl HeldBytes {
-    /// Whether they count for a client yet.
-    pub(crate) fn is_counted(&self) -> bool {
-        self._charge.is_some()
-    }
-
     /// Counts them for `client`.
     pub(crate) fn count_for(&mut self, client: &Rc<Client>) {
         *self = client.hold(std::mem::take(&mut self.bytes));
--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -87,8 +87,8 @@
     }
     let limits = shared.catalog.config().map_or_else(ClientLimits::default, |c| c.limits);
     // The kernel's bytes count toward the memory of the process, too.
-    if let Some(bytes) = shared.clients.bounds.client_socket
-        && let Err(error) = set_buffers(&stream, bytes)
+    if let Some(buffers) = shared.clients.bounds.sockets
+        && let Err(error) = set_buffers(&stream, buffers)
     {
         tracing::debug!(%error, "cannot set the buffers of a client connection");
     }
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -7,7 +7,7 @@
 use crate::base::clock::Clock;
 use crate::base::constants::ANSWER_BUFFER_BYTES;
 use crate::base::error::with_sources;
-use crate::base::metered::{Meter, MeteredBody, MeteredStream, set_buffers};
+use crate::base::metered::{Meter, MeteredBody, MeteredStream, SocketBuffers, set_buffers};
 use crate::base::name::Name;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -72,14 +72,14 @@
     clock: Clock,
     idle: RefCell<IndexMap<SocketAddr, Vec<Connection>>>,
     opened: Cell<u64>,
-    /// Size of the socket buffers of a connection in bytes, if it is set.
-    socket_bytes: Option<usize>,
+    /// Sizes of the socket buffers of a connection, if they are set.
+    socket_buffers: Option<SocketBuffers>,
 }
 
 impl Pool {
-    /// No connections yet; each gets socket buffers of `socket_bytes`.
-    pub(crate) fn new(clock: Clock, socket_bytes: Option<usize>) -> Self {
-        Self { clock, idle: RefCell::default(), opened: Cell::new(0), socket_bytes }
+    /// No connections yet; each gets `socket_buffers`.
+    pub(crate) fn new(clock: Clock, socket_buffers: Option<SocketBuffers>) -> Self {
+        Self { clock, idle: RefCell::default(), opened: Cell::new(0), socket_buffers }
     }
 
     /// Number of connections opened since the previous call.
@@ -170,8 +170,8 @@
             let new = if address.is_ipv4() { TcpSocket::new_v4 } else { TcpSocket::new_v6 };
             let socket = new()?;
             // Before the connection is made, so that its window fits.
-            if let Some(bytes) = self.socket_bytes {
-                set_buffers(&socket, bytes)?;
+            if let Some(buffers) = self.socket_buffers {
+                set_buffers(&socket, buffers)?;
             }
             let stream = socket.connect(address).await?;
             stream.set_nodelay(true)?;
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -118,7 +118,7 @@
             incarnation,
             catalog: catalog.clone(),
             seats: seats.clone(),
-            pool: Pool::new(clock, bounds.replica_socket),
+            pool: Pool::new(clock, bounds.sockets),
             quarantine: quarantine.clone(),
             first_ids: Rc::default(),
             meters,
