Tests of slow readers

Cause: the bounds from host.memory and the cuts were untested.

Change: the decision alone; 1,000 streams and 60 plain answers whose clients read only the start, beside usual requests, on the bounds of a host of 112 MB; a stream that its replica sends faster than its client reads, within and beyond the bound.

--- a/papayaproxy/src/gateway/tests/mod.rs
+++ b/papayaproxy/src/gateway/tests/mod.rs
@@ -16,6 +16,7 @@
 mod repeats;
 mod resumed;
 mod seats;
+mod slow_readers;
 pub(crate) mod stand_ins;
 mod stopping;
 mod streams;
--- a/papayaproxy/src/gateway/tests/stand_ins.rs
+++ b/papayaproxy/src/gateway/tests/stand_ins.rs
@@ -224,6 +224,23 @@
         Self::open_text(replicas, "127.0.0.1:0", "", &more).await
     }
 
+    /// The same as [`TestGateway::open`], on a host with `megabytes` of memory.
+    pub(crate) async fn open_memory(replicas: &[&FakeServer], megabytes: u32) -> Self {
+        let more = format!("[host]\nmemory = {megabytes}\n");
+        Self::open_text(replicas, "127.0.0.1:0", "", &more).await
+    }
+
+    /// Seats taken at replicas.
+    pub(crate) fn seats_taken(&self) -> u32 {
+        let loads = self.gateway.shared.seats.with_balancer(|b| b.loads());
+        loads.iter().map(|load| u32::from(load.running)).sum()
+    }
+
+    /// Bytes held for clients.
+    pub(crate) fn held(&self) -> usize {
+        self.gateway.shared.clients.held()
+    }
+
     /// The same as [`TestGateway::open`] in front of engines with the figures `engine`, and with a
     /// grace period.
     pub(crate) async fn open_engine(replicas: &[&FakeServer], engine: &str, grace: &str) -> Self {
