--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -16,6 +16,8 @@
     lost_seats: Gauge<i64>,
     repeats: Counter<u64>,
     cold_upstreams: Gauge<u64>,
+    held: Gauge<u64>,
+    cuts: Counter<u64>,
 }
 
 impl Meters {
@@ -54,6 +56,14 @@
                     "Upstreams that count as cold, so that requests to them are limited",
                 )
                 .build(),
+            held: meter
+                .u64_gauge("papaya_gateway_held_bytes")
+                .with_description("Bytes held for clients that have not read them")
+                .build(),
+            cuts: meter
+                .u64_counter("papaya_gateway_readers_cut")
+                .with_description("Clients cut since they read slowly and memory was short")
+                .build(),
         }
     }
 
@@ -62,6 +72,12 @@
         self.connections.add(connections, &[]);
     }
 
+    /// Records the bytes held for clients, and adds to the number of clients cut.
+    pub(crate) fn record_clients(&self, held: u64, cuts: u64) {
+        self.held.record(held, &[]);
+        self.cuts.add(cuts, &[]);
+    }
+
     /// Records the seats counted at upstreams that no request holds.
     pub(crate) fn record_lost_seats(&self, seats: i64) {
         self.lost_seats.record(seats, &[]);
--- a/papayaproxy/src/gateway/pool.rs
+++ b/papayaproxy/src/gateway/pool.rs
@@ -7,7 +7,7 @@
 use crate::base::clock::Clock;
 use crate::base::constants::ANSWER_BUFFER_BYTES;
 use crate::base::error::with_sources;
-use crate::base::metered::{Meter, MeteredBody, MeteredStream};
+use crate::base::metered::{Meter, MeteredBody, MeteredStream, SocketBuffers, set_buffers};
 use crate::base::name::Name;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -72,11 +72,14 @@
     clock: Clock,
     idle: RefCell<IndexMap<SocketAddr, Vec<Connection>>>,
     opened: Cell<u64>,
+    /// Sizes of the socket buffers of a connection, if they are set.
+    socket_buffers: Option<SocketBuffers>,
 }
 
 impl Pool {
-    pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, idle: RefCell::default(), opened: Cell::new(0) }
+    /// No connections yet; each gets `socket_buffers`.
+    pub(crate) fn new(clock: Clock, socket_buffers: Option<SocketBuffers>) -> Self {
+        Self { clock, idle: RefCell::default(), opened: Cell::new(0), socket_buffers }
     }
 
     /// Number of connections opened since the previous call.
@@ -164,7 +167,13 @@
 
     async fn open(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         let connect = async {
-            let stream = TcpStream::connect(address).await?;
+            let new = if address.is_ipv4() { TcpSocket::new_v4 } else { TcpSocket::new_v6 };
+            let socket = new()?;
+            // Before the connection is made, so that its window fits.
+            if let Some(buffers) = self.socket_buffers {
+                set_buffers(&socket, buffers)?;
+            }
+            let stream = socket.connect(address).await?;
             stream.set_nodelay(true)?;
             let socket = socket2::SockRef::from(&stream);
             socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
