Expert maps: plan sooner after a shift, and switch after two copies a rank

Cause: in a model of 72 ranks with 3 slots (12 sets of 144 experts, shifts each 2.1 to 2.7 s) a first plan came 364 ms after a shift and was in use after 752 ms, at a skew of 3.2 until then; the log names only the skew of the plan. Change: counts are compared in windows of 30 ms instead of 100 ms; a window is allowed to differ more from an estimate of few counts, and replaces one that still holds counts from before the shift. A lead plans when the counts come, not at its next tick, and less often while no plan pays. The first plan makes up to two copies a rank (80 ms) where that costs less until the second switch. The search knows how many experts a rank may copy, and ends at the plan's size. Tests of ranks and experts pass (67); record_steady_demand_no_shift now runs for 20 s whatever the length of a window, as it did before.

--- a/papayaproxy/src/experts/search.rs
+++ b/papayaproxy/src/experts/search.rs
@@ -57,6 +57,21 @@
     shift_index: Vec<u16>,
     /// Cost of a load on each rank; 1 is usual.
     load_costs: Vec<f64>,
+    limits: Option<LoadLimits>,
+}
+
+/// Limits on the experts that each rank loads.
+struct LoadLimits {
+    /// The placement that the search started from.
+    initial: Vec<u16>,
+    /// Number of experts on each rank that it did not have initially.
+    loads: Vec<u32>,
+    /// Largest such number of each rank.
+    most: Vec<u32>,
+    /// Largest sum of loads over all ranks; a swap may exceed it by one.
+    sum: u64,
+    /// The expert that stands for an empty slot; it needs no load.
+    empty: u16,
 }
 
 impl<'a> Search<'a> {
@@ -82,11 +97,19 @@
             shifts: Vec::new(),
             shift_index: vec![0; ranks],
             load_costs: vec![1.0; ranks],
+            limits: None,
         };
         search.compute_loads();
         search
     }
 
+    /// Limits the experts that each rank loads, compared with the placement so far, to `most`, and
+    /// ends the search at `sum` loads. The expert `empty` stands for an empty slot.
+    pub fn set_load_limits(&mut self, most: Vec<u32>, sum: u64, empty: u16) {
+        let (initial, loads) = (self.placement.clone(), vec![0; self.ranks]);
+        self.limits = Some(LoadLimits { initial, loads, most, sum, empty });
+    }
+
     /// Makes loads on a rank the more expensive, the more it has to do already: `counts` has the
     /// number of loads of each rank.
     pub fn set_rank_costs(&mut self, counts: &[u32]) {
@@ -118,6 +141,11 @@
         let mut changes: Vec<Change> = Vec::new();
         let mut skews = vec![self.skew()];
         for _ in 0..max_changes {
+            let is_full =
+                |l: &LoadLimits| l.loads.iter().copied().map(u64::from).sum::<u64>() >= l.sum;
+            if self.limits.as_ref().is_some_and(is_full) {
+                break;
+            }
             let Some(best) = self.best_candidate() else { break };
             let moves = self.apply(best);
             changes.push(Change { moves, skew: self.skew() });
@@ -148,13 +176,16 @@
 
     fn best_candidate(&mut self) -> Option<Candidate> {
         let order = self.ranks_by_load();
-        let targets = &order[..order.len().min((TARGET_SLOTS / self.slots).max(TARGET_RANKS_MIN))];
+        let has_room = |r: &usize| self.limits.as_ref().is_none_or(|l| l.loads[*r] < l.most[*r]);
+        let targets_max = (TARGET_SLOTS / self.slots).max(TARGET_RANKS_MIN);
+        let targets: Vec<usize> =
+            order.iter().copied().filter(has_room).take(targets_max).collect();
         let sources: Vec<usize> = order.iter().rev().take(SOURCE_RANKS).copied().collect();
         let hot = self.hottest_ranks();
         let mut best = None;
         let mut score = SEARCH_GAIN_MIN;
         for &rank in hot.iter().take(if hot[0] == hot[1] { 1 } else { 2 }) {
-            for candidate in self.candidates(rank, targets, &sources) {
+            for candidate in self.candidates(rank, &targets, &sources) {
                 let found = -self.potential_change(candidate) / self.load_cost(candidate);
                 if found > score {
                     score = found;
@@ -210,8 +241,8 @@
                 self.push_transfers(hot, slot, rank, &mut found);
             }
             if self.replica_ranks[expert].len() > 1 {
-                let give = |&expert: &usize| Candidate::Replace { rank: hot, slot, expert };
-                found.extend(others.iter().map(give));
+                let others = others.iter().filter(|&&e| self.may_place(hot, slot, e));
+                found.extend(others.map(|&expert| Candidate::Replace { rank: hot, slot, expert }));
             }
         }
         found
@@ -223,10 +254,13 @@
         let expert = self.expert_at(hot, slot);
         for other_slot in 0..self.slots {
             let evicted = self.expert_at(rank, other_slot);
+            if !self.may_place(rank, other_slot, expert) {
+                continue;
+            }
             if self.replica_ranks[evicted].len() > 1 {
                 found.push(Candidate::Replace { rank, slot: other_slot, expert });
             }
-            if !self.has_expert(hot, evicted) {
+            if !self.has_expert(hot, evicted) && self.may_place(hot, slot, evicted) {
                 found.push(Candidate::Swap { rank: hot, slot, other: rank, other_slot });
             }
         }
@@ -323,8 +357,26 @@
         }
     }
 
+    /// Whether the limits allow the rank to have the expert in place of the one in the slot.
+    fn may_place(&self, rank: usize, slot: usize, expert: usize) -> bool {
+        let Some(limits) = &self.limits else { return true };
+        let freed = self.is_load(rank, self.expert_at(rank, slot));
+        !self.is_load(rank, expert) || limits.loads[rank] - u32::from(freed) < limits.most[rank]
+    }
+
+    /// Whether the rank has to load the expert, since it did not have it initially.
+    fn is_load(&self, rank: usize, expert: usize) -> bool {
+        let Some(limits) = &self.limits else { return false };
+        let initial = &limits.initial[rank * self.slots..(rank + 1) * self.slots];
+        expert != usize::from(limits.empty) && initial.iter().all(|e| usize::from(*e) != expert)
+    }
+
     fn place(&mut self, rank: usize, slot: usize, expert: usize) -> Move {
         let evicted = self.expert_at(rank, slot);
+        let (adds, frees) = (self.is_load(rank, expert), self.is_load(rank, evicted));
+        if let Some(limits) = &mut self.limits {
+            limits.loads[rank] = limits.loads[rank] + u32::from(adds) - u32::from(frees);
+        }
         let host = rank as u16;
         if let Some(at) = self.replica_ranks[evicted].iter().position(|h| *h == host) {
             self.replica_ranks[evicted].swap_remove(at);
--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -47,6 +47,8 @@
     pub(super) map_changes: Option<(u64, Arc<MapChanges>)>,
     /// When demand had last shifted as of the plan in progress.
     pub(super) planned_for: Option<Duration>,
+    /// The same as of the last attempt to plan, whether or not a plan was worth it.
+    pub(super) tried_for: Option<Duration>,
     /// The local replica's expert counts at the last read; empty if the tick before had no read.
     last_counts: Vec<u64>,
     /// Counts between the last two reads.
@@ -87,6 +89,7 @@
             maps: MapStore::default(),
             map_changes: None,
             planned_for: None,
+            tried_for: None,
             last_counts: Vec::new(),
             recent_counts: Vec::new(),
             experts: (0, 0, Vec::new()),
@@ -384,6 +387,7 @@
                     self.remotes.shift_remove(&report.status.rank);
                 }
                 self.record_report(*report);
+                self.plan_for_shift(self.clock.now()).await;
                 if !matches!(self.lead.phase(), Phase::Following | Phase::Idle) {
                     self.run_lead(self.clock.now()).await;
                 }
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -102,8 +102,12 @@
 pub(crate) const INITIAL_LOAD: f64 = 0.6;
 /// Choices that a window must count, on average for each expert of each set.
 pub(crate) const MIN_COUNTS_PER_EXPERT: f64 = 20.0;
-/// Shortest window in which choices are counted: about a pass.
-pub(crate) const WINDOW_LENGTH: Duration = Duration::from_millis(100);
+/// Shortest window in which choices are counted. Windows of 100 ms delay the first plan after a shift
+/// by 150 ms, since the window of the shift and the next one are both lost.
+pub(crate) const WINDOW_LENGTH: Duration = Duration::from_millis(30);
+/// Time since a shift was noticed for which counts may still be of the demand before it: a rank counts
+/// for a tick before it reports.
+pub(crate) const MIXED_TIME: Duration = Duration::from_millis(100);
 /// Total variation distance, from 0 to 1, by which a window may always exceed the usual distance.
 pub(crate) const CHANGE_MARGIN: f32 = 0.02;
 /// The same in usual deviations from the usual distance.
@@ -136,15 +140,18 @@
 pub(crate) const COPY_IMBALANCE: f64 = 1.5;
 /// Fraction by which passes take longer while experts are copied.
 pub(crate) const COPY_SLOWDOWN: f64 = 0.15;
-/// Time that a first plan after a shift may take for copies; the next plan makes the others.
-pub(crate) const QUICK_COPY_TIME: Duration = Duration::from_millis(160);
-/// Least reduction of the skew for which a quick plan goes before the full one.
-pub(crate) const QUICK_GAIN: f64 = 0.5;
+/// Time that a first plan after a shift may take for copies; the next plan makes the others. Two
+/// copies on each rank of a group of 72 halve the skew; each further one gains less than its delay.
+pub(crate) const QUICK_COPY_TIME: Duration = Duration::from_millis(80);
+/// Copies on one rank that a first plan may take even so: with one, a switch gains too little.
+pub(crate) const QUICK_COPIES_MIN: u32 = 2;
 /// Time from a plan to its use, besides the copies.
 pub(crate) const SWITCH_TIME: Duration = Duration::from_millis(350);
 /// Time of the whole group that a switch costs: its orders may hold the group for a moment.
 pub(crate) const SWITCH_COST: Duration = Duration::from_millis(50);
 /// Most changes that the search makes in one set.
 pub(crate) const SEARCH_STEPS: usize = 96;
-/// Interval between two planning runs.
+/// Interval between two planning runs while demand stays and the last one found no plan worth its cost.
+pub(crate) const PLAN_RETRY_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between two planning runs otherwise.
 pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(100);
--- a/papayaproxy/src/ranks/demand.rs
+++ b/papayaproxy/src/ranks/demand.rs
@@ -6,7 +6,7 @@
 
 use super::constants::{
     CHANGE_MARGIN, DEVIATION_FACTOR, DEVIATION_INITIAL, INITIAL_LIFE, LIFE_MAX, LIFE_MIN,
-    LIFE_WEIGHT, MIN_COUNTS_PER_EXPERT, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
+    LIFE_WEIGHT, MIN_COUNTS_PER_EXPERT, MIXED_TIME, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
 };
 use super::events;
 use crate::catalog::ExpertFigures;
@@ -18,6 +18,7 @@
     figures: ExpertFigures,
     /// Counts since the last shift.
     estimate: Vec<f32>,
+    estimate_count: f64,
     /// Counts of the window in progress.
     window: Vec<f32>,
     window_count: f64,
@@ -41,6 +42,7 @@
         Self {
             figures,
             estimate: vec![0.0; cells],
+            estimate_count: 0.0,
             window: vec![0.0; cells],
             window_count: 0.0,
             window_start: now,
@@ -100,13 +102,23 @@
     fn close_window(&mut self, now: Duration) {
         let known = self.changed_at.is_some();
         let distance = if known { self.window_distance() } else { 1.0 };
-        let limit = self.noise + DEVIATION_FACTOR * self.deviation + CHANGE_MARGIN;
+        // An estimate of one window varies as much as the window that it is compared with.
+        let scale = (1.0 + self.window_count / self.estimate_count.max(1.0)).min(2.0).sqrt() as f32;
+        let limit = scale * (self.noise + DEVIATION_FACTOR * self.deviation) + CHANGE_MARGIN;
         self.is_settled = distance <= limit;
         if self.is_settled {
+            let distance = distance / scale;
             let deviation = (distance - self.noise).abs();
             self.deviation += NOISE_WEIGHT * (deviation - self.deviation);
             self.noise += NOISE_WEIGHT * (distance - self.noise);
-            self.estimate.iter_mut().zip(&self.window).for_each(|(sum, count)| *sum += count);
+            let is_mixed = self.changed_at.is_some_and(|at| now < at + MIXED_TIME);
+            if is_mixed {
+                std::mem::swap(&mut self.estimate, &mut self.window);
+                self.estimate_count = self.window_count;
+            } else {
+                self.estimate.iter_mut().zip(&self.window).for_each(|(sum, count)| *sum += count);
+                self.estimate_count += self.window_count;
+            }
         } else {
             self.begin_estimate(distance, limit, now);
         }
@@ -116,6 +128,7 @@
 
     fn begin_estimate(&mut self, distance: f32, limit: f32, now: Duration) {
         std::mem::swap(&mut self.estimate, &mut self.window);
+        self.estimate_count = self.window_count;
         let lasted = self.changed_at.map(|at| now.saturating_sub(at));
         // The window in which a shift falls differs from the one before and from the one after.
         if let Some(lasted) = lasted.filter(|l| *l >= LIFE_MIN) {
--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -3,10 +3,11 @@
 
 use super::agent::Agent;
 use super::constants::{
-    INITIAL_LOAD, LOST_ORDER_COOLDOWN, MAPS_PER_TICK, PLAN_INTERVAL, RANK_GONE, REMINDING_RANKS,
-    REMOTE_READ_INTERVAL, REMOTE_READS_MAX, REMOTE_RETRY_DELAY, REMOTE_TIMEOUT, TAKEOVER_DELAY,
-    TAKEOVER_RANKS_MAX, TAKEOVER_STAGGER,
+    INITIAL_LOAD, LOST_ORDER_COOLDOWN, MAPS_PER_TICK, PLAN_INTERVAL, PLAN_RETRY_INTERVAL,
+    RANK_GONE, REMINDING_RANKS, REMOTE_READ_INTERVAL, REMOTE_READS_MAX, REMOTE_RETRY_DELAY,
+    REMOTE_TIMEOUT, TAKEOVER_DELAY, TAKEOVER_RANKS_MAX, TAKEOVER_STAGGER,
 };
+use super::demand::Popularity;
 use super::events;
 use super::lead::{Phase, is_fresh};
 use super::maps::{changes, is_well_formed};
@@ -94,6 +95,18 @@
         }
     }
 
+    /// Plans as soon as new demand is known: until the switch, passes take as long as the old map
+    /// makes them.
+    pub(super) async fn plan_for_shift(&mut self, now: Duration) {
+        let changed_at = self.popularity.as_ref().and_then(Popularity::changed_at);
+        if matches!(self.lead.phase(), Phase::Idle | Phase::Preparing { .. })
+            && changed_at != self.tried_for
+        {
+            self.propose_plan(now);
+            self.run_lead(now).await;
+        }
+    }
+
     /// Plans a map for the present demand. A map in preparation for earlier demand is given up.
     pub(super) fn propose_plan(&mut self, now: Duration) {
         let Some(popularity) = self.popularity.as_ref().filter(|p| p.is_settled()) else { return };
@@ -101,11 +114,18 @@
             self.lead.abandon("demand has shifted", now);
         }
         let quiet = self.local.tracker().lost_at.is_some_and(|at| now < at + LOST_ORDER_COOLDOWN);
-        if *self.lead.phase() != Phase::Idle || now < self.plan_at || quiet {
+        let is_new = popularity.changed_at() != self.tried_for;
+        let is_early = now < self.plan_at && !is_new;
+        if *self.lead.phase() != Phase::Idle || is_early || quiet {
             return;
         }
-        self.plan_at = now + PLAN_INTERVAL;
-        let Some(lists) = self.current_map() else { return };
+        let Some(lists) = self.current_map() else {
+            self.plan_at = now + PLAN_INTERVAL;
+            return;
+        };
+        self.tried_for = popularity.changed_at();
+        // Planning takes much of an agent's processor time, so an attempt in vain is not repeated soon.
+        self.plan_at = now + PLAN_RETRY_INTERVAL;
         // A group starts with a map that ignores demand; it is replaced once demand is known, even
         // under low load.
         let first = self.local.status().is_some_and(|s| s.version == 0);
@@ -115,6 +135,7 @@
         let input = PlanInput { popularity, lists: &lists, slowdowns: &slowdowns, load, life };
         let Some(new_plan) = plan(input) else { return };
         self.planned_for = popularity.changed_at();
+        self.plan_at = now + PLAN_INTERVAL;
         let epoch = self.lead.epoch();
         let base = self.local.status().map_or(0, |s| s.version);
         let seen = |r: &AgentReport| r.status.version.max(r.status.prepared.unwrap_or_default());
--- a/papayaproxy/src/ranks/planner.rs
+++ b/papayaproxy/src/ranks/planner.rs
@@ -3,7 +3,7 @@
 
 use super::constants::{
     COPY_IMBALANCE, COPY_SLOWDOWN, LIST_BYTES, MIN_GAIN_PER_COPY, MIN_PLAN_GAIN, MIN_PLAN_LOAD,
-    PLAN_BYTES_MAX, QUICK_COPY_TIME, QUICK_GAIN, SEARCH_STEPS, SWITCH_COST, SWITCH_TIME,
+    PLAN_BYTES_MAX, QUICK_COPIES_MIN, QUICK_COPY_TIME, SEARCH_STEPS, SWITCH_COST, SWITCH_TIME,
 };
 use super::demand::Popularity;
 use super::message::ExpertLists;
@@ -71,14 +71,29 @@
     let full = plan_within(input, u32::MAX)?;
     let copy_time = input.popularity.figures().copy_time();
     let quick_copies = QUICK_COPY_TIME.as_micros() / copy_time.as_micros().max(1);
-    let quick_copies = u32::try_from(quick_copies).unwrap_or(u32::MAX).max(1);
-    if full.copy_time <= copy_time * quick_copies.saturating_mul(2)
-        || full.skew - full.planned_skew < QUICK_GAIN
-    {
+    let quick_copies = u32::try_from(quick_copies).unwrap_or(u32::MAX).max(QUICK_COPIES_MIN);
+    if full.copy_time <= copy_time * quick_copies {
         return Some(full);
     }
     let quick = plan_within(input, quick_copies);
-    Some(quick.filter(|q| q.skew - q.planned_skew >= QUICK_GAIN).unwrap_or(full))
+    let is_better = |quick: &Plan| staged_cost(quick, &full) < full.skew * delay(&full);
+    Some(quick.filter(is_better).unwrap_or(full))
+}
+
+/// Time-weighted skew from a plan to its switch.
+fn delay(plan: &Plan) -> f64 {
+    let copying = plan.copy_time.as_secs_f64() * (1.0 + COPY_SLOWDOWN);
+    copying + SWITCH_TIME.as_secs_f64() + SWITCH_COST.as_secs_f64()
+}
+
+/// The same if a quick plan goes before the full one.
+fn staged_cost(quick: &Plan, full: &Plan) -> f64 {
+    let rest = full.copy_time.saturating_sub(quick.copy_time).as_secs_f64();
+    let second = rest * (1.0 + COPY_SLOWDOWN) + (SWITCH_TIME + SWITCH_COST).as_secs_f64();
+    // What the full plan would have saved meanwhile.
+    let first = delay(quick);
+    let missed = (first + second - delay(full)).max(0.0) * full.planned_skew;
+    full.skew * first + quick.planned_skew * second - missed
 }
 
 /// Plans a map for which no rank makes more than `copies_max` copies.
@@ -148,6 +163,9 @@
     let demand = Demand { fast: &shares, slow: &shares, persistence: 1.0, slowdowns };
     let mut search = Search::new(0, &current, demand, shape);
     search.set_rank_costs(rank_copies);
+    let spare = u32::from(figures.spare_slots);
+    let left = |count: &u32| limits.rank.saturating_sub(*count).min(spare);
+    search.set_load_limits(rank_copies.iter().map(left).collect(), limits.set, empty);
     let skew = f64::from(search.skew());
     let changes = search.run(SEARCH_STEPS, limits.cost / 4.0);
     let mut layer = current.clone();
--- a/papayaproxy/src/ranks/tests/demand.rs
+++ b/papayaproxy/src/ranks/tests/demand.rs
@@ -117,7 +117,7 @@
     let mut demand = Demand::new(3, 96);
     let mut popularity = Popularity::new(figures(96, 5), Duration::ZERO);
     let mut now = Duration::ZERO;
-    for _ in 0..200 {
+    while now < Duration::from_secs(20) {
         now += WINDOW_LENGTH;
         popularity.record(&demand.counts(), now);
     }
--- a/papayaproxy/src/ranks/tests/mod.rs
+++ b/papayaproxy/src/ranks/tests/mod.rs
@@ -7,3 +7,4 @@
 mod maps;
 mod pass;
 mod planner;
+mod shifts;
