Expert maps: more copies with few slots, and the bound beside what passes meet

Change: least gain of 0.008; a changed list counts with its real size (7 bytes for 3 slots, not 8); 12 counts an expert close a window, not 20, since the limit now follows their number. Event 3405 has the fields bound and met: the lower bound of the skew for the demand seen, and the mean skew of the windows since the plan before, with the maps then in use.

--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -11,6 +11,7 @@
     MembersQuery, RankMessage, RankStatus,
 };
 use super::pass::PassClock;
+use super::planner::SkewMeter;
 use super::rank::RankClient;
 use super::report::{ReportSchedule, ReportState, count_interval, decode_counts, encode_counts};
 use super::settings::RankSettings;
@@ -45,6 +46,8 @@
     pub(super) maps: MapStore,
     /// Version of the planned map, and its changes against the map in use.
     pub(super) map_changes: Option<(u64, Arc<MapChanges>)>,
+    /// What passes have met since the last plan.
+    pub(super) skew_meter: SkewMeter,
     /// When demand had last shifted as of the plan in progress.
     pub(super) planned_for: Option<Duration>,
     /// The same as of the last attempt to plan, whether or not a plan was worth it.
@@ -88,6 +91,7 @@
             popularity: None,
             maps: MapStore::default(),
             map_changes: None,
+            skew_meter: SkewMeter::default(),
             planned_for: None,
             tried_for: None,
             last_counts: Vec::new(),
@@ -309,13 +313,14 @@
         if !is_member {
             return;
         }
+        let mut is_window = false;
         if let Some(figures) = self.figures.filter(|_| !report.expert_counts.counts.is_empty()) {
             let counts = decode_counts(&std::mem::take(&mut report.expert_counts));
             let popularity = match &mut self.popularity {
                 Some(known) if known.figures() == figures => known,
                 other => other.insert(Popularity::new(figures, now)),
             };
-            popularity.record(&counts, now);
+            is_window = popularity.record(&counts, now);
         }
         if let Some((known, _)) = self.reports.get(&report.status.rank)
             && report.experts.1.is_empty()
@@ -323,6 +328,9 @@
             report.experts = known.experts.clone();
         }
         self.reports.insert(report.status.rank, (report, now));
+        if is_window {
+            self.observe_skew(now);
+        }
     }
 
     pub(super) fn lowest_live_rank(&self, now: Duration) -> Option<u16> {
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -101,7 +101,7 @@
 /// Minimum load assumed for a group that has just formed: its requests are about to return.
 pub(crate) const INITIAL_LOAD: f64 = 0.6;
 /// Choices that a window must count, on average for each expert of each set.
-pub(crate) const MIN_COUNTS_PER_EXPERT: f64 = 20.0;
+pub(crate) const MIN_COUNTS_PER_EXPERT: f64 = 12.0;
 /// Shortest window in which choices are counted. Windows of 100 ms delay the first plan after a shift
 /// by 150 ms, since the window of the shift and the next one are both lost.
 pub(crate) const WINDOW_LENGTH: Duration = Duration::from_millis(30);
@@ -130,10 +130,12 @@
 pub(crate) const MIN_PLAN_LOAD: f64 = 0.1;
 /// Bytes that a plan may take to all ranks together; the lead's reports share its link.
 pub(crate) const PLAN_BYTES_MAX: u64 = 120_000;
-/// Bytes of one changed list of a map.
-pub(crate) const LIST_BYTES: u64 = 8;
-/// Least reduction of a set's skew that is worth a copy, whose bytes have a cost too.
-pub(crate) const MIN_GAIN_PER_COPY: f64 = 0.015;
+/// Bytes of one changed list of a map besides its experts: set, rank and length. Numbers up to 127 take
+/// one byte.
+pub(crate) const LIST_BYTES: u64 = 4;
+/// Least reduction of a set's skew that is worth a copy, whose bytes have a cost too. With 0.015 a group
+/// of 72 stayed at a skew of 1.33 where 1.23 was in reach.
+pub(crate) const MIN_GAIN_PER_COPY: f64 = 0.008;
 /// Least reduction of the mean skew that is worth a plan.
 pub(crate) const MIN_PLAN_GAIN: f64 = 0.06;
 /// Ratio of the longest sequence of copies on one rank to the mean over all ranks.
--- a/papayaproxy/src/ranks/demand.rs
+++ b/papayaproxy/src/ranks/demand.rs
@@ -23,6 +23,8 @@
     window: Vec<f32>,
     window_count: f64,
     window_start: Duration,
+    /// Counts of the last complete window.
+    last_window: Vec<f32>,
     /// Usual distance between a window and the estimate, and its usual deviation. Samples of few
     /// requests lie far from the estimate, but all about as far.
     noise: f32,
@@ -46,6 +48,7 @@
             window: vec![0.0; cells],
             window_count: 0.0,
             window_start: now,
+            last_window: vec![0.0; cells],
             noise: NOISE_INITIAL,
             deviation: DEVIATION_INITIAL,
             changed_at: None,
@@ -59,19 +62,27 @@
         self.figures
     }
 
-    /// Adds one rank's counts, one set after the other. Lists of another length are ignored.
-    pub(crate) fn record(&mut self, counts: &[u32], now: Duration) {
+    /// Adds one rank's counts, one set after the other. Lists of another length are ignored. Returns
+    /// whether a window is complete.
+    pub(crate) fn record(&mut self, counts: &[u32], now: Duration) -> bool {
         if counts.len() != self.window.len() {
-            return;
+            return false;
         }
         for (cell, count) in self.window.iter_mut().zip(counts) {
             *cell += *count as f32;
             self.window_count += f64::from(*count);
         }
         let enough = self.window_count >= MIN_COUNTS_PER_EXPERT * self.window.len() as f64;
-        if enough && now >= self.window_start + WINDOW_LENGTH {
+        let is_complete = enough && now >= self.window_start + WINDOW_LENGTH;
+        if is_complete {
             self.close_window(now);
         }
+        is_complete
+    }
+
+    /// Counts of the last complete window, one set after the other.
+    pub(crate) fn last_window(&self) -> &[f32] {
+        &self.last_window
     }
 
     /// Whether the estimate is known and the last window agreed with it: a plan for the mixture
@@ -100,6 +111,7 @@
     }
 
     fn close_window(&mut self, now: Duration) {
+        self.last_window.clone_from(&self.window);
         let known = self.changed_at.is_some();
         let distance = if known { self.window_distance() } else { 1.0 };
         // An estimate of one window varies as much as the window that it is compared with.
--- a/papayaproxy/src/ranks/events.rs
+++ b/papayaproxy/src/ranks/events.rs
@@ -9,7 +9,7 @@
     RANK_CHANGED = 3402, "The rank belongs to another group, or its group has formed or broken. Fields: group, epoch, rank, open.";
     LEAD_TAKEN = 3403, "This agent has become the lead of its group. Fields: group, epoch, term.";
     LEAD_LEFT = 3404, "This agent no longer leads. Fields: group, term, reason.";
-    PLAN_MADE = 3405, "A new expert map was planned and will be prepared. Fields: version, copies, copy_ms, skew, planned, load, life_ms.";
+    PLAN_MADE = 3405, "A new expert map was planned and will be prepared. Fields: version, copies, copy_ms, skew, planned, bound (lower bound for the demand seen), met (mean of what passes met since the plan before), load, life_ms.";
     DEMAND_SHIFTED = 3414, "Requests choose other experts than before; older counts are dropped. Fields: distance, limit, lasted_ms, life_ms.";
     PHASE_CHANGED = 3406, "The agreement on an expert map entered another phase. Fields: phase, version, step, reason.";
     ORDER_LOST = 3407, "An order got no answer and may still take effect. Fields: order, expected, error.";
--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -15,7 +15,7 @@
     AgentReport, Command, ExpertLists, GroupMember, GroupPulse, GroupStatus, LeadCommand,
     RankMessage, members_digest,
 };
-use super::planner::{PlanInput, plan};
+use super::planner::{PlanInput, plan, skew_bound, window_skew};
 use super::rank::RankClient;
 use crate::peers::message::Message;
 use std::net::SocketAddr;
@@ -134,6 +134,7 @@
         let life = popularity.expected_life(now);
         let input = PlanInput { popularity, lists: &lists, slowdowns: &slowdowns, load, life };
         let Some(new_plan) = plan(input) else { return };
+        let bound = skew_bound(popularity, self.size());
         self.planned_for = popularity.changed_at();
         self.plan_at = now + PLAN_INTERVAL;
         let epoch = self.lead.epoch();
@@ -142,6 +143,7 @@
         let seen = self.reports.values().map(|(r, _)| seen(r)).max().unwrap_or_default();
         let (map, copy_ms) = (Arc::new(new_plan.map), new_plan.copy_time.as_millis() as u64);
         let Some(version) = self.lead.propose(seen, map.clone(), now) else { return };
+        let met = self.skew_meter.take_mean();
         self.map_changes = Some((version, Arc::new(changes(base, &lists, &map))));
         self.maps.insert(epoch, base, Arc::new(lists));
         self.maps.insert(epoch, version, map);
@@ -152,12 +154,26 @@
             copy_ms,
             skew = new_plan.skew,
             planned = new_plan.planned_skew,
+            bound,
+            met,
             load,
             life_ms = life.as_millis() as u64,
             "new expert map planned"
         );
     }
 
+    /// Notes what passes met in the last window of counts. While a switch is reported, the map in use
+    /// is not known.
+    pub(super) fn observe_skew(&mut self, now: Duration) {
+        if *self.lead.phase() == Phase::Following {
+            return;
+        }
+        let lists = self.current_map();
+        if let Some((popularity, lists)) = self.popularity.as_ref().zip(lists) {
+            self.skew_meter.observe(window_skew(popularity, &lists), now);
+        }
+    }
+
     /// The map in use; `None` unless all ranks report their experts of the same version.
     fn current_map(&self) -> Option<ExpertLists> {
         let version = self.local.status()?.version;
--- a/papayaproxy/src/ranks/planner.rs
+++ b/papayaproxy/src/ranks/planner.rs
@@ -8,7 +8,7 @@
 use super::demand::Popularity;
 use super::message::ExpertLists;
 use crate::catalog::ExpertFigures;
-use crate::experts::{Demand, LayerMap, Search, Shape};
+use crate::experts::{Demand, LayerMap, Search, Shape, load_lower_bound};
 use std::time::Duration;
 
 /// An expert map whose gain exceeds its cost.
@@ -102,8 +102,8 @@
     let figures = popularity.figures();
     let ranks = slowdowns.len().max(1);
     let load = load.min(1.0);
-    let copies =
-        (u64::from(copies_max) * ranks as u64).min(PLAN_BYTES_MAX / LIST_BYTES / ranks as u64);
+    let copies = (u64::from(copies_max) * ranks as u64)
+        .min(PLAN_BYTES_MAX / list_bytes(figures) / ranks as u64);
     let limits = CopyLimits {
         cost: copy_cost(figures, ranks, life, load),
         rank: copies_max,
@@ -133,6 +133,66 @@
     (copies > 0 && is_worth).then_some(Plan { map, copies, skew, planned_skew, copy_time })
 }
 
+/// Bytes of one changed list of a map.
+pub(crate) fn list_bytes(figures: ExpertFigures) -> u64 {
+    LIST_BYTES + u64::from(figures.rank_slots)
+}
+
+/// Lower bound of the skew for the demand seen, as the mean over all sets: experts are spread over
+/// all slots, whatever the copies take.
+pub(crate) fn skew_bound(popularity: &Popularity, ranks: u16) -> f64 {
+    let figures = popularity.figures();
+    let (experts, slots) = (figures.experts, figures.rank_slots);
+    let shape = Shape { ranks, layers: 1, experts, slots };
+    let bound =
+        |set| f64::from(load_lower_bound(&popularity.shares(set), shape) * f32::from(ranks));
+    (0..figures.sets).map(bound).sum::<f64>() / f64::from(figures.sets.max(1))
+}
+
+/// Load of the most loaded rank relative to the mean in the last window, as the mean over all sets:
+/// what passes meet with a map, whatever it was planned for.
+pub(crate) fn window_skew(popularity: &Popularity, lists: &ExpertLists) -> f64 {
+    let experts = usize::from(popularity.figures().experts);
+    let set_skew = |(counts, ranks): (&[f32], &Vec<Vec<u16>>)| {
+        let mut copies = vec![0.0f32; experts];
+        ranks.iter().flatten().for_each(|e| copies[usize::from(*e)] += 1.0);
+        let load = |rank: &Vec<u16>| -> f32 {
+            rank.iter().map(|e| counts[usize::from(*e)] / copies[usize::from(*e)]).sum()
+        };
+        let most = ranks.iter().map(load).fold(0.0, f32::max);
+        let sum = counts.iter().sum::<f32>();
+        if sum > 0.0 { f64::from(most / sum) * ranks.len() as f64 } else { 1.0 }
+    };
+    let sets = popularity.last_window().chunks(experts).zip(lists);
+    sets.map(set_skew).sum::<f64>() / lists.len().max(1) as f64
+}
+
+/// Mean over time of the skew that passes meet.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SkewMeter {
+    /// Sum of skew times seconds.
+    sum: f64,
+    seconds: f64,
+    last_at: Option<Duration>,
+}
+
+impl SkewMeter {
+    /// Takes the skew of the time since the call before.
+    pub(crate) fn observe(&mut self, skew: f64, now: Duration) {
+        let elapsed = self.last_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        self.sum += skew * elapsed.as_secs_f64();
+        self.seconds += elapsed.as_secs_f64();
+        self.last_at = Some(now);
+    }
+
+    /// The mean since the last call of this method; `None` if nothing was observed.
+    pub(crate) fn take_mean(&mut self) -> Option<f64> {
+        let mean = (self.seconds > 0.0).then(|| self.sum / self.seconds);
+        (self.sum, self.seconds) = (0.0, 0.0);
+        mean
+    }
+}
+
 /// Reduction of one set's skew that is worth a copy. Each copy delays the switch of the whole map,
 /// and passes are slower meanwhile.
 fn copy_cost(figures: ExpertFigures, ranks: usize, life: Duration, load: f64) -> f64 {
--- a/papayaproxy/src/ranks/tests/planner.rs
+++ b/papayaproxy/src/ranks/tests/planner.rs
@@ -5,7 +5,7 @@
 use crate::ranks::demand::Popularity;
 use crate::ranks::maps::first_map;
 use crate::ranks::message::ExpertLists;
-use crate::ranks::planner::{Plan, PlanInput, plan};
+use crate::ranks::planner::{Plan, PlanInput, SkewMeter, plan, skew_bound, window_skew};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -102,6 +102,23 @@
     assert!(plan_for(&popularity, &first_map(ranks, &figures), &[1.0; 8], load).is_none());
 }
 
+/// A lead logs the bound and what passes meet beside a plan; both must be by the same measure.
+#[test]
+fn window_skew_as_planned() {
+    let (ranks, figures) = figures(32, 12, 128, 5);
+    let (popularity, lists) = (skewed(figures), first_map(ranks, &figures));
+    let new_plan = plan_for(&popularity, &lists, &[1.0; 32], 1.0).unwrap();
+    let met = [&lists, &new_plan.map].map(|map| window_skew(&popularity, map));
+    assert!((met[0] - new_plan.skew).abs() < 0.01, "{met:?}");
+    assert!((met[1] - new_plan.planned_skew).abs() < 0.01, "{met:?}");
+    assert!((1.0..new_plan.planned_skew).contains(&skew_bound(&popularity, ranks)));
+    let mut meter = SkewMeter::default();
+    for (skew, at) in [(9.0, 0), (2.0, 1), (4.0, 2)] {
+        meter.observe(skew, Duration::from_secs(at));
+    }
+    assert_eq!((meter.take_mean(), meter.take_mean()), (Some(3.0), None));
+}
+
 #[test]
 fn plan_uncounted_none() {
     let (ranks, figures) = figures(8, 6, 64, 11);
--- a/papayaproxy/src/ranks/tests/shifts.rs
+++ b/papayaproxy/src/ranks/tests/shifts.rs
@@ -2,11 +2,11 @@
 //! and switches. It measures the skew that passes meet, which depends on the age of the map.
 
 use crate::catalog::ExpertFigures;
-use crate::ranks::constants::TICK;
+use crate::ranks::constants::{PLAN_INTERVAL, PLAN_RETRY_INTERVAL, TICK};
 use crate::ranks::demand::Popularity;
 use crate::ranks::maps::first_map;
 use crate::ranks::message::ExpertLists;
-use crate::ranks::planner::{PlanInput, plan};
+use crate::ranks::planner::{PlanInput, list_bytes, plan};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -40,6 +40,8 @@
     /// From each shift to the first plan, and to its switch.
     pub(crate) planned: Vec<Duration>,
     pub(crate) switched: Vec<Duration>,
+    /// Shifts that were noticed and had not happened within the last 0.4 s.
+    pub(crate) false_shifts: u32,
     pub(crate) plans: u32,
     pub(crate) copies: usize,
 }
@@ -123,7 +125,7 @@
         self.demand.iter().map(set_bound).sum::<f64>() / self.demand.len() as f64
     }
 
-    /// Runs the group for a number of shifts.
+    /// Runs the group for a number of shifts. Unless `is_instant`, the lead plans only at its ticks.
     pub(crate) fn run(&mut self, shifts: u32, load: f64, is_instant: bool) -> Measured {
         let mut measured = Measured { by_age: vec![(0.0, 0); 11], ..Measured::default() };
         let mut lists = first_map(self.ranks, &self.figures);
@@ -131,7 +133,8 @@
         let slowdowns = vec![1.0; self.ranks.into()];
         // The plan in progress: its map, when it is held and when all is over.
         let mut pending: Option<(ExpertLists, Duration, Duration)> = None;
-        let (mut planned_for, mut idle_at) = (None, Duration::ZERO);
+        let (mut planned_for, mut tried_for) = (None, None);
+        let (mut idle_at, mut plan_at) = (Duration::ZERO, Duration::ZERO);
         let (mut next_shift, mut shift) = (Duration::from_millis(2400), 0);
         let (mut is_planned, mut is_switched) = (true, true);
         let (mut now, mut skew, mut bound) = (Duration::ZERO, self.skew(&lists), self.bound());
@@ -173,6 +176,9 @@
                 due -= 1.0;
                 let counts = self.counts(now, load);
                 popularity.record(&counts, now);
+                let is_noticed = popularity.changed_at() == Some(now) && shift >= 1;
+                let is_old = now - self.shifted_at > Duration::from_millis(400);
+                measured.false_shifts += u32::from(is_noticed && is_old);
             }
             let is_tick = is_instant || now.as_millis().is_multiple_of(TICK.as_millis());
             if !is_tick || !popularity.is_settled() {
@@ -183,11 +189,12 @@
             {
                 idle_at = now;
             }
-            let every = now.as_millis().is_multiple_of(TICK.as_millis())
-                || popularity.changed_at() != planned_for;
-            if pending.is_some() || now < idle_at || !every {
+            let is_due = now >= plan_at || (is_instant && popularity.changed_at() != tried_for);
+            if pending.is_some() || now < idle_at || !is_due {
                 continue;
             }
+            tried_for = popularity.changed_at();
+            plan_at = now + if is_instant { PLAN_RETRY_INTERVAL } else { PLAN_INTERVAL };
             let life = popularity.expected_life(now);
             let input = PlanInput {
                 popularity: &popularity,
@@ -197,13 +204,14 @@
                 life,
             };
             let Some(new_plan) = plan(input) else { continue };
-            planned_for = popularity.changed_at();
+            (planned_for, plan_at) = (popularity.changed_at(), now + PLAN_INTERVAL);
             measured.plans += 1;
             measured.copies += new_plan.copies;
             if !std::mem::replace(&mut is_planned, true) {
                 measured.planned.push(now - self.shifted_at);
             }
-            let bytes = new_plan.copies as f64 * 8.0 * f64::from(self.ranks);
+            let bytes =
+                new_plan.copies as f64 * list_bytes(self.figures) as f64 * f64::from(self.ranks);
             let sent = Duration::from_secs_f64(bytes / LINK_BYTES);
             copying = (now + sent, now + sent + new_plan.copy_time);
             let held_at = copying.1 + PREPARE_OVERHEAD;
@@ -225,8 +233,8 @@
 /// 1.225, 1.590 and 2.218.
 #[rstest]
 #[case::of_8(8, 6, 64, (11, 4), 1.21)]
-#[case::of_32(32, 12, 128, (5, 2), 1.55)]
-#[case::of_72(72, 12, 144, (3, 1), 2.02)]
+#[case::of_32(32, 12, 128, (5, 2), 1.53)]
+#[case::of_72(72, 12, 144, (3, 1), 1.95)]
 fn run_shifts_skew_bounded(
     #[case] ranks: u16,
     #[case] sets: u16,
@@ -250,6 +258,6 @@
     let figures =
         ExpertFigures { sets: 4, experts, rank_slots, spare_slots, copy_us, rank_requests };
     let measured = Model::new(3, 72, figures).run(10, 0.2, true);
-    assert_eq!(measured.planned.len(), 10, "{measured:?}");
+    assert_eq!((measured.planned.len(), measured.false_shifts), (10, 0), "{measured:?}");
     assert!(measured.planned.iter().all(|t| *t < Duration::from_millis(700)), "{measured:?}");
 }
