--- a/papayaproxy/src/ranks/demand.rs
+++ b/papayaproxy/src/ranks/demand.rs
@@ -6,7 +6,7 @@
 
 use super::constants::{
     CHANGE_MARGIN, DEVIATION_FACTOR, DEVIATION_INITIAL, INITIAL_LIFE, LIFE_MAX, LIFE_MIN,
-    LIFE_WEIGHT, MIN_COUNTS_PER_EXPERT, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
+    LIFE_WEIGHT, MIN_COUNTS_PER_EXPERT, MIXED_TIME, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
 };
 use super::events;
 use crate::catalog::ExpertFigures;
@@ -18,10 +18,13 @@
     figures: ExpertFigures,
     /// Counts since the last shift.
     estimate: Vec<f32>,
+    estimate_count: f64,
     /// Counts of the window in progress.
     window: Vec<f32>,
     window_count: f64,
     window_start: Duration,
+    /// Counts of the last complete window.
+    last_window: Vec<f32>,
     /// Usual distance between a window and the estimate, and its usual deviation. Samples of few
     /// requests lie far from the estimate, but all about as far.
     noise: f32,
@@ -41,9 +44,11 @@
         Self {
             figures,
             estimate: vec![0.0; cells],
+            estimate_count: 0.0,
             window: vec![0.0; cells],
             window_count: 0.0,
             window_start: now,
+            last_window: vec![0.0; cells],
             noise: NOISE_INITIAL,
             deviation: DEVIATION_INITIAL,
             changed_at: None,
@@ -57,19 +62,27 @@
         self.figures
     }
 
-    /// Adds one rank's counts, one set after the other. Lists of another length are ignored.
-    pub(crate) fn record(&mut self, counts: &[u32], now: Duration) {
+    /// Adds one rank's counts, one set after the other. Lists of another length are ignored. Returns
+    /// whether a window is complete.
+    pub(crate) fn record(&mut self, counts: &[u32], now: Duration) -> bool {
         if counts.len() != self.window.len() {
-            return;
+            return false;
         }
         for (cell, count) in self.window.iter_mut().zip(counts) {
             *cell += *count as f32;
             self.window_count += f64::from(*count);
         }
         let enough = self.window_count >= MIN_COUNTS_PER_EXPERT * self.window.len() as f64;
-        if enough && now >= self.window_start + WINDOW_LENGTH {
+        let is_complete = enough && now >= self.window_start + WINDOW_LENGTH;
+        if is_complete {
             self.close_window(now);
         }
+        is_complete
+    }
+
+    /// Counts of the last complete window, one set after the other.
+    pub(crate) fn last_window(&self) -> &[f32] {
+        &self.last_window
     }
 
     /// Whether the estimate is known and the last window agreed with it: a plan for the mixture
@@ -98,15 +111,26 @@
     }
 
     fn close_window(&mut self, now: Duration) {
+        self.last_window.clone_from(&self.window);
         let known = self.changed_at.is_some();
         let distance = if known { self.window_distance() } else { 1.0 };
-        let limit = self.noise + DEVIATION_FACTOR * self.deviation + CHANGE_MARGIN;
+        // An estimate of one window varies as much as the window that it is compared with.
+        let scale = (1.0 + self.window_count / self.estimate_count.max(1.0)).min(2.0).sqrt() as f32;
+        let limit = scale * (self.noise + DEVIATION_FACTOR * self.deviation) + CHANGE_MARGIN;
         self.is_settled = distance <= limit;
         if self.is_settled {
+            let distance = distance / scale;
             let deviation = (distance - self.noise).abs();
             self.deviation += NOISE_WEIGHT * (deviation - self.deviation);
             self.noise += NOISE_WEIGHT * (distance - self.noise);
-            self.estimate.iter_mut().zip(&self.window).for_each(|(sum, count)| *sum += count);
+            let is_mixed = self.changed_at.is_some_and(|at| now < at + MIXED_TIME);
+            if is_mixed {
+                std::mem::swap(&mut self.estimate, &mut self.window);
+                self.estimate_count = self.window_count;
+            } else {
+                self.estimate.iter_mut().zip(&self.window).for_each(|(sum, count)| *sum += count);
+                self.estimate_count += self.window_count;
+            }
         } else {
             self.begin_estimate(distance, limit, now);
         }
@@ -116,6 +140,7 @@
 
     fn begin_estimate(&mut self, distance: f32, limit: f32, now: Duration) {
         std::mem::swap(&mut self.estimate, &mut self.window);
+        self.estimate_count = self.window_count;
         let lasted = self.changed_at.map(|at| now.saturating_sub(at));
         // The window in which a shift falls differs from the one before and from the one after.
         if let Some(lasted) = lasted.filter(|l| *l >= LIFE_MIN) {
