--- a/papayaproxy/src/balance/constants.rs
+++ b/papayaproxy/src/balance/constants.rs
@@ -132,9 +132,9 @@
 /// Multiple of the computed rate up to which requests are admitted: the durations that it is computed
 /// from are estimates, and a refusal costs a caller more than a slightly longer pass.
 pub(crate) const ADMISSION_MARGIN: f64 = 1.05;
-/// Part of an engine's slots up to which requests are admitted however slow its passes are: right after
-/// a shift of demand they are slow for a moment only.
-pub(crate) const ADMISSION_SLOTS: f64 = 0.8;
+/// Requests at an engine's replica up to which new ones are admitted, as a multiple of its slots: a full
+/// batch, and few that wait so that it stays full.
+pub(crate) const ADMISSION_SLOTS: f64 = 1.1;
 /// Time constant of the demand. A burst is noticed within it; single requests are averaged out over the
 /// fleet.
 pub(crate) const DEMAND_DECAY: Duration = Duration::from_millis(700);
--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -134,7 +134,7 @@
                 None => u.running(),
             };
             if let Some(engine) = engine {
-                let most = limit.max(f64::from(engine.slots) * ADMISSION_SLOTS);
+                let most = f64::from(engine.slots) * ADMISSION_SLOTS;
                 let usual = u.first_event_time(engine, engine.mean_prompt as u32);
                 capacity.add(reported.map(|(load, _)| load), most, usual + u.answer_time(engine));
                 if let Some((_, age)) = reported {
