--- /dev/null
+++ b/papayaproxy/src/peers/hooks.rs
@@ -0,0 +1,28 @@
+//! Callbacks by which the exchange reads and updates the state of the process.
+
+use super::message::{LimitNews, UpstreamLoad};
+use super::table::{FleetSize, PeerLoads};
+use crate::quarantine::PartNews;
+use crate::ranks::message::GroupStatus;
+use std::time::Duration;
+
+/// Takes the peer loads, the size of the fleet, and the mean time at which the load reports arrived.
+pub(crate) type ObserveLoads = Box<dyn Fn(&PeerLoads, FleetSize, Duration)>;
+
+/// Callbacks for the load to report and for the reports received.
+pub(crate) struct Hooks {
+    /// Returns the load that this entry puts on each upstream.
+    pub(crate) loads: Box<dyn Fn() -> Vec<UpstreamLoad>>,
+    /// Called when the peer loads may have changed.
+    pub(crate) observe_loads: ObserveLoads,
+    /// Called for each status of a lock-step group.
+    pub(crate) observe_group: Box<dyn Fn(&GroupStatus)>,
+    /// Returns the rate limits that have changed lately.
+    pub(crate) limit_news: Box<dyn Fn() -> Vec<LimitNews>>,
+    /// Called for each message on rate limits.
+    pub(crate) observe_limits: Box<dyn Fn(Vec<LimitNews>)>,
+    /// Returns recent news of parts of prompts, or all.
+    pub(crate) part_news: Box<dyn Fn(bool) -> PartNews>,
+    /// Called for each message on parts of prompts.
+    pub(crate) observe_parts: Box<dyn Fn(&PartNews)>,
+}
--- a/papayaproxy/src/peers/mod.rs
+++ b/papayaproxy/src/peers/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod constants;
 pub(crate) mod events;
 mod groups;
+mod hooks;
 pub(crate) mod message;
 pub(crate) mod node;
 pub(crate) mod relay;
@@ -13,5 +14,6 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use node::{Hooks, PeerSettings, Peers};
+pub(crate) use hooks::Hooks;
+pub(crate) use node::{PeerSettings, Peers};
 pub(crate) use table::PeerLoads;
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -7,18 +7,16 @@
 };
 use super::events;
 use super::groups::{Groups, PulseOutcome};
-use super::message::{
-    FetchReply, FetchRequest, Freshness, Heartbeat, LimitNews, Message, UpstreamLoad, send,
-};
+use super::hooks::Hooks;
+use super::message::{FetchReply, FetchRequest, Freshness, Heartbeat, Message, send};
 use super::relay;
-use super::table::{FleetSize, PeerLoads, Table};
+use super::table::Table;
 use crate::base::clock::Clock;
 use crate::base::name::{Incarnation, Name};
 use crate::base::supervise::restart_on_panic;
 use crate::catalog::freshness::boot_time;
 use crate::catalog::{Catalog, StoreRole};
-use crate::quarantine::PartNews;
-use crate::ranks::message::{AgentHello, GroupContacts, GroupPulse, GroupStatus, MembersQuery};
+use crate::ranks::message::{AgentHello, GroupContacts, GroupPulse, MembersQuery};
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -60,27 +58,6 @@
     hooks: Hooks,
 }
 
-/// Takes the peer loads, the size of the fleet, and the mean time at which the load reports arrived.
-pub(crate) type ObserveLoads = Box<dyn Fn(&PeerLoads, FleetSize, Duration)>;
-
-/// Callbacks for the load to report and for the reports received.
-pub(crate) struct Hooks {
-    /// Returns the load that this entry puts on each upstream.
-    pub(crate) loads: Box<dyn Fn() -> Vec<UpstreamLoad>>,
-    /// Called when the peer loads may have changed.
-    pub(crate) observe_loads: ObserveLoads,
-    /// Called for each status of a lock-step group.
-    pub(crate) observe_group: Box<dyn Fn(&GroupStatus)>,
-    /// Returns the rate limits that have changed lately.
-    pub(crate) limit_news: Box<dyn Fn() -> Vec<LimitNews>>,
-    /// Called for each message on rate limits.
-    pub(crate) observe_limits: Box<dyn Fn(Vec<LimitNews>)>,
-    /// Returns recent news of parts of prompts, or all.
-    pub(crate) part_news: Box<dyn Fn(bool) -> PartNews>,
-    /// Called for each message on parts of prompts.
-    pub(crate) observe_parts: Box<dyn Fn(&PartNews)>,
-}
-
 impl Peers {
     /// Binds the address and starts the tasks of the exchange.
     ///
