Balancer: requests that return on time are not held back by old reports

Change: they are exempt; their number is bounded by the promises. The overload test runs with reports each 150 and 600 ms.

--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -95,8 +95,9 @@
                 running / limit.max(1.0) + latency * FIRST_EVENT_WEIGHT + zone_penalty + noise(u);
             usable.push(Candidate { index, score, step: 1.0 / limit.max(1.0) });
         }
-        // The queues of all entries must not be sent at once to a group that has just formed.
-        if stage == QueueStage::Waiting && unseen > free_seats {
+        // The queues of all entries must not be sent at once to a group that has just formed. Requests
+        // that return on time are spread already.
+        if stage == QueueStage::Waiting && unseen > free_seats && !request.is_on_time {
             return None;
         }
         if self.is_reserved(request, free_seats) {
--- a/papayaproxy/src/balance/tests/appointments.rs
+++ b/papayaproxy/src/balance/tests/appointments.rs
@@ -42,21 +42,23 @@
     steps: Vec<(Duration, usize, Seat, bool)>,
     clients: Vec<Client>,
     failed: Option<usize>,
+    /// Time between two reports of an entry, in milliseconds.
+    interval: u128,
 }
 
 impl Play {
-    fn new(coordinated: bool, seed: u64) -> Self {
+    fn new(coordinated: bool, interval: u128, seed: u64) -> Self {
         let mut entries: Vec<_> = (0..ENTRIES).map(|_| balancer(&["a", "b", "c"]).0).collect();
         entries.iter_mut().for_each(|e| e.coordinate_retries(coordinated));
         let (rng, now, running) = (StdRng::seed_from_u64(seed), START, HashMap::new());
-        Self { entries, rng, now, running, steps: vec![], clients: vec![], failed: None }
+        Self { entries, rng, now, running, steps: vec![], clients: vec![], failed: None, interval }
     }
 
     /// Plays `time` with `rate` new requests a second, while the group runs passes or not.
     fn run(&mut self, time: u64, rate: f64, is_open: bool) {
         let end = self.now + ms(time);
         while self.now < end {
-            if self.now.as_millis().is_multiple_of(150) {
+            if self.now.as_millis().is_multiple_of(self.interval) {
                 self.exchange(is_open);
             }
             for (at, entry, mut seat, begun) in std::mem::take(&mut self.steps) {
@@ -177,10 +179,15 @@
 }
 
 /// Twice the capacity for 3 s. Guards against clients that are told to return while there are no
-/// seats, and against new requests that take the seats of those that return.
+/// seats, against new requests that take the seats of those that return, and against old reports, for
+/// which those that wait were held back until their time was over.
 #[rstest]
-fn overload_returns_seated(#[values(1, 2, 3, 4, 5)] seed: u64, #[values(130.0, 150.0)] rate: f64) {
-    let [mut plain, mut play] = [false, true].map(|coordinated| Play::new(coordinated, seed));
+fn overload_returns_seated(
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+    #[values(130.0, 150.0)] rate: f64,
+    #[values(150, 600)] interval: u128,
+) {
+    let [mut plain, mut play] = [false, true].map(|c| Play::new(c, interval, seed));
     plain.overload(rate, None);
     let end = play.overload(rate, None);
     let later = play.returned().filter(|(.., told)| *told >= end);
@@ -196,7 +203,7 @@
 fn failed_peer_returns_on_time() {
     let mut cases = Vec::new();
     for seed in 1..=8 {
-        let mut play = Play::new(true, seed);
+        let mut play = Play::new(true, 150, seed);
         let end = play.overload(150.0, Some(0));
         let known = play
             .returned()
@@ -210,7 +217,7 @@
 /// runs again, or long after.
 #[rstest]
 fn outage_returns_soon_after(#[values(1, 2, 3)] seed: u64) {
-    let mut play = Play::new(true, seed);
+    let mut play = Play::new(true, 150, seed);
     let mut began = play.now;
     for _ in 0..3 {
         play.run(4000, 45.0, true);
