--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -46,6 +46,8 @@
     pub(crate) by_load: bool,
     /// What is known of the fleet, for the limits of cold upstreams.
     pub(super) fleet: FleetView,
+    /// Whether the entries coordinate the times at which refused clients return.
+    pub(super) is_coordinated: bool,
 }
 
 impl Balancer {
@@ -75,6 +77,7 @@
             reported_at: Duration::ZERO,
             by_load: false,
             fleet: FleetView::new(warm_up, started),
+            is_coordinated: false,
         }
     }
 
@@ -132,6 +135,7 @@
                 "group changed"
             );
         }
+        self.observe_outage(status, now);
         let mean = f64::from(status.requests);
         for upstream in self.upstreams.values_mut() {
             let member = status.members.iter().find(|m| m.address == upstream.address);
@@ -248,7 +252,7 @@
         match seat {
             Ok(seat) => return SeatDecision::Grant(seat),
             Err(NoSeat::OverCapacity) => {
-                let wait = request.random_retry_after();
+                let wait = self.retry_after(&request, request.random_retry_after(), now);
                 return self.refuse(&request, "over capacity", wait);
             }
             Err(NoSeat::Full) => {}
@@ -261,7 +265,8 @@
         }
         if !request.is_returning && !request.is_resumed && !self.may_be_served(&request, now) {
             // No seat is freed soon. The later the client retries, the more likely it is served.
-            return self.refuse(&request, "group broken", request.longest_retry_after());
+            let retry_after = self.retry_after(&request, request.longest_retry_after(), now);
+            return self.refuse(&request, "group broken", retry_after);
         }
         self.queue(request, now)
     }
--- a/papayaproxy/src/balance/events.rs
+++ b/papayaproxy/src/balance/events.rs
@@ -14,4 +14,7 @@
     ALL_ZONES_EVACUATED = 3307, "All known upstreams are in evacuated zones, so that all requests are refused. Fields: upstreams, zones.";
     OVER_CAPACITY = 3320, "More requests arrive than a service can serve on time, and the request is refused; `fraction` of those of its priority and workspace are admitted. Fields: request, service, priority, workspace, capacity and demand (requests a second, of all entries), fraction.";
     CIRCUIT_CHANGED = 3302, "The circuit of an upstream opened or closed. Fields: upstream, state.";
+    RETRY_PROMISED = 3310, "A request is refused for want of capacity, and its client is told to return in a quarter of a second for which capacity is promised. Fields: request, service, retry_ms, promised, backlog, capacity, room, rate, free, broken, returns_ms, picture_ms.";
+    RETURN_DECIDED = 3311, "A returning request got a seat or is refused; on_time tells whether it came when it was told. Fields: request, on_time, seated, reason.";
+    OUTAGE_ENDED = 3312, "A lock-step group runs passes again after it had stopped. Fields: service, group, lasted_ms.";
 }
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -4,6 +4,7 @@
 //! request.
 
 mod admission;
+pub(crate) mod appointments;
 mod arrivals;
 pub(crate) mod ask;
 pub(crate) mod budget;
@@ -15,6 +16,7 @@
 pub(crate) mod limits;
 mod placement;
 mod records;
+mod returning;
 pub(crate) mod service;
 mod shares;
 pub(crate) mod spread;
--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -170,8 +170,12 @@
             Some(v) => v.peers.min(v.capacity) * mean_age,
             None => service.send_rate(now) * peers * age.as_secs_f64(),
         };
-        // The queues of all entries must not be sent at once to a group that has just formed.
-        if stage == QueueStage::Waiting && unseen > free_seats {
+        // The queues of all entries must not be sent at once to a group that has just formed. Requests
+        // that return on time are spread already.
+        if stage == QueueStage::Waiting && unseen > free_seats && !request.is_on_time {
+            return Err(NoSeat::Full);
+        }
+        if self.is_reserved(request, free_seats) {
             return Err(NoSeat::Full);
         }
         let draw = f64::from(request.draw) / f64::from(u32::MAX);
--- a/papayaproxy/src/balance/tests/mod.rs
+++ b/papayaproxy/src/balance/tests/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod admission;
+mod appointments;
 mod budget;
 mod budget_fleet;
 mod budget_late;
--- a/papayaproxy/src/balance/waiting.rs
+++ b/papayaproxy/src/balance/waiting.rs
@@ -4,6 +4,7 @@
 use super::constants::{BROKEN_WAIT, RETRY_AFTER_MIN};
 use super::desk::Balancer;
 use super::placement::LimitReason;
+use super::returning::turn;
 use crate::base::name::Name;
 use std::time::Duration;
 
@@ -27,9 +28,11 @@
                 }
                 _ => continue,
             };
-            // Resumed streams go first, then requests that can still meet the latency target, then
-            // returning ones; the oldest first in each.
-            queue.sort_by_key(|a| (!a.is_resumed, a.is_returning, a.arrived));
+            // Resumed streams go first, then the most urgent requests, where admission knows
+            // priorities, and of these in the order of their turns; the oldest first in each.
+            let by_load = self.by_load;
+            let priority = |a: &SeatRequest| if by_load { a.priority } else { 0 };
+            queue.sort_by_key(|a| (!a.is_resumed, priority(a), turn(a), a.arrived));
             let mut remaining = Vec::new();
             for request in queue {
                 match self.decide(&request, now) {
@@ -61,7 +64,10 @@
         // costs this one.
         match self.seat(request, QueueStage::TimedOut, now) {
             Ok(seat) => SeatDecision::Grant(seat),
-            Err(_) => self.refuse(request, "no upstream takes it", request.longest_retry_after()),
+            Err(_) => {
+                let retry_after = self.retry_after(request, request.longest_retry_after(), now);
+                self.refuse(request, "no upstream takes it", retry_after)
+            }
         }
     }
 
@@ -76,8 +82,7 @@
         let Some(service) = self.services.get_mut(&request.service) else {
             return self.refuse(&request, "service unknown", RETRY_AFTER_MIN);
         };
-        let ahead =
-            service.waiting.iter().filter(|a| a.is_returning <= request.is_returning).count();
+        let ahead = service.waiting.iter().filter(|a| turn(a) <= turn(&request)).count();
         let expected_wait = (ahead + 1) as f64 / (service.free_rate(now) + cold_rate);
         let max_wait = request.wait_until().saturating_sub(now).as_secs_f64();
         // The rate of freed seats predicts nothing while no group runs; such a wait is short.
@@ -85,6 +90,7 @@
             service.waiting.push(request);
             return SeatDecision::Wait;
         }
-        self.refuse(&request, "no seat in time", request.random_retry_after())
+        let retry_after = self.retry_after(&request, request.random_retry_after(), now);
+        self.refuse(&request, "no seat in time", retry_after)
     }
 }
--- a/papayaproxy/src/catalog/tests/evacuations.rs
+++ b/papayaproxy/src/catalog/tests/evacuations.rs
@@ -157,6 +157,8 @@
                 demand: Box::new(Vec::new),
                 observe_demand: Box::new(|_| {}),
                 observe_entries: Box::new(|_| {}),
+                promise_news: Box::new(Vec::new),
+                observe_promises: Box::new(|_, _| {}),
                 loads: Box::new(Vec::new),
                 observe_loads: Box::new(|_, _, _| {}),
                 observe_group: Box::new(|_| {}),
--- a/papayaproxy/src/gateway/meters.rs
+++ b/papayaproxy/src/gateway/meters.rs
@@ -18,6 +18,7 @@
     cold_upstreams: Gauge<u64>,
     held: Gauge<u64>,
     cuts: Counter<u64>,
+    returns: Counter<u64>,
 }
 
 impl Meters {
@@ -46,6 +47,10 @@
                 .i64_gauge("papaya_gateway_lost_seats")
                 .with_description("Seats counted at upstreams that no request holds; 0 if sound")
                 .build(),
+            returns: meter
+                .u64_counter("papaya_gateway_returns")
+                .with_description("Returning requests, by service and result")
+                .build(),
             repeats: meter
                 .u64_counter("papaya_gateway_repeats")
                 .with_description("Further attempts decided on, by service and result")
@@ -95,6 +100,13 @@
         self.repeats.add(1, &labels);
     }
 
+    /// Records whether a returning request came on time, and whether it got a seat.
+    pub(crate) fn record_return(&self, service: &str, result: &'static str) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("result", result)];
+        self.returns.add(1, &labels);
+    }
+
     /// Records a response and the time it took.
     pub(crate) fn record_response(&self, status: u16, took: Duration) {
         self.requests.add(1, &[KeyValue::new("status", i64::from(status))]);
--- a/papayaproxy/src/gateway/settings.rs
+++ b/papayaproxy/src/gateway/settings.rs
@@ -112,6 +112,12 @@
         default: Some("0"),
         meaning: "memory of the host in megabytes (1,048,576 bytes), 0 or at least 32: bounds of buffered bodies, of what is held for clients and of socket buffers follow from it; 0 bounds only buffered bodies, at 24",
     },
+    SettingRow {
+        section: "retry_after",
+        key: "coordinated",
+        default: Some("false"),
+        meaning: "true if entries choose Retry-After times for which they expect free seats, and tell each other what they have promised",
+    },
     SettingRow {
         section: "budget",
         key: "ratio",
@@ -178,6 +184,8 @@
     pub(crate) warmup: WarmUpRule,
     /// Memory of the host in megabytes; zero if it is not stated.
     pub(crate) memory: f64,
+    /// Whether entries coordinate the times at which refused clients return.
+    pub(crate) coordinated: bool,
     /// Retry budget.
     pub(crate) budget: BudgetRule,
     /// Log settings.
@@ -213,6 +221,7 @@
         let warm_slack = reader.value("warmup", "slack", parse_amount);
         let by_load = reader.value("admission", "by_load", parse_flag);
         let memory = reader.value("host", "memory", parse_memory);
+        let coordinated = reader.value("retry_after", "coordinated", parse_flag);
         let ratio = reader.value("budget", "ratio", parse_amount);
         let slack = reader.value("budget", "slack", parse_amount);
         let window = reader.value("budget", "window", parse_duration);
@@ -235,6 +244,7 @@
             by_load: by_load?,
             warmup: WarmUpRule { ratio: warm_ratio?, slack: warm_slack? },
             memory: memory?,
+            coordinated: coordinated?,
             budget: BudgetRule {
                 ratio: ratio?,
                 slack: slack?,
