--- a/papayaproxy/src/balance/tests/admission.rs
+++ b/papayaproxy/src/balance/tests/admission.rs
@@ -1,9 +1,12 @@
 //! Tests of admission by reported load, priority and workspace. Times are virtual.
 
+use super::patterns::{START, balancer, group_status, request};
 use crate::balance::admission::{Applicant, Capacity, Demand};
 use crate::balance::shares::Shares;
+use crate::balance::{SeatDecision, SeatRequest};
 use crate::base::name::Name;
 use crate::peers::constants::RATE_UNITS;
+use crate::peers::message::digest;
 use std::time::Duration;
 
 const REPLICAS: usize = 32;
@@ -188,3 +191,30 @@
         assert!(unlimited[12] > 2.0 * LIMIT, "{unlimited:?}");
     }
 }
+
+/// Requests of `priority` that a balancer refuses for want of capacity, of 24, while all its 8 replicas
+/// report `load` requests and the peers receive `demand` of the least urgent a second.
+fn refused(by_load: bool, priority: u8, load: u8, demand: f64) -> usize {
+    let (mut balancer, ..) = balancer(&["a", "b"]);
+    balancer.by_load = by_load;
+    let mut status = group_status(true, 0..8);
+    status.members.iter_mut().for_each(|m| m.requests = Some(load));
+    balancer.observe_group(&status, START);
+    let service = digest("llm");
+    balancer.observe_demand(&[((service, 0), 10.0), ((service, 2), demand)].into_iter().collect());
+    let over =
+        |decision| matches!(decision, SeatDecision::Refuse(r) if r.reason == "over capacity");
+    let request = |n| SeatRequest { priority, ..request(n, START) };
+    (0..24).filter(|n| over(balancer.offer(request(*n), START))).count()
+}
+
+/// Entries whose own reports show free seats must not send to replicas that the agents report full,
+/// and only where the setting asks for it.
+#[test]
+fn offer_replicas_reported_full_least_urgent_refused() {
+    assert_eq!(refused(true, 0, 12, 200.0), 0, "urgent");
+    let others = refused(true, 2, 12, 200.0);
+    assert!(others > 8, "{others}");
+    assert_eq!(refused(true, 2, 6, 20.0), 0, "there is room");
+    assert_eq!(refused(false, 2, 12, 200.0), 0, "without the setting");
+}
--- a/papayaproxy/src/gateway/tests/evacuations.rs
+++ b/papayaproxy/src/gateway/tests/evacuations.rs
@@ -2,7 +2,8 @@
 
 use super::stand_ins::{Action, FakeServer, TestGateway, on_one_thread, reply};
 
-/// Guards against an entry that starts during an evacuation and uses the zone until it knows of it.
+/// Guards against requests that reach the only replica, or fail otherwise than with a time to come back,
+/// while its zone is evacuated from the start on.
 #[test]
 fn call_zone_evacuated_refused() {
     on_one_thread(async {
