--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -180,8 +180,8 @@
         }
         let draw = f64::from(request.draw) / f64::from(u32::MAX);
         let index = choose(usable, unseen, draw).ok_or(NoSeat::Full)?;
-        let limit = self.upstreams[index].limit(engine, request.gap_target);
-        let upstream = &mut self.upstreams[index];
+        let upstream = &self.upstreams[index];
+        let limit = upstream.limit(engine, request.gap_target);
         tracing::info!(
             event = events::SEAT_TAKEN,
             request = %request.request_id,
@@ -196,6 +196,12 @@
             cold = upstream.is_cold(now),
             "seat taken"
         );
+        Ok(self.start(index, request, now))
+    }
+
+    /// Starts the request at the upstream at `index`.
+    fn start(&mut self, index: usize, request: &SeatRequest, now: Duration) -> Seat {
+        let upstream = &mut self.upstreams[index];
         // A zone that was unreachable is tried with one request at a time.
         if let Some((failed, backoff_until)) = self.zones.get_mut(&upstream.zone)
             && *failed >= ZONE_FAILURES
@@ -209,7 +215,7 @@
             service.record_send(now);
         }
         let prompt_tokens = request.prompt_tokens;
-        Ok(Seat { upstream: id, record, address, is_probe, prompt_tokens })
+        Seat { upstream: id, record, address, is_probe, prompt_tokens }
     }
 }
 
