Balancer: one decayed rate, one way into warm-up, no admission figures where it is off

The same exponentially decayed rate stood in service.rs, admission.rs and appointments.rs; an evacuation's end looked up warm-up times that each upstream's limit has; every choice of a seat computed capacity also with admission.by_load off. Change: balance/rate.rs serves all three; start_warm_up takes the reason and the limit's own time.

--- a/papayaproxy/src/balance/admission.rs
+++ b/papayaproxy/src/balance/admission.rs
@@ -6,6 +6,7 @@
 //! least urgent requests are refused first.
 
 use super::constants::{ADMISSION_CORRECTION, ADMISSION_MARGIN, DEMAND_DECAY, PRIORITY_FLOOR};
+use super::rate::DecayedRate;
 use super::shares::Shares;
 use crate::base::name::Name;
 use crate::peers::constants::RATE_UNITS;
@@ -45,29 +46,10 @@
     }
 }
 
-/// Exponentially decayed rate of events.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    per_second: f64,
-    at: Duration,
-}
-
-impl Rate {
-    fn now(self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.per_second * (-age / DEMAND_DECAY.as_secs_f64()).exp()
-    }
-
-    fn record(&mut self, now: Duration) {
-        self.per_second = self.now(now) + 1.0 / DEMAND_DECAY.as_secs_f64();
-        self.at = now;
-    }
-}
-
 /// Demand for one service: at this entry, and at its peers by their last heartbeats.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Demand {
-    own: IndexMap<u8, Rate>,
+    own: IndexMap<u8, DecayedRate>,
     peers: IndexMap<u8, f64>,
     /// By priority.
     shares: IndexMap<u8, Shares>,
@@ -100,7 +82,8 @@
 impl Demand {
     /// Counts a request that arrived at this entry.
     pub(crate) fn record(&mut self, priority: u8, workspace: &Name, now: Duration) {
-        self.own.entry(priority).or_default().record(now);
+        let new = || DecayedRate::new(DEMAND_DECAY);
+        self.own.entry(priority).or_insert_with(new).record(now);
         self.shares.entry(priority).or_default().record(workspace, now);
     }
 
--- a/papayaproxy/src/balance/appointments.rs
+++ b/papayaproxy/src/balance/appointments.rs
@@ -5,6 +5,7 @@
     BOOKED_TOLERANCE, BOOKED_UNIT, FREED_RATE_DECAY, ON_TIME_TOLERANCE, OUTAGE_WEIGHT,
     PROMISE_PEERS_MAX, PROMISE_QUARTER, PROMISE_RATIO, PROMISES_MAX, REFILL_TIME, RETRY_AFTER_MAX,
 };
+use super::rate::DecayedRate;
 use crate::base::name::Name;
 use crate::peers::message::{PromiseNews, PromisedCount};
 use indexmap::IndexMap;
@@ -65,7 +66,7 @@
 }
 
 /// Promises of one service, and the forecasts that they are based on.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Appointments {
     promises: BTreeMap<PromiseKey, Promised>,
     /// What each peer has reported and still counts.
@@ -74,16 +75,28 @@
     recent: VecDeque<(Duration, u64)>,
     /// Promises made so far.
     booked: u64,
-    /// Exponentially decayed count of the seats that requests of this entry freed, as of
-    /// `last_freed`.
-    freed: f64,
-    last_freed: Duration,
+    /// Seats that requests of this entry free.
+    freed: DecayedRate,
     /// Start of the current outage of each group that is down.
     outages: IndexMap<Name, Duration>,
     /// `None` before the first outage has ended.
     outage_time: Option<OutageTime>,
 }
 
+impl Default for Appointments {
+    fn default() -> Self {
+        Self {
+            promises: BTreeMap::new(),
+            reports: IndexMap::new(),
+            recent: VecDeque::new(),
+            booked: 0,
+            freed: DecayedRate::new(FREED_RATE_DECAY),
+            outages: IndexMap::new(),
+            outage_time: None,
+        }
+    }
+}
+
 impl Appointments {
     /// Promises capacity in the earliest quarter with room, between `earliest` and `latest` from
     /// now, or else in the last of them. There are `peers` other entries, whose reports are
@@ -213,14 +226,12 @@
 
     /// Records that a request of this entry has freed its seat.
     pub(crate) fn record_freed(&mut self, now: Duration) {
-        self.freed = self.freed_rate(now) * FREED_RATE_DECAY.as_secs_f64() + 1.0;
-        self.last_freed = now;
+        self.freed.record(now);
     }
 
     /// Seats per second that requests of this entry free.
     pub(crate) fn freed_rate(&self, now: Duration) -> f64 {
-        let decay = FREED_RATE_DECAY.as_secs_f64();
-        self.freed * (-now.saturating_sub(self.last_freed).as_secs_f64() / decay).exp() / decay
+        self.freed.now(now)
     }
 
     /// Records whether a group runs passes, and learns from the duration of an outage that has
--- a/papayaproxy/src/balance/desk.rs
+++ b/papayaproxy/src/balance/desk.rs
@@ -9,7 +9,7 @@
 use super::events;
 use super::service::Service;
 use super::upstream::{SendOutcome, Upstream};
-use super::warmup::{FleetView, WarmUpRule};
+use super::warmup::{ColdReason, FleetView, WarmUpRule};
 use crate::base::name::Name;
 use crate::limits::CircuitSettings;
 use crate::peers::message::{DemandRate, UpstreamLoad, digest};
@@ -146,7 +146,7 @@
             };
             upstream.observe_group(status.open, now);
             if has_formed {
-                upstream.mark_group_formed(now);
+                upstream.start_warm_up(ColdReason::GroupFormed, now);
             }
             upstream.rank_slowdown = f64::from(member.slowdown).max(1.0);
             let age = Duration::from_millis(status.loads_ms.into());
--- a/papayaproxy/src/balance/evacuation.rs
+++ b/papayaproxy/src/balance/evacuation.rs
@@ -5,8 +5,8 @@
 use super::desk::Balancer;
 use super::events;
 use super::upstream::Upstream;
+use super::warmup::ColdReason;
 use crate::base::name::Name;
-use indexmap::IndexMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -16,7 +16,10 @@
         let ended: Vec<(Name, Duration)> =
             self.evacuated.extract_if(.., |zone, _| !zones.contains(zone)).collect();
         for (zone, since) in ended {
-            self.warm_up_zone(&zone, now);
+            // They may have become cold during the evacuation.
+            for upstream in self.all_upstreams_mut().filter(|u| u.zone == zone) {
+                upstream.start_warm_up(ColdReason::Readmitted, now);
+            }
             tracing::warn!(
                 event = events::ZONE_READMITTED,
                 %zone,
@@ -42,18 +45,6 @@
         self.check_all_evacuated();
     }
 
-    /// Counts the upstreams of a zone as cold: they may have become so during the evacuation.
-    fn warm_up_zone(&mut self, zone: &Name, now: Duration) {
-        let services = self.services.iter();
-        let times: IndexMap<Name, Duration> =
-            services.filter_map(|(name, s)| Some((name.clone(), s.warm_up?.time))).collect();
-        for upstream in self.all_upstreams_mut().filter(|u| u.zone == *zone) {
-            if let Some(time) = times.get(&upstream.service) {
-                upstream.start_warm_up(now, *time);
-            }
-        }
-    }
-
     /// Logs when the last zone with upstreams has been evacuated.
     pub(super) fn check_all_evacuated(&mut self) {
         let mut all = self.upstreams.values();
--- a/papayaproxy/src/balance/mod.rs
+++ b/papayaproxy/src/balance/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod events;
 pub(crate) mod limits;
 mod placement;
+mod rate;
 mod records;
 mod returning;
 pub(crate) mod service;
--- a/papayaproxy/src/balance/placement.rs
+++ b/papayaproxy/src/balance/placement.rs
@@ -133,7 +133,7 @@
                 None if engine.is_some() => u.running_after(age, duration),
                 None => u.running(),
             };
-            if let Some(engine) = engine {
+            if let Some(engine) = engine.filter(|_| self.by_load) {
                 let most = f64::from(engine.slots) * ADMISSION_SLOTS;
                 let usual = u.first_event_time(engine, engine.mean_prompt as u32);
                 capacity.add(reported.map(|(load, _)| load), most, usual + u.answer_time(engine));
--- a/papayaproxy/src/balance/service.rs
+++ b/papayaproxy/src/balance/service.rs
@@ -6,6 +6,7 @@
 use super::ask::SeatRequest;
 use super::budget::{Budget, BudgetRule};
 use super::constants::{FREE_RATE_MIN, FREE_RATE_WEIGHT, FREED_SEATS_MAX, SEND_RATE_DECAY};
+use super::rate::DecayedRate;
 use crate::catalog::{EngineFigures, WarmUp};
 use std::time::Duration;
 
@@ -26,9 +27,8 @@
     /// Seats freed per second by requests of this entry, as a moving average.
     free_rate: f64,
     last_freed: Duration,
-    /// Exponentially decayed count of the requests that this entry sent, as of `last_send`.
-    recent_sends: f64,
-    last_send: Duration,
+    /// Requests that this entry sends.
+    sends: DecayedRate,
 }
 
 impl Service {
@@ -43,8 +43,7 @@
             appointments: Appointments::default(),
             free_rate: 0.0,
             last_freed: Duration::ZERO,
-            recent_sends: 0.0,
-            last_send: Duration::ZERO,
+            sends: DecayedRate::new(SEND_RATE_DECAY),
         }
     }
 
@@ -70,14 +69,11 @@
 
     /// Updates the send rate when a request is sent.
     pub(crate) fn record_send(&mut self, now: Duration) {
-        self.recent_sends = self.send_rate(now) * SEND_RATE_DECAY.as_secs_f64() + 1.0;
-        self.last_send = now;
+        self.sends.record(now);
     }
 
     /// Requests that this entry sends per second.
     pub(crate) fn send_rate(&self, now: Duration) -> f64 {
-        let decay = SEND_RATE_DECAY.as_secs_f64();
-        self.recent_sends * (-now.saturating_sub(self.last_send).as_secs_f64() / decay).exp()
-            / decay
+        self.sends.now(now)
     }
 }
--- a/papayaproxy/src/balance/upstream.rs
+++ b/papayaproxy/src/balance/upstream.rs
@@ -8,7 +8,7 @@
 use super::engine::Slowdown;
 use super::events;
 use super::limits::RateLimit;
-use super::warmup::WarmUpState;
+use super::warmup::{ColdReason, WarmUpState};
 use crate::base::name::Name;
 use crate::catalog::{EngineFigures, UpstreamRecord};
 use crate::limits::{Circuit, CircuitSettings, CircuitState};
@@ -357,7 +357,7 @@
     /// Records whether its group runs passes.
     pub(crate) fn observe_group(&mut self, is_open: bool, now: Duration) {
         if is_open && self.broken_at.is_some() {
-            self.mark_group_formed(now);
+            self.start_warm_up(ColdReason::GroupFormed, now);
         }
         self.broken_at = (!is_open).then_some(now);
         if is_open && !self.is_confirmed(now) {
--- a/papayaproxy/src/balance/warmup.rs
+++ b/papayaproxy/src/balance/warmup.rs
@@ -173,11 +173,6 @@
 }
 
 impl Upstream {
-    /// Counts the upstream as cold for `time`, since requests reach its availability zone again.
-    pub(crate) fn start_warm_up(&mut self, now: Duration, time: Duration) {
-        self.mark_cold(ColdReason::Readmitted, time, now);
-    }
-
     /// Counts it as cold for `time`, if that is longer than it does already.
     pub(super) fn mark_cold(&mut self, reason: ColdReason, time: Duration, now: Duration) {
         let state = &mut self.warm_up;
@@ -205,10 +200,10 @@
         );
     }
 
-    /// Counts it as cold for the warm-up time of its service, once its group runs passes again.
-    pub(super) fn mark_group_formed(&mut self, now: Duration) {
+    /// Counts it as cold for the warm-up time of its service, if requests to it are limited then.
+    pub(super) fn start_warm_up(&mut self, reason: ColdReason, now: Duration) {
         if let Some(limit) = self.warm_up.limit {
-            self.mark_cold(ColdReason::GroupFormed, limit.time, now);
+            self.mark_cold(reason, limit.time, now);
         }
     }
 
