Expert maps: the log tells commands, repeats, bytes of a plan and late ticks

Cause: the logs of a group that never switches could not tell a full link of the lead from a lack of processor time.

Change: event 3406 has took_ms, commands and repeats of the phase that ends, 3405 the bytes of the changes to each rank, and 3415 says when a tick began 100 ms late or more.

--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -1,6 +1,6 @@
 //! The agent of one rank: reads its replica, reports to the other agents, and follows or leads.
 
-use super::constants::{FAST_TICK, FREEZE_THRESHOLD, READ_TIMEOUT, TICK};
+use super::constants::{FAST_TICK, FREEZE_THRESHOLD, LATE_TICK, READ_TIMEOUT, TICK};
 use super::contacts::Contacts;
 use super::demand::Popularity;
 use super::events;
@@ -118,6 +118,11 @@
         loop {
             tokio::select! {
                 () = sleep_until(next) => {
+                    let late = next.elapsed();
+                    if late >= LATE_TICK {
+                        let late_ms = late.as_millis() as u64;
+                        tracing::info!(event = events::TICK_LATE, late_ms, "tick began late");
+                    }
                     self.tick().await;
                     self.last_tick = boot_time();
                     next = Instant::now() + self.tick_interval();
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -6,6 +6,8 @@
 pub(crate) const TICK: Duration = Duration::from_millis(100);
 /// The same while the rank copies experts or a switch is in progress.
 pub(crate) const FAST_TICK: Duration = Duration::from_millis(30);
+/// Delay of a tick from which on it is logged.
+pub(crate) const LATE_TICK: Duration = Duration::from_millis(100);
 /// Bytes of expert counts that a lead receives per tick; each count takes one.
 pub(crate) const COUNT_BYTES_PER_TICK: u64 = 12_000;
 /// Least number of ranks that report their counts at a tick.
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -88,6 +88,9 @@
     phase: Phase,
     entered_at: Duration,
     sent_at: IndexMap<u16, Duration>,
+    /// Commands sent in this phase, and those of them to a rank that had been sent one.
+    commands: u32,
+    repeats: u32,
     /// Highest version proposed.
     last_version: u64,
     /// Usual time from the order to hold until all ranks are armed.
@@ -111,6 +114,8 @@
             phase: Phase::Following,
             entered_at: Duration::ZERO,
             sent_at: IndexMap::new(),
+            commands: 0,
+            repeats: 0,
             last_version: 0,
             arm_time: SWITCH_DELAY.div_f64(SWITCH_DELAY_FACTOR),
             hold_at: Duration::ZERO,
@@ -403,7 +408,9 @@
         let mut due = Vec::with_capacity(commands.len());
         for (rank, command) in commands {
             if self.is_due(rank, now) {
-                self.sent_at.insert(rank, now);
+                let is_repeat = self.sent_at.insert(rank, now).is_some();
+                self.commands += 1;
+                self.repeats += u32::from(is_repeat);
                 due.push((rank, command));
             }
         }
@@ -425,7 +432,20 @@
             _ => (None, None),
         };
         let (event, phase_name) = (events::PHASE_CHANGED, phase.name());
-        tracing::info!(event, phase = phase_name, version, step, reason, "phase changed");
+        let took_ms = now.saturating_sub(self.entered_at).as_millis() as u64;
+        let (commands, repeats) = (self.commands, self.repeats);
+        tracing::info!(
+            event,
+            phase = phase_name,
+            version,
+            step,
+            reason,
+            took_ms,
+            commands,
+            repeats,
+            "phase changed"
+        );
+        (self.commands, self.repeats) = (0, 0);
         if phase == Phase::Undoing {
             // Datagrams may arrive late: only a report with the new term is known to be later than
             // the last command, and a rank that reports it ignores all earlier commands.
--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -13,7 +13,7 @@
 use super::maps::{changes, is_well_formed};
 use super::message::{
     AgentReport, Command, ExpertLists, GroupMember, GroupPulse, GroupStatus, LeadCommand,
-    RankMessage, members_digest,
+    MapChanges, RankMessage, members_digest,
 };
 use super::planner::{PlanInput, plan, skew_bound, window_skew};
 use super::rank::RankClient;
@@ -144,13 +144,16 @@
         let (map, copy_ms) = (Arc::new(new_plan.map), new_plan.copy_time.as_millis() as u64);
         let Some(version) = self.lead.propose(seen, map.clone(), now) else { return };
         let met = self.skew_meter.take_mean();
-        self.map_changes = Some((version, Arc::new(changes(base, &lists, &map))));
+        let map_changes = Arc::new(changes(base, &lists, &map));
+        let bytes = encoded_size(map_changes.as_ref());
+        self.map_changes = Some((version, map_changes));
         self.maps.insert(epoch, base, Arc::new(lists));
         self.maps.insert(epoch, version, map);
         tracing::info!(
             event = events::PLAN_MADE,
             version,
             copies = new_plan.copies,
+            bytes,
             copy_ms,
             skew = new_plan.skew,
             planned = new_plan.planned_skew,
@@ -312,6 +315,11 @@
     }
 }
 
+/// Size of a message part in a datagram, in bytes.
+fn encoded_size(changes: &MapChanges) -> usize {
+    postcard::to_stdvec(changes).map_or(0, |bytes| bytes.len())
+}
+
 /// Running and waiting requests of a rank.
 fn requests(report: &AgentReport) -> u32 {
     report.status.running.saturating_add(report.status.waiting)
