Expert maps: a rank reports which map it copies

Cause: a replica does not tell that it copies experts (its busy flag stays false), and the copied map is seen at the agent's next tick, up to 100 ms later. Until then the lead takes the rank for one that heard nothing, and repeats the map after 120 ms.

Change: the agent notes the version that its replica has accepted, reports it at once (RankStatus.copying) and reads the replica each 30 ms until the copy is complete. The note ends with the copy, the group's epoch or after the timeout of a preparation.

The tests need the new field and cannot run on the code before.

--- a/papayaproxy/src/peers/tests/mutated.rs
+++ b/papayaproxy/src/peers/tests/mutated.rs
@@ -46,6 +46,7 @@
             slowdown: 1.0,
             step: 90,
             version: 0,
+            copying: None,
             prepared: Some(5),
             armed: Some(ArmedMap { version: 5, step: Some(95) }),
             held: Some(95),
--- a/papayaproxy/src/platform/rank.rs
+++ b/papayaproxy/src/platform/rank.rs
@@ -158,6 +158,7 @@
             slowdown: wire.pace.unwrap_or(1.0),
             step: wire.step,
             version: wire.mapping,
+            copying: None,
             prepared: wire.prepared.map(version),
             armed,
             held: wire.held.map(|held| match held {
--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -141,8 +141,9 @@
 
     /// While a switch is in progress, the lead waits for each rank's next status.
     fn tick_interval(&self) -> Duration {
+        let is_copying = |s: &RankStatus| s.busy || s.copying.is_some();
         let is_switching =
-            |s: &RankStatus| s.open && (s.busy || s.armed.is_some() || s.held.is_some());
+            |s: &RankStatus| s.open && (is_copying(s) || s.armed.is_some() || s.held.is_some());
         if self.local.status().is_some_and(is_switching) { FAST_TICK } else { TICK }
     }
 
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -292,7 +292,7 @@
             return Vec::new();
         }
         let missing = |(rank, r): &(u16, &&AgentReport)| {
-            r.status.prepared != Some(version) && !r.status.busy && self.is_due(*rank, now)
+            r.status.lacks(version) && !r.status.busy && self.is_due(*rank, now)
         };
         let command = |(rank, _)| (rank, Command::Prepare { version, map: map.clone() });
         (0..).zip(reports).filter(missing).map(command).collect()
--- a/papayaproxy/src/ranks/message.rs
+++ b/papayaproxy/src/ranks/message.rs
@@ -44,6 +44,9 @@
     pub(crate) step: u64,
     /// Version of the map in use.
     pub(crate) version: u64,
+    /// Version of the map whose experts the rank copies by an order of its agent; the replica itself does
+    /// not tell.
+    pub(crate) copying: Option<u64>,
     /// Version of the map whose experts are all copied.
     pub(crate) prepared: Option<u64>,
     /// The map that the rank switches to, if one is armed.
@@ -52,6 +55,13 @@
     pub(crate) held: Option<u64>,
 }
 
+impl RankStatus {
+    /// Whether the rank neither has the experts of a map nor copies them.
+    pub(crate) fn lacks(&self, version: u64) -> bool {
+        self.prepared != Some(version) && self.copying != Some(version)
+    }
+}
+
 /// An expert map: for each set of layers, the experts of each rank.
 pub(crate) type ExpertLists = Vec<Vec<Vec<u16>>>;
 
--- a/papayaproxy/src/ranks/rank.rs
+++ b/papayaproxy/src/ranks/rank.rs
@@ -1,6 +1,8 @@
 //! Reads the status of one rank's replica and sends it orders that take effect at most once.
 
-use super::constants::{ORDER_ATTEMPTS, ORDER_TIMEOUT, UNCERTAIN_ORDER_TTL, UNREACHABLE_STEPS};
+use super::constants::{
+    ORDER_ATTEMPTS, ORDER_TIMEOUT, PREPARE_TIMEOUT, UNCERTAIN_ORDER_TTL, UNREACHABLE_STEPS,
+};
 use super::events;
 use super::message::{ArmedMap, Command, ExpertLists, LeadCommand, RankStatus};
 use crate::platform::rank::{RankError, ReplicaClient};
@@ -84,7 +86,7 @@
 ) -> Action {
     match command {
         Command::Prepare { version, map }
-            if status.prepared != Some(*version) && !status.busy && status.armed.is_none() =>
+            if status.lacks(*version) && !status.busy && status.armed.is_none() =>
         {
             Action::Order(Order::Prepare { version: *version, map: map.clone() })
         }
@@ -125,6 +127,8 @@
     uncertain_order: Option<(u64, Duration)>,
     /// When an order last got no answer.
     pub(crate) lost_at: Option<Duration>,
+    /// Version of the map whose experts the replica was told to copy, and since when.
+    copying: Option<(u64, Duration)>,
 }
 
 impl RankTracker {
@@ -134,11 +138,16 @@
     }
 
     /// Takes a status report.
-    pub(crate) fn update(&mut self, status: RankStatus, now: Duration) {
+    pub(crate) fn update(&mut self, mut status: RankStatus, now: Duration) {
         if self.status.as_ref().is_none_or(|s| s.started_ms != status.started_ms) {
             // An earlier run of this agent may have sent an order that is still unanswered.
             self.uncertain_order = Some((status.sequence, now));
         }
+        let is_same_group = self.status.as_ref().is_some_and(|s| s.epoch == status.epoch);
+        self.copying = self.copying.filter(|(version, since)| {
+            is_same_group && status.prepared < Some(*version) && now < *since + PREPARE_TIMEOUT
+        });
+        status.copying = self.copying.map(|(version, _)| version);
         // All attempts of an order expect the same sequence, so none takes effect once it advances.
         let is_resolved = |(count, since): &(u64, Duration)| {
             status.sequence > *count || now > *since + UNCERTAIN_ORDER_TTL
@@ -155,6 +164,11 @@
         self.lost_at = Some(now);
     }
 
+    /// Records that the replica copies the experts of a map.
+    pub(crate) fn mark_copying(&mut self, version: u64, now: Duration) {
+        self.copying = Some((version, now));
+    }
+
     /// Returns what to do for a command; nothing if its term or epoch is outdated.
     pub(crate) fn accept(&mut self, lead_command: &LeadCommand) -> Action {
         if lead_command.term < self.term {
@@ -246,7 +260,12 @@
         let name = order.name();
         for _ in 0..ORDER_ATTEMPTS {
             match self.replica.send_order(order, epoch, expected, ORDER_TIMEOUT).await {
-                Ok(OrderReply::Accepted | OrderReply::Unchanged) => return,
+                Ok(OrderReply::Accepted | OrderReply::Unchanged) => {
+                    if let Order::Prepare { version, .. } = order {
+                        self.tracker.mark_copying(*version, now);
+                    }
+                    return;
+                }
                 Ok(OrderReply::Refused(status)) => {
                     let event = events::ORDER_REFUSED;
                     tracing::info!(
--- a/papayaproxy/src/ranks/tests/agreement.rs
+++ b/papayaproxy/src/ranks/tests/agreement.rs
@@ -187,6 +187,7 @@
             slowdown: 1.0,
             step: self.step,
             version: replica.version,
+            copying: None,
             prepared: replica.prepared,
             armed: replica.armed,
             held: replica.held,
--- a/papayaproxy/src/ranks/tests/maps.rs
+++ b/papayaproxy/src/ranks/tests/maps.rs
@@ -113,7 +113,7 @@
     decode_counts(&CountSample { shift: u8::MAX, counts: vec![255; 4] });
 }
 
-fn status(rank: u16, size: u16) -> RankStatus {
+pub(super) fn status(rank: u16, size: u16) -> RankStatus {
     RankStatus {
         group: "g0".into(),
         epoch: 1,
@@ -128,6 +128,7 @@
         slowdown: 1.0,
         step: 1,
         version: 0,
+        copying: None,
         prepared: None,
         armed: None,
         held: None,
--- a/papayaproxy/src/ranks/tests/mod.rs
+++ b/papayaproxy/src/ranks/tests/mod.rs
@@ -7,4 +7,5 @@
 mod maps;
 mod pass;
 mod planner;
+mod rank;
 mod shifts;
--- a/papayaproxy/src/ranks/tests/pass.rs
+++ b/papayaproxy/src/ranks/tests/pass.rs
@@ -20,6 +20,7 @@
         slowdown: 1.0,
         step,
         version: 0,
+        copying: None,
         prepared: None,
         armed: None,
         held: None,
