Expert maps: what a lead has on its way to the ranks is bounded

Cause: a lead sent a plan to all 95 ranks at once, 1.2 KB each, and again after 120 ms to those that had not confirmed it. That is more than its link of 6 Mbit/s carries, so it stayed full: for 1.3 s no rank got the map or a report of the lead. Class: unbounded sending with timed repeats (congestion collapse).

Evidence: events 3405 and 3406 (795 commands, 699 repeats in 1.5 s; no late tick); a trial with every command logged: none arrives from 0.1 s to 1.4 s after the plan.

Change: at most 14,600 bytes of a map, the initial window of TCP, are on their way to ranks that neither copy nor have it; ranks that were sent nothing go first. Whole maps count by their size, which replaces MAPS_PER_TICK.

Failed before: prepare_large_group_link_kept_free with the bound taken out (queue 152 to 163 ms where 100 are allowed, 3 of 3 cases).

--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -33,8 +33,9 @@
 pub(crate) const LISTS_TICKS: u64 = 20;
 /// Maps that an agent remembers: the one in use, the one being prepared and one before.
 pub(crate) const KNOWN_MAPS: usize = 3;
-/// Whole maps that a lead sends per tick, so that its link has room for reports.
-pub(crate) const MAPS_PER_TICK: usize = 4;
+/// Bytes of a map on their way to ranks that have not confirmed it: the initial window of TCP (RFC 6928).
+/// The lead's reports wait at most as long for its link, 20 ms at 6 Mbit/s.
+pub(crate) const MAP_BYTES_UNCONFIRMED: usize = 14_600;
 /// Most ticks between two reports of the lead to all ranks; several fit into [`REPORT_MAX_AGE`].
 pub(crate) const LEAD_REPORT_TICKS: u64 = 2;
 /// Timeout of a read from the local replica.
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -6,8 +6,9 @@
 //! is armed and no unanswered order can arm one any more.
 
 use super::constants::{
-    ARM_TIMEOUT, HOLD_TIMEOUT, PREPARE_TIMEOUT, REPORT_MAX_AGE, RESEND_INTERVAL, SWITCH_DELAY,
-    SWITCH_DELAY_FACTOR, SWITCH_DELAY_MIN, SWITCH_DELAY_WEIGHT, SWITCH_MIN_STEPS,
+    ARM_TIMEOUT, HOLD_TIMEOUT, MAP_BYTES_UNCONFIRMED, PREPARE_TIMEOUT, REPORT_MAX_AGE,
+    RESEND_INTERVAL, SWITCH_DELAY, SWITCH_DELAY_FACTOR, SWITCH_DELAY_MIN, SWITCH_DELAY_WEIGHT,
+    SWITCH_MIN_STEPS,
 };
 use super::events;
 use super::message::{AgentReport, ArmedMap, Command, ExpertLists};
@@ -75,6 +76,15 @@
     }
 }
 
+/// Bytes that a map takes on its way to one rank.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct MapSizes {
+    /// As changes against the map in use.
+    pub(crate) changes: usize,
+    /// As a whole.
+    pub(crate) whole: usize,
+}
+
 /// The latest report of each rank, with the time of its receipt.
 pub(crate) type Reports = IndexMap<u16, (AgentReport, Duration)>;
 
@@ -96,6 +106,8 @@
     /// Usual time from the order to hold until all ranks are armed.
     arm_time: Duration,
     hold_at: Duration,
+    /// Sizes of the map that is being prepared.
+    sizes: MapSizes,
 }
 
 /// The next term above `seen` for a lead at `rank`.
@@ -119,6 +131,7 @@
             last_version: 0,
             arm_time: SWITCH_DELAY.div_f64(SWITCH_DELAY_FACTOR),
             hold_at: Duration::ZERO,
+            sizes: MapSizes::default(),
         }
     }
 
@@ -163,6 +176,7 @@
         &mut self,
         seen: u64,
         map: Arc<ExpertLists>,
+        sizes: MapSizes,
         now: Duration,
     ) -> Option<u64> {
         if self.phase != Phase::Idle {
@@ -171,6 +185,7 @@
         let next = seen.max(self.last_version).saturating_add(1);
         let version = next.max(self.term << VERSION_PLAN_BITS);
         self.last_version = version;
+        self.sizes = sizes;
         self.enter(Phase::Preparing { version, map }, now, "a plan pays");
         Some(version)
     }
@@ -291,11 +306,34 @@
             self.enter(Phase::Idle, now, "a rank does not prepare");
             return Vec::new();
         }
-        let missing = |(rank, r): &(u16, &&AgentReport)| {
-            r.status.lacks(version) && !r.status.busy && self.is_due(*rank, now)
+        let ranks = self.ranks_to_send(reports, version, now).into_iter();
+        ranks.map(|rank| (rank, Command::Prepare { version, map: map.clone() })).collect()
+    }
+
+    /// Ranks that the map is sent to now. What is on its way is bounded: more than the link carries would
+    /// delay or drop the lead's reports, and another rank would take over.
+    fn ranks_to_send(&self, reports: &[&AgentReport], version: u64, now: Duration) -> Vec<u16> {
+        let lacks = |(_, r): &(u16, &&AgentReport)| r.status.lacks(version) && !r.status.busy;
+        let size = |(rank, r): &(u16, &&AgentReport)| match r.wants_map {
+            _ if *rank == self.rank => 0,
+            true => self.sizes.whole,
+            false => self.sizes.changes,
         };
-        let command = |(rank, _)| (rank, Command::Prepare { version, map: map.clone() });
-        (0..).zip(reports).filter(missing).map(command).collect()
+        let (mut due, sent): (Vec<_>, Vec<_>) =
+            (0..).zip(reports).filter(lacks).partition(|(rank, _)| self.is_due(*rank, now));
+        // Ranks that were sent nothing go first: one that does not confirm may be cut off.
+        due.sort_by_key(|(rank, _)| self.sent_at.get(rank).copied());
+        let mut bytes: usize = sent.iter().map(size).sum();
+        let mut ranks = Vec::new();
+        for rank in due {
+            let is_full = bytes > 0 && bytes + size(&rank) > MAP_BYTES_UNCONFIRMED;
+            if is_full {
+                break;
+            }
+            bytes += size(&rank);
+            ranks.push(rank.0);
+        }
+        ranks
     }
 
     fn hold(
--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -3,21 +3,22 @@
 
 use super::agent::Agent;
 use super::constants::{
-    INITIAL_LOAD, LOST_ORDER_COOLDOWN, MAPS_PER_TICK, PLAN_INTERVAL, PLAN_RETRY_INTERVAL,
-    RANK_GONE, REMINDING_RANKS, REMOTE_READ_INTERVAL, REMOTE_READS_MAX, REMOTE_RETRY_DELAY,
-    REMOTE_TIMEOUT, TAKEOVER_DELAY, TAKEOVER_RANKS_MAX, TAKEOVER_STAGGER,
+    INITIAL_LOAD, LOST_ORDER_COOLDOWN, PLAN_INTERVAL, PLAN_RETRY_INTERVAL, RANK_GONE,
+    REMINDING_RANKS, REMOTE_READ_INTERVAL, REMOTE_READS_MAX, REMOTE_RETRY_DELAY, REMOTE_TIMEOUT,
+    TAKEOVER_DELAY, TAKEOVER_RANKS_MAX, TAKEOVER_STAGGER,
 };
 use super::demand::Popularity;
 use super::events;
-use super::lead::{Phase, is_fresh};
+use super::lead::{MapSizes, Phase, is_fresh};
 use super::maps::{changes, is_well_formed};
 use super::message::{
     AgentReport, Command, ExpertLists, GroupMember, GroupPulse, GroupStatus, LeadCommand,
-    MapChanges, RankMessage, members_digest,
+    RankMessage, members_digest,
 };
 use super::planner::{PlanInput, plan, skew_bound, window_skew};
 use super::rank::RankClient;
 use crate::peers::message::Message;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -142,10 +143,11 @@
         let seen = |r: &AgentReport| r.status.version.max(r.status.prepared.unwrap_or_default());
         let seen = self.reports.values().map(|(r, _)| seen(r)).max().unwrap_or_default();
         let (map, copy_ms) = (Arc::new(new_plan.map), new_plan.copy_time.as_millis() as u64);
-        let Some(version) = self.lead.propose(seen, map.clone(), now) else { return };
-        let met = self.skew_meter.take_mean();
         let map_changes = Arc::new(changes(base, &lists, &map));
         let bytes = encoded_size(map_changes.as_ref());
+        let sizes = MapSizes { changes: bytes, whole: encoded_size(map.as_ref()) };
+        let Some(version) = self.lead.propose(seen, map.clone(), sizes, now) else { return };
+        let met = self.skew_meter.take_mean();
         self.map_changes = Some((version, map_changes));
         self.maps.insert(epoch, base, Arc::new(lists));
         self.maps.insert(epoch, version, map);
@@ -216,7 +218,6 @@
         let commands = self.lead.advance(&self.reports, self.pass_clock.pass_ms, now);
         let (term, epoch) = (self.lead.term(), self.lead.epoch());
         let own_rank = self.local.status().map(|s| s.rank);
-        let mut whole_maps = 0;
         for (rank, command) in commands {
             let lead_command = LeadCommand { term, epoch, command };
             if Some(rank) == own_rank {
@@ -226,13 +227,6 @@
                 self.refresh_remote(rank).await;
             } else if let Some(address) = self.contacts.agent(rank) {
                 let lead_command = self.compact_command(rank, lead_command);
-                if matches!(lead_command.command, Command::Prepare { .. }) {
-                    // The others are due again after the resend interval.
-                    whole_maps += 1;
-                    if whole_maps > MAPS_PER_TICK {
-                        continue;
-                    }
-                }
                 let message = Message::Rank(RankMessage::Command(Box::new(lead_command)));
                 self.send(&message, &[address]).await;
             }
@@ -315,9 +309,9 @@
     }
 }
 
-/// Size of a message part in a datagram, in bytes.
-fn encoded_size(changes: &MapChanges) -> usize {
-    postcard::to_stdvec(changes).map_or(0, |bytes| bytes.len())
+/// Size of a part of a message in bytes.
+fn encoded_size(part: &impl Serialize) -> usize {
+    postcard::to_stdvec(part).map_or(0, |bytes| bytes.len())
 }
 
 /// Running and waiting requests of a rank.
--- a/papayaproxy/src/ranks/tests/agreement.rs
+++ b/papayaproxy/src/ranks/tests/agreement.rs
@@ -4,7 +4,7 @@
 //! Long run: `PROPTEST_CASES=20000 cargo test --release -p papayaproxy --lib ranks::tests`.
 
 use crate::ranks::constants::UNREACHABLE_STEPS;
-use crate::ranks::lead::{Lead, Phase, Reports};
+use crate::ranks::lead::{Lead, MapSizes, Phase, Reports};
 use crate::ranks::message::{AgentReport, ArmedMap, Command, CountSample, LeadCommand, RankStatus};
 use crate::ranks::rank::{Action, Order, RankTracker};
 use proptest::prelude::*;
@@ -341,7 +341,7 @@
                 .values()
                 .map(|(r, _)| r.status.version.max(r.status.prepared.unwrap_or_default()));
             let seen = versions.max().unwrap_or_default();
-            agent.lead.propose(seen, Arc::default(), now);
+            agent.lead.propose(seen, Arc::default(), MapSizes::default(), now);
         }
         // Demand shifts while a map is being prepared.
         if self.shifts.random_bool(0.01) {
--- a/papayaproxy/src/ranks/tests/mod.rs
+++ b/papayaproxy/src/ranks/tests/mod.rs
@@ -4,6 +4,7 @@
 
 mod agreement;
 mod demand;
+mod link;
 mod maps;
 mod pass;
 mod planner;
--- a/papayaproxy/src/ranks/tests/rank.rs
+++ b/papayaproxy/src/ranks/tests/rank.rs
@@ -2,7 +2,7 @@
 
 use super::maps::status;
 use crate::ranks::constants::{PREPARE_TIMEOUT, RESEND_INTERVAL, TICK};
-use crate::ranks::lead::{Lead, Reports};
+use crate::ranks::lead::{Lead, MapSizes, Reports};
 use crate::ranks::message::{AgentReport, Command, CountSample, LeadCommand, RankStatus};
 use crate::ranks::rank::{Action, RankTracker};
 use std::sync::Arc;
@@ -63,7 +63,7 @@
     let mut reports: Reports =
         (0..2).map(|rank| (rank, (report(status(rank, 2), term), NOW))).collect();
     lead.advance(&reports, 60.0, NOW);
-    let version = lead.propose(0, Arc::default(), NOW).unwrap();
+    let version = lead.propose(0, Arc::default(), MapSizes::default(), NOW).unwrap();
     assert_eq!(lead.advance(&reports, 60.0, NOW).len(), 2);
     reports.values_mut().for_each(|(r, _)| r.status.copying = Some(version));
     assert!(lead.advance(&reports, 60.0, NOW + RESEND_INTERVAL).is_empty());
