Expert maps: two unusual windows in a row are a shift of demand

Callers saw: late streams for the seconds in which a group of 96 ranks keeps the map of the demand before.

Cause: in such a group a shift moves a window of counts by 0.14 to 0.19, chance moves it by 0.04 to 0.11, and the limit of 0.14 to 0.20 lay between or above. A shift below the limit was taken into the estimate, and its distance into the usual one, which raised the limit for the windows after it: the shift was never noticed.

Change: a window beyond 3 usual deviations is neither taken into the estimate nor planned for; a second one in a row is a shift, a usual one after it makes it chance, which is learned. Beyond 5 deviations one window suffices, as before.

Failed before: record_shift_near_limit_noticed (no shift noticed). record_single_outlier_no_shift holds on both.

--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -117,6 +117,8 @@
 pub(crate) const CHANGE_MARGIN: f32 = 0.02;
 /// The same in usual deviations from the usual distance.
 pub(crate) const DEVIATION_FACTOR: f32 = 5.0;
+/// The same for a window whose predecessor exceeded this as well.
+pub(crate) const DEVIATION_FACTOR_AGAIN: f32 = 3.0;
 /// Assumed distance between windows before the first two.
 pub(crate) const NOISE_INITIAL: f32 = 0.08;
 /// Assumed deviation of that distance before the first two windows.
--- a/papayaproxy/src/ranks/demand.rs
+++ b/papayaproxy/src/ranks/demand.rs
@@ -5,8 +5,9 @@
 //! windows usually do begins a new estimate, without any older counts.
 
 use super::constants::{
-    CHANGE_MARGIN, DEVIATION_FACTOR, DEVIATION_INITIAL, INITIAL_LIFE, LIFE_MAX, LIFE_MIN,
-    LIFE_WEIGHT, MIN_COUNTS_PER_EXPERT, MIXED_TIME, NOISE_INITIAL, NOISE_WEIGHT, WINDOW_LENGTH,
+    CHANGE_MARGIN, DEVIATION_FACTOR, DEVIATION_FACTOR_AGAIN, DEVIATION_INITIAL, INITIAL_LIFE,
+    LIFE_MAX, LIFE_MIN, LIFE_WEIGHT, MIN_COUNTS_PER_EXPERT, MIXED_TIME, NOISE_INITIAL,
+    NOISE_WEIGHT, WINDOW_LENGTH,
 };
 use super::events;
 use crate::catalog::ExpertFigures;
@@ -33,6 +34,8 @@
     changed_at: Option<Duration>,
     /// Mean time between shifts.
     mean_life: Duration,
+    /// Distance of the last window on the scale of `noise`, if it was unusual but alone no shift.
+    suspect: Option<f32>,
     /// Whether the last window agreed with the estimate.
     is_settled: bool,
 }
@@ -53,6 +56,7 @@
             deviation: DEVIATION_INITIAL,
             changed_at: None,
             mean_life: INITIAL_LIFE,
+            suspect: None,
             is_settled: false,
         }
     }
@@ -116,13 +120,20 @@
         let distance = if known { self.window_distance() } else { 1.0 };
         // An estimate of one window varies as much as the window that it is compared with.
         let scale = (1.0 + self.window_count / self.estimate_count.max(1.0)).min(2.0).sqrt() as f32;
-        let limit = scale * (self.noise + DEVIATION_FACTOR * self.deviation) + CHANGE_MARGIN;
-        self.is_settled = distance <= limit;
-        if self.is_settled {
-            let distance = distance / scale;
-            let deviation = (distance - self.noise).abs();
-            self.deviation += NOISE_WEIGHT * (deviation - self.deviation);
-            self.noise += NOISE_WEIGHT * (distance - self.noise);
+        let limit =
+            |deviations: f32| scale * (self.noise + deviations * self.deviation) + CHANGE_MARGIN;
+        let (limit, suspect_limit) = (limit(DEVIATION_FACTOR), limit(DEVIATION_FACTOR_AGAIN));
+        let is_large = distance > suspect_limit;
+        let is_shift = distance > limit || (is_large && self.suspect.is_some());
+        self.is_settled = !is_large;
+        if is_large && !is_shift {
+            // The next window decides. Learning from a shift would raise the limit that shows it.
+            self.suspect = Some(distance / scale);
+        } else if self.is_settled {
+            if let Some(distance) = self.suspect.take() {
+                self.learn_noise(distance);
+            }
+            self.learn_noise(distance / scale);
             let is_mixed = self.changed_at.is_some_and(|at| now < at + MIXED_TIME);
             if is_mixed {
                 std::mem::swap(&mut self.estimate, &mut self.window);
@@ -132,12 +143,20 @@
                 self.estimate_count += self.window_count;
             }
         } else {
+            self.suspect = None;
             self.begin_estimate(distance, limit, now);
         }
         self.window.fill(0.0);
         (self.window_count, self.window_start) = (0.0, now);
     }
 
+    /// Takes the distance of a window from an estimate of many into the usual one.
+    fn learn_noise(&mut self, distance: f32) {
+        let deviation = (distance - self.noise).abs();
+        self.deviation += NOISE_WEIGHT * (deviation - self.deviation);
+        self.noise += NOISE_WEIGHT * (distance - self.noise);
+    }
+
     fn begin_estimate(&mut self, distance: f32, limit: f32, now: Duration) {
         std::mem::swap(&mut self.estimate, &mut self.window);
         self.estimate_count = self.window_count;
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -314,10 +314,9 @@
     /// delay or drop the lead's reports, and another rank would take over.
     fn ranks_to_send(&self, reports: &[&AgentReport], version: u64, now: Duration) -> Vec<u16> {
         let lacks = |(_, r): &(u16, &&AgentReport)| r.status.lacks(version) && !r.status.busy;
-        let size = |(rank, r): &(u16, &&AgentReport)| match r.wants_map {
-            _ if *rank == self.rank => 0,
-            true => self.sizes.whole,
-            false => self.sizes.changes,
+        let size = |(rank, r): &(u16, &&AgentReport)| {
+            let is_remote = *rank != self.rank;
+            usize::from(is_remote) * if r.wants_map { self.sizes.whole } else { self.sizes.changes }
         };
         let (mut due, sent): (Vec<_>, Vec<_>) =
             (0..).zip(reports).filter(lacks).partition(|(rank, _)| self.is_due(*rank, now));
--- a/papayaproxy/src/ranks/tests/demand.rs
+++ b/papayaproxy/src/ranks/tests/demand.rs
@@ -175,3 +175,40 @@
     popularity.record(&sample(&mut demand, 41), WINDOW_LENGTH * 41);
     assert_eq!(popularity.changed_at(), Some(WINDOW_LENGTH * 41));
 }
+
+/// Counts of 192 experts: all but `part` go to the first half evenly, `part` to one of the others.
+fn window_with(part: f64, expert: usize) -> Vec<u32> {
+    let mut set = vec![(1e6 * (1.0 - part) / 96.0) as u32; 96];
+    set.resize(192, 0);
+    set[expert] += (1e6 * part) as u32;
+    set.repeat(SETS.into())
+}
+
+/// A shift that moves a window less than the widest chance does was taken into the estimate, and widened
+/// the limit for the windows after it: the map stayed that of the demand before.
+#[test]
+fn record_shift_near_limit_noticed() {
+    let mut popularity = Popularity::new(figures(192, 3), Duration::ZERO);
+    for window in 1..=80 {
+        let part = if window % 2 == 0 { 0.05 } else { 0.1 };
+        popularity.record(&window_with(part, 96 + window % 90), WINDOW_LENGTH * window as u32);
+    }
+    let before = popularity.changed_at().unwrap();
+    assert!(before < WINDOW_LENGTH * 10, "{before:?}");
+    for window in 81..=82 {
+        popularity.record(&window_with(0.16, 191), WINDOW_LENGTH * window);
+    }
+    assert_eq!(popularity.changed_at(), Some(WINDOW_LENGTH * 82));
+}
+
+/// One window that chance moves far is no shift.
+#[test]
+fn record_single_outlier_no_shift() {
+    let mut popularity = Popularity::new(figures(192, 3), Duration::ZERO);
+    for window in 1..=80 {
+        let part = if window % 20 == 0 { 0.16 } else { 0.05 + 0.05 * f64::from(window % 2) };
+        let expert = 96 + (window % 90) as usize;
+        popularity.record(&window_with(part, expert), WINDOW_LENGTH * window);
+    }
+    assert!(popularity.changed_at().unwrap() < WINDOW_LENGTH * 10);
+}
