--- a/papayaproxy/src/ranks/demand.rs
+++ b/papayaproxy/src/ranks/demand.rs
@@ -1,8 +1,8 @@
 //! Popularity of experts, from the counts of some ranks. Without I/O or clock.
 //!
 //! Demand stays the same for seconds and then shifts at once for all requests. So counts are
-//! compared in short windows: one that differs from all counts since the last shift by more than
-//! windows usually do begins a new estimate, without any older counts.
+//! compared in short windows: one that differs from all counts since the last shift by much more than
+//! windows usually do, or two in a row by somewhat more, begin a new estimate without any older counts.
 
 use super::constants::{
     CHANGE_MARGIN, DEVIATION_FACTOR, DEVIATION_FACTOR_AGAIN, DEVIATION_INITIAL, INITIAL_LIFE,
