Pass clock: the passes before an agent's start are not counted

Cause: an agent that starts beside a running replica took the number of the current pass for passes of its first 0.4 s, so that a pass seemed to take 0.7 ms. A lead that prepared a map within that time set the switch 380 passes ahead; until then no other map could be planned.

Change: the first status begins the first window; until it ends the time of a pass is unknown, and the least distance applies.

Failed before: both cases of observe_agent_started_late_earlier_passes_ignored (1.09 and 1 ms).

--- a/papayaproxy/src/ranks/pass.rs
+++ b/papayaproxy/src/ranks/pass.rs
@@ -9,6 +9,8 @@
 pub(crate) struct PassClock {
     window_start: Duration,
     window_step: u64,
+    /// Whether a status has been seen. The passes before the first one took an unknown time.
+    has_begun: bool,
     /// Recent duration of a pass in milliseconds; 0 while none runs.
     pub(crate) pass_ms: f64,
     /// When a new pass was last seen, or the rank had no requests or held a pass.
@@ -43,7 +45,8 @@
         if status.step != self.last_step || (is_idle && !is_doubtful) || status.held.is_some() {
             (self.last_step, self.progress_at) = (status.step, now);
         }
-        if status.step < self.window_step {
+        if status.step < self.window_step || !self.has_begun {
+            self.has_begun = true;
             (self.window_start, self.window_step, self.pass_ms) = (now, status.step, 0.0);
         } else if elapsed >= PASS_WINDOW {
             let steps = status.step - self.window_step;
--- a/papayaproxy/src/ranks/tests/pass.rs
+++ b/papayaproxy/src/ranks/tests/pass.rs
@@ -58,3 +58,16 @@
     clock.observe(&status(6, 0), at(3100));
     assert!(!clock.is_stalled(at(3100)));
 }
+
+/// An agent that starts beside a running replica must not count the passes before its start: the lead then
+/// set a switch hundreds of passes ahead, and the group kept its map for half a minute.
+#[rstest]
+#[case::at_start(50)]
+#[case::after_a_while(700)]
+fn observe_agent_started_late_earlier_passes_ignored(#[case] first_ms: u64) {
+    let mut clock = PassClock::default();
+    clock.observe(&status(640, 4), Duration::from_millis(first_ms));
+    assert!(clock.pass_ms == 0.0, "{}", clock.pass_ms);
+    clock.observe(&status(650, 4), Duration::from_millis(first_ms + 600));
+    assert!((clock.pass_ms - 60.0).abs() < 0.1, "{}", clock.pass_ms);
+}
