--- a/papayaproxy/tests/deadly.rs
+++ b/papayaproxy/tests/deadly.rs
@@ -99,7 +99,8 @@
     );
     let mut is_open = stream.write_all(head.as_bytes()).is_ok();
     let first = from.parse().unwrap_or(0) + 1;
-    for number in first..first + count.min(EVENTS + 1 - first.min(EVENTS + 1)) {
+    let last = (first + count - 1).min(EVENTS);
+    for number in first..=last {
         thread::sleep(EVENT_PAUSE);
         let event = format!("id: {number}\ndata: piece {number}\n\n");
         is_open &= stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok();
@@ -160,8 +161,8 @@
     is_read && answer.ends_with(b"0\r\n\r\n")
 }
 
-/// Plays the traffic. Returns the crashes, the deadly requests that arrived too late, and the shares of sound
-/// requests in a thousand that were answered whole.
+/// Plays the traffic. Returns the crashes, the deadly requests that arrived too late, and how many of a thousand
+/// sound requests were answered whole.
 fn play(sent: Option<u64>, port: Port) -> (usize, usize, u64) {
     let seen = Arc::new(Seen::default());
     let replicas = (0..REPLICAS).map(|_| ("model", open_replica(seen.clone(), sent, port)));
