--- a/review/standins-2/clients.py
+++ b/review/standins-2/clients.py
@@ -12,12 +12,13 @@
         self.address, self.port, self.host, self.path, self.key = address, port, host, path, key
         self.record = record
         self.whole = self.other = 0
+        self.events = 28
 
-    async def run(self, number):
-        """One client, which goes on until it is cancelled."""
+    async def run(self, number, pause=None):
+        """One client, which goes on until it is cancelled. It waits for `pause` before each request."""
         reader = writer = None
         while True:
-            await asyncio.sleep(random.uniform(0.05, 0.3))
+            await (pause() if pause else asyncio.sleep(random.uniform(0.05, 0.3)))
             identity = f"{random.getrandbits(64):016x}"
             began = time.monotonic()
             try:
@@ -66,4 +67,4 @@
         if head.get("x-request-id") != identity:
             raise ValueError("answer to another request")
         data = b"".join([chunk async for chunk in wire.read_chunks(reader)])
-        return "whole" if data.count(b"\n\n") == 28 else "short", closes
+        return "whole" if data.count(b"\n\n") == self.events else "short", closes
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -108,9 +108,11 @@
         self.tasks = []
 
     def record(self, text):
+        if self.file.closed:
+            return
         self.file.write(f"{time.monotonic() - self.began:9.4f} {text}\n")
 
-    async def start(self, count):
+    async def start(self, count, pause=None):
         """Starts all, forms the group as at a first start, and lets `count` clients send."""
         await wire.serve("127.0.10.200", self.app, self.store.handle)
         self.store.put("op/config", configuration(7))
@@ -125,7 +127,7 @@
         self.record("the group opens")
         await asyncio.sleep(1.5)
         for number in range(count):
-            self.tasks.append(asyncio.create_task(self.clients.run(number)))
+            self.tasks.append(asyncio.create_task(self.clients.run(number, pause)))
 
     async def wait(self, condition, seconds):
         """Whether `condition` comes true within `seconds`."""
--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -38,6 +38,9 @@
         # the next order until that one is carried out. No spell begins while the time is 0.
         self.late_s, self.late_until = 0.0, None
         self.on_unanswered = None
+        # Decides for an order whether it gets no answer, and after how long it is then carried out.
+        self.delay = None
+        self.unanswered = self.answered = 0
 
     def entry(self, service):
         return {
@@ -117,26 +120,26 @@
             if not self.prepared or self.prepared[0] != version or self.armed or step <= self.group.step:
                 return 409
             self.armed = (version, step)
-            return 202
+            return self.group.done
         if operation == "disarm":
             if self.version == version:
                 return 409
             if not self.armed or self.armed[0] != version:
                 return 200
             self.armed = None
-            return 202
+            return self.group.done
         if operation == "hold":
             if self.held == step:
                 return 200
             if self.held is not None or step <= self.group.step:
                 return 409
             self.held = step
-            return 202
+            return self.group.done
         if operation == "go":
             if self.held != step:
                 return 200
             self.held = None
-            return 202
+            return self.group.done
         return 400
 
     async def handle(self, method, target, head, body, writer):
@@ -163,19 +166,24 @@
         record = self.group.record
         text = f"rank {self.rank}: {order['operation']} version {order.get('version')}"
         text += f" step {order.get('step')} expected {order.get('expected')}"
+        delay = self.delay(order) if self.delay else 0.0
         if self.late_s and self.late_until is None:
             self.late_until = time.monotonic() + self.late_s
         if self.late_until and time.monotonic() < self.late_until:
-            record(f"order unanswered, to be carried out in {self.late_s:.1f} s: {text}")
+            delay = self.late_s
+        if delay:
+            self.unanswered += 1
+            record(f"order unanswered, to be carried out in {delay:.1f} s: {text}")
 
             def carry_out():
                 record(f"order carried out late, {self.order(order)}: {text}")
 
-            asyncio.get_running_loop().call_later(self.late_s, carry_out)
+            asyncio.get_running_loop().call_later(delay, carry_out)
             if self.on_unanswered:
                 self.on_unanswered(order)
             await asyncio.sleep(30)
             return False
+        self.answered += 1
         status = self.order(order)
         record(f"order answered {status}: {text}")
         reasons = {200: "OK", 202: "Accepted", 409: "Conflict", 400: "Bad Request"}
@@ -196,7 +204,7 @@
         self.requests.append(queue)
         try:
             begun = False
-            for number in range(EVENTS):
+            for number in range(self.group.events):
                 await queue.get()
                 if not begun:
                     begun = True
@@ -224,6 +232,10 @@
         self.first_map = None
         self.epoch, self.step, self.is_open = 0, 0, False
         self.broken_rule = None
+        # Events of an answer, and the status of orders that are done at once: of 202 and 200 only the
+        # first one, for an order that begins something, counts in `sequence`.
+        self.events = EVENTS
+        self.done = 202
         self.passes = 0
         self.switched_at = time.monotonic()
         self.samples = []
