Catalog: the log tells when the store's history is gone, and each full read with its era

Cause: a watch that got 410 and the full read after it were not logged, and no line named the store's era, so that the hypotheses of the restored store could not be told apart. Events 3112 and 3113; the client of the store decodes the header of the era. No change of logic.

--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -7,7 +7,7 @@
 use super::events;
 use super::follow::{Catalog, StoreHealth, StoreRole};
 use super::freshness::{answered_by, boot_time};
-use crate::platform::{FailureSign, StoreError};
+use crate::platform::{FailureSign, StoreError, StoreUpdate};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -75,6 +75,16 @@
     pub(super) wait: Duration,
 }
 
+fn log_history_gone(what: &str, after: Option<u64>, era: u64) {
+    tracing::info!(event = events::HISTORY_GONE, what, after, era, "history of the store is gone");
+}
+
+fn log_read(what: &str, read: &StoreUpdate) {
+    let StoreUpdate { revision, era, ref items } = *read;
+    let items = items.len();
+    tracing::info!(event = events::STORE_READ, what, revision, era, items, "store read in full");
+}
+
 /// Follows the configuration until the runtime ends.
 pub(super) async fn follow_config(catalog: Rc<Catalog>) {
     let mut pause = RETRY_FIRST;
@@ -100,7 +110,8 @@
         let lag = if reread { Duration::ZERO } else { WATCH_LAG };
         let confirmed_at = answered_by(sent, wait, boot_time()).saturating_sub(lag);
         let now = catalog.clock.now();
-        if let Err(StoreError::HistoryGone) = answer {
+        if let Err(StoreError::HistoryGone { era }) = answer {
+            log_history_gone(what, revision, era);
             reread = true;
             continue;
         }
@@ -110,6 +121,9 @@
             Ok(watched) => {
                 pause = record_result(health, call, None, pause, now);
                 catalog.observe_recovery(failing);
+                if revision.is_none() {
+                    log_read(what, &watched.config);
+                }
                 let empty = watched.config.items.is_empty() && reread;
                 catalog.apply_evacuations(&watched, revision.is_none());
                 catalog.apply_watched_config(&watched.config);
@@ -156,7 +170,8 @@
         };
         let now = catalog.clock.now();
         let confirmed_at = answered_by(sent, wait, boot_time());
-        if let Err(StoreError::HistoryGone) = answer {
+        if let Err(StoreError::HistoryGone { era }) = answer {
+            log_history_gone(call.what, revision, era);
             reread = true;
             continue;
         }
@@ -167,7 +182,10 @@
                 pause = record_result(health, call, None, pause, now);
                 match revision {
                     Some(_) => catalog.apply_changes(watched, confirmed_at),
-                    None => catalog.apply_listing(watched, confirmed_at),
+                    None => {
+                        log_read(call.what, &watched);
+                        catalog.apply_listing(watched, confirmed_at);
+                    }
                 }
                 reread = false;
                 tokio::time::sleep(catalog.pause).await;
--- a/papayaproxy/src/platform/caller.rs
+++ b/papayaproxy/src/platform/caller.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
@@ -77,7 +77,7 @@
         &self,
         path: &str,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         self.call(Method::GET, path, Bytes::new(), limit).await
     }
 
@@ -90,7 +90,7 @@
         path: &str,
         body: Bytes,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         self.call(Method::POST, path, body, limit).await
     }
 
@@ -100,7 +100,7 @@
         path: &str,
         body: Bytes,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         let response = timeout(limit, self.exchange(method, path, body)).await;
         response.unwrap_or(Err(CallError::Timeout { limit }))
     }
@@ -110,7 +110,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         // Without ids, only the first response on a connection is known to belong to its call.
         let must_open = method == Method::POST && self.names_calls && !self.returns_ids.get();
         let (mut connection, is_reused) = match must_open {
@@ -140,8 +140,8 @@
             }
             self.returns_ids.set(self.returns_ids.get() || !is_unnamed);
         }
-        let status = response.status();
-        let body = MeteredBody::new(response.into_body(), meter.clone());
+        let (parts, body) = response.into_parts();
+        let body = MeteredBody::new(body, meter.clone());
         let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
         let body = body.map_err(|error| match error.is::<LengthLimitError>() {
             true => CallError::Oversized,
@@ -152,7 +152,7 @@
         if !must_open {
             self.idle.borrow_mut().push(connection);
         }
-        Ok((status, body))
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Returns a connection, and whether it has served a call before.
--- a/papayaproxy/src/platform/names.rs
+++ b/papayaproxy/src/platform/names.rs
@@ -28,6 +28,10 @@
 /// Id of the last event that the caller of a stream has received.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
+/// Number of times that the store has come back from a copy of its data, in each of its responses.
+/// Absent if the store does not state it.
+pub(crate) const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Readiness endpoint that the load balancer polls.
 pub(crate) const READY_PATH: &str = "/readiness";
 /// State of a replica and its rank.
--- a/papayaproxy/src/platform/rank.rs
+++ b/papayaproxy/src/platform/rank.rs
@@ -212,8 +212,8 @@
         let wire = WireOrder { operation, version, step, mapping, epoch, expected };
         // Serialising numbers and short lists does not fail.
         let body = serde_json::to_vec(&wire).unwrap_or_default();
-        let (status, _) = self.client.post(ORDER_PATH, Bytes::from(body), limit).await?;
-        Ok(match status {
+        let response = self.client.post(ORDER_PATH, Bytes::from(body), limit).await?;
+        Ok(match response.status() {
             StatusCode::ACCEPTED => OrderReply::Accepted,
             StatusCode::OK => OrderReply::Unchanged,
             other => OrderReply::Refused(other.as_u16()),
@@ -225,10 +225,11 @@
         path: &str,
         limit: Duration,
     ) -> Result<T, RankError> {
-        let (status, body) = self.client.get(path, limit).await?;
+        let response = self.client.get(path, limit).await?;
+        let status = response.status();
         if status != StatusCode::OK {
             return Err(RankError::Refused { status });
         }
-        Ok(serde_json::from_slice(&body)?)
+        Ok(serde_json::from_slice(response.body())?)
     }
 }
--- a/papayaproxy/src/platform/store.rs
+++ b/papayaproxy/src/platform/store.rs
@@ -1,11 +1,11 @@
 //! Client of the platform's store, which allows reads and watches only.
 
 use super::caller::{CallError, HttpClient};
-use super::names::{CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, UPSTREAM_PREFIX};
+use super::names::{CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, STORE_ERA, UPSTREAM_PREFIX};
 use base64::prelude::BASE64_STANDARD;
 use base64::{DecodeError, Engine as _};
 use bytes::Bytes;
-use hyper::StatusCode;
+use hyper::{HeaderMap, StatusCode};
 use serde::Deserialize;
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -27,7 +27,10 @@
     Refused { status: StatusCode },
     /// The store no longer has the revisions that a watch asked for; a full read is needed.
     #[snafu(display("the store no longer has the requested history"))]
-    HistoryGone,
+    HistoryGone {
+        /// The store's era.
+        era: u64,
+    },
     #[snafu(display("invalid response from the store: {reason}"))]
     Malformed { reason: String },
 }
@@ -48,7 +51,7 @@
     /// What the failed call tells of the store.
     pub(crate) fn sign(&self) -> FailureSign {
         match self {
-            Self::HistoryGone | Self::Malformed { .. } => FailureSign::Answered,
+            Self::HistoryGone { .. } | Self::Malformed { .. } => FailureSign::Answered,
             // Only the rate of calls is above its limit.
             Self::Refused { status } if *status == StatusCode::TOO_MANY_REQUESTS => {
                 FailureSign::Answered
@@ -77,6 +80,8 @@
     pub(crate) items: Vec<Item>,
     /// Revision of the store after which the next watch starts.
     pub(crate) revision: u64,
+    /// The store's era: how often it has come back from a copy of its data.
+    pub(crate) era: u64,
 }
 
 /// The operator began or ended an evacuation.
@@ -126,9 +131,9 @@
 
 impl WirePage {
     /// The changes under `prefix` that a watch after `revision` brought.
-    fn into_update(self, prefix: &str, revision: u64) -> StoreUpdate {
+    fn into_update(self, prefix: &str, revision: u64, era: u64) -> StoreUpdate {
         let items = self.items.into_iter().filter_map(|i| decode(i, prefix)).collect();
-        StoreUpdate { items, revision: self.at_rev.max(revision) }
+        StoreUpdate { items, revision: self.at_rev.max(revision), era }
     }
 }
 
@@ -143,6 +148,8 @@
     items: Vec<WireItem>,
     /// Revision of the first page.
     revision: u64,
+    /// Era of the first page.
+    era: u64,
     /// Whether an empty page named further ones, which then cannot be asked for.
     is_truncated: bool,
 }
@@ -166,7 +173,7 @@
             let reason = "an empty page is followed by others".to_owned();
             return Err(StoreError::Malformed { reason });
         }
-        Ok(split(listing.items, listing.revision))
+        Ok(split(listing.items, listing.revision, listing.era))
     }
 
     /// Waits up to `wait` for changes of the configuration and the evacuations after `revision`.
@@ -175,32 +182,33 @@
         revision: u64,
         wait: Duration,
     ) -> Result<OperatorUpdate, StoreError> {
-        let page = self.watch(OPERATOR_PREFIX, revision, wait).await?;
-        Ok(split(page.items, page.at_rev.max(revision)))
+        let (era, page) = self.watch(OPERATOR_PREFIX, revision, wait).await?;
+        Ok(split(page.items, page.at_rev.max(revision), era))
     }
 
     /// Reads the configuration. The update has no items if the operator has not written one yet.
     pub(crate) async fn read_config(&self) -> Result<StoreUpdate, StoreError> {
         let path = format!("/kv-key?key={CONFIG_KEY}");
-        let Some(body) = self.call(&path, CALL_TIMEOUT).await? else {
-            return Ok(StoreUpdate::default());
+        let (era, body) = self.call(&path, CALL_TIMEOUT).await?;
+        let Some(body) = body else {
+            return Ok(StoreUpdate { era, ..StoreUpdate::default() });
         };
         let item: WireItem = parse(&body)?;
         let revision = item.at_rev.max(item.revision);
-        Ok(StoreUpdate { items: decode(item, CONFIG_KEY).into_iter().collect(), revision })
+        Ok(StoreUpdate { items: decode(item, CONFIG_KEY).into_iter().collect(), revision, era })
     }
 
     /// Lists the upstream records.
     pub(crate) async fn read_upstreams(&self) -> Result<StoreUpdate, StoreError> {
-        let Listing { items, revision, .. } = self.list(UPSTREAM_PREFIX).await?;
+        let Listing { items, revision, era, .. } = self.list(UPSTREAM_PREFIX).await?;
         let items = items.into_iter().filter_map(|i| decode(i, UPSTREAM_PREFIX)).collect();
-        Ok(StoreUpdate { items, revision })
+        Ok(StoreUpdate { items, revision, era })
     }
 
     /// Reads all pages of the keys that begin with `prefix`.
     async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
         let mut items = Vec::new();
-        let mut revision = 0;
+        let (mut revision, mut era) = (0, 0);
         let mut after = String::new();
         for index in 0..PAGES_MAX {
             let mut path = format!("/kv-range?pathPrefix={prefix}");
@@ -208,18 +216,18 @@
                 path.push_str("&after=");
                 path.extend(form_urlencoded::byte_serialize(after.as_bytes()));
             }
-            let body = self.call(&path, CALL_TIMEOUT).await?.unwrap_or_default();
-            let page: WirePage = parse(&body)?;
+            let (page_era, body) = self.call(&path, CALL_TIMEOUT).await?;
+            let page: WirePage = parse(&body.unwrap_or_default())?;
             // Later pages may be newer than the first. The watch starts at the revision of the
             // first page, so that no change is missed.
             if index == 0 {
-                revision = page.at_rev;
+                (revision, era) = (page.at_rev, page_era);
             }
             let last = page.items.last().map(|item| item.key.clone());
             let is_truncated = page.has_more && last.is_none();
             items.extend(page.items);
             match last.filter(|_| page.has_more) {
-                None => return Ok(Listing { items, revision, is_truncated }),
+                None => return Ok(Listing { items, revision, era, is_truncated }),
                 Some(last) if last <= after => {
                     let reason = format!("the page after '{after}' ends with '{last}'");
                     return Err(StoreError::Malformed { reason });
@@ -236,8 +244,8 @@
         revision: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let page = self.watch(CONFIG_KEY, revision, wait).await?;
-        let mut update = page.into_update(CONFIG_KEY, revision);
+        let (era, page) = self.watch(CONFIG_KEY, revision, wait).await?;
+        let mut update = page.into_update(CONFIG_KEY, revision, era);
         // The prefix also covers keys that are longer than the configuration's.
         update.items.retain(|item| item.key.is_empty());
         Ok(update)
@@ -249,8 +257,8 @@
         revision: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let page = self.watch(UPSTREAM_PREFIX, revision, wait).await?;
-        Ok(page.into_update(UPSTREAM_PREFIX, revision))
+        let (era, page) = self.watch(UPSTREAM_PREFIX, revision, wait).await?;
+        Ok(page.into_update(UPSTREAM_PREFIX, revision, era))
     }
 
     async fn watch(
@@ -258,24 +266,25 @@
         prefix: &str,
         revision: u64,
         wait: Duration,
-    ) -> Result<WirePage, StoreError> {
+    ) -> Result<(u64, WirePage), StoreError> {
         let wait_ms = wait.as_millis();
         let path = format!("/kv-watch?pathPrefix={prefix}&after={revision}&waitMs={wait_ms}");
-        let body = self.call(&path, wait + CALL_TIMEOUT).await?.unwrap_or_default();
-        parse(&body)
+        let (era, body) = self.call(&path, wait + CALL_TIMEOUT).await?;
+        Ok((era, parse(&body.unwrap_or_default())?))
     }
 
-    /// Makes one call. Returns `None` for status 404.
-    async fn call(&self, path: &str, limit: Duration) -> Result<Option<Bytes>, StoreError> {
+    /// Makes one call. Returns the store's era and the body, or no body for status 404.
+    async fn call(&self, path: &str, limit: Duration) -> Result<(u64, Option<Bytes>), StoreError> {
         let response = self.client.get(path, limit).await.map_err(|source| match source {
             CallError::Oversized => StoreError::Malformed { reason: source.to_string() },
             source => StoreError::NoResponse { source },
         });
-        let (status, body) = response?;
-        match status {
-            StatusCode::OK => Ok(Some(body)),
-            StatusCode::NOT_FOUND => Ok(None),
-            StatusCode::GONE => Err(StoreError::HistoryGone),
+        let (parts, body) = response?.into_parts();
+        let era = parse_era(&parts.headers)?;
+        match parts.status {
+            StatusCode::OK => Ok((era, Some(body))),
+            StatusCode::NOT_FOUND => Ok((era, None)),
+            StatusCode::GONE => Err(StoreError::HistoryGone { era }),
             status => Err(StoreError::Refused { status }),
         }
     }
@@ -285,10 +294,17 @@
     serde_json::from_slice(body).map_err(|e| StoreError::Malformed { reason: e.to_string() })
 }
 
+/// The era that a response names; 0 if it names none.
+fn parse_era(headers: &HeaderMap) -> Result<u64, StoreError> {
+    let Some(value) = headers.get(STORE_ERA) else { return Ok(0) };
+    let era = value.to_str().ok().and_then(|text| text.parse().ok());
+    era.ok_or_else(|| StoreError::Malformed { reason: format!("era {value:?} is no number") })
+}
+
 /// Sorts items under the operator's prefix; those with unknown keys are dropped.
-fn split(items: Vec<WireItem>, revision: u64) -> OperatorUpdate {
+fn split(items: Vec<WireItem>, revision: u64, era: u64) -> OperatorUpdate {
     let mut update = OperatorUpdate::default();
-    update.config.revision = revision;
+    (update.config.revision, update.config.era) = (revision, era);
     for item in items {
         if let Some(zone) = item.key.strip_prefix(EVACUATION_PREFIX) {
             let (zone, is_evacuated) = (zone.to_owned(), !item.deleted);
--- a/papayaproxy/src/platform/tests/large.rs
+++ b/papayaproxy/src/platform/tests/large.rs
@@ -29,7 +29,7 @@
         for _ in 0..4 {
             let client = HttpClient::new(server.address);
             let answer = client.get("/kv-range", Duration::from_secs(20)).await;
-            assert_eq!(answer.unwrap().1.len(), BYTES);
+            assert_eq!(answer.unwrap().body().len(), BYTES);
         }
     });
 }
