--- a/papayaproxy/src/catalog/tests/evacuations.rs
+++ b/papayaproxy/src/catalog/tests/evacuations.rs
@@ -20,7 +20,7 @@
 }
 
 /// A store with evacuations of `zones`, and a catalog that has read them.
-async fn follow(zones: &[&str]) -> (FakeStore, Rc<Catalog>) {
+pub(super) async fn follow_zones(zones: &[&str]) -> (FakeStore, Rc<Catalog>) {
     let store = FakeStore::bind().await;
     store.put("op/config", CONFIG);
     zones.iter().for_each(|zone| store.put(&format!("op/evacuate/{zone}"), "{}"));
@@ -30,7 +30,7 @@
     (store, catalog)
 }
 
-async fn wait_for_zones(catalog: &Catalog, expected: &[&str]) {
+pub(super) async fn wait_for_zones(catalog: &Catalog, expected: &[&str]) {
     for _ in 0..1000 {
         if catalog.evacuated_zones().is_some_and(|zones| zones.iter().eq(expected)) {
             return;
@@ -53,7 +53,7 @@
 #[test]
 fn follow_paged_read_own_keys_only() {
     on_one_thread(async {
-        let (store, _) = follow(&[]).await;
+        let (store, _) = follow_zones(&[]).await;
         store.put("op/config", CONFIG.to_owned() + &" ".repeat(1 << 20));
         for key in ["op/config2", "op/evacuate", "op/evacuated/x", "op/evacuate/"] {
             store.put(key, CONFIG.replace('7', "8"));
@@ -73,7 +73,7 @@
 #[test]
 fn follow_no_setting_same_calls() {
     on_one_thread(async {
-        let (store, _) = follow(&["b"]).await;
+        let (store, _) = follow_zones(&["b"]).await;
         let (before, own) = (store.calls("/kv-range op/"), store.follow());
         store.wait_for_calls("/kv-watch op/config", 2).await;
         let calls = (store.calls("/kv-key"), store.calls("/kv-range op/"));
@@ -85,7 +85,7 @@
 #[test]
 fn follow_deletion_missed_read_in_full() {
     on_one_thread(async {
-        let (store, catalog) = follow(&["b"]).await;
+        let (store, catalog) = follow_zones(&["b"]).await;
         store.delete_unseen("op/evacuate/b");
         store.content.borrow_mut().gone_prefix = Some("op/");
         wait_for_zones(&catalog, &[]).await;
@@ -97,7 +97,7 @@
 #[test]
 fn follow_store_away_set_kept() {
     on_one_thread(async {
-        let (store, catalog) = follow(&["b"]).await;
+        let (store, catalog) = follow_zones(&["b"]).await;
         store.content.borrow_mut().cut_prefix = Some("op/");
         store.wait_for_calls("/kv-watch op/", 3).await;
         assert!(catalog.is_store_failing() && catalog.told_evacuations() == Some(told(&["b"], 2)));
@@ -146,7 +146,7 @@
         let address = |number| SocketAddr::from(([127, high, low, number], 7841));
         let mut fleet = Vec::new();
         for number in 101..=116 {
-            let (store, mut catalog) = follow(&["old"]).await;
+            let (store, mut catalog) = follow_zones(&["old"]).await;
             if number == 116 {
                 catalog = self::catalog(address(117)); // nothing listens there
             }
--- a/papayaproxy/src/catalog/tests/mod.rs
+++ b/papayaproxy/src/catalog/tests/mod.rs
@@ -8,4 +8,5 @@
 mod odd_answers;
 mod odd_entries;
 mod outages;
+mod restored;
 mod store;
--- /dev/null
+++ b/papayaproxy/src/catalog/tests/restored.rs
@@ -0,0 +1,86 @@
+//! A store that comes back from a copy of its data: revisions go back and are given out again, and what
+//! the operator and the replicas wrote since is written again.
+
+use super::evacuations::{follow_zones, wait_for_zones};
+use super::odd_entries::entry;
+use super::store::{FakeStore, wait_for_ready, wait_for_version};
+use crate::gateway::tests::stand_ins::on_one_thread;
+use std::time::Duration;
+
+fn config(version: u64) -> String {
+    format!(r#"{{"version": {version}, "routes": [], "services": []}}"#)
+}
+
+/// A configuration that is written under a revision which the store has given out before must be read:
+/// three of eight entries answered 404 on a confirmed route (CONFIG).
+#[test]
+fn follow_store_restored_later_config_read() {
+    on_one_thread(async {
+        let store = FakeStore::bind().await;
+        store.put("op/config", config(7));
+        let copy = store.copy();
+        store.put("op/config", config(8));
+        store.put("op/config", config(9));
+        let catalog = store.follow();
+        wait_for_version(&catalog, 9).await;
+        store.restore(copy, "op/config");
+        store.put("op/config", config(9));
+        store.write_after_read("op/config", config(10));
+        store.serve_watches();
+        wait_for_version(&catalog, 10).await;
+    });
+}
+
+/// Full reads and refused watches must not alternate without a pause: they were 85 a second.
+#[test]
+fn follow_store_restored_read_once() {
+    on_one_thread(async {
+        let store = FakeStore::bind().await;
+        store.put("op/config", config(7));
+        let copy = store.copy();
+        store.put("op/config", config(8));
+        let catalog = store.follow();
+        wait_for_version(&catalog, 8).await;
+        let before = store.calls("/kv-key");
+        store.restore(copy, "op/config");
+        store.serve_watches();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(store.calls("/kv-key") - before, 1);
+    });
+}
+
+/// An upstream that leaves under an earlier revision than that of its known record must get no more
+/// requests (DRAIN).
+#[test]
+fn follow_store_restored_leaving_upstream_read() {
+    on_one_thread(async {
+        let store = FakeStore::bind().await;
+        store.put("servers/m", entry("s", 1));
+        let copy = store.copy();
+        store.put("servers/n", entry("s", 2));
+        store.put("servers/m", entry("s", 3));
+        let catalog = store.follow();
+        wait_for_ready(&catalog, &["m", "n"]).await;
+        store.restore(copy, "servers/");
+        store.put("servers/n", entry("s", 2));
+        store.write_after_read("servers/m", entry("s", 3).replace("ready", "draining"));
+        store.serve_watches();
+        wait_for_ready(&catalog, &["n"]).await;
+    });
+}
+
+/// The end of an evacuation under an earlier revision than its beginning must be read.
+#[test]
+fn follow_store_restored_evacuation_ended() {
+    on_one_thread(async {
+        let (store, catalog) = follow_zones(&[]).await;
+        let copy = store.copy();
+        store.put("op/evacuate/b", "{}");
+        store.put("op/evacuate/c", "{}");
+        wait_for_zones(&catalog, &["b", "c"]).await;
+        store.restore(copy, "op/");
+        store.put("op/evacuate/c", "{}");
+        store.serve_watches();
+        wait_for_zones(&catalog, &["c"]).await;
+    });
+}
--- a/papayaproxy/src/catalog/tests/store.rs
+++ b/papayaproxy/src/catalog/tests/store.rs
@@ -24,6 +24,10 @@
     /// Items by key: the JSON text of `value`, or `None` if deleted, and the revision.
     items: IndexMap<String, (Option<String>, u64)>,
     revision: u64,
+    /// How often the store has come back from a copy.
+    era: u64,
+    /// Item that is written once the next full read has been answered: its key and its JSON text.
+    write_after_read: Option<(&'static str, String)>,
     /// The next watch of this prefix is told that its history is gone.
     pub(super) gone_prefix: Option<&'static str>,
     /// Items in a page of a listing; `None` for all.
@@ -40,6 +44,16 @@
     pub(super) cut_late: Option<(&'static str, Duration)>,
 }
 
+/// Items and revision of a store at one time.
+type StoreCopy = (IndexMap<String, (Option<String>, u64)>, u64);
+
+impl Content {
+    fn change(&mut self, key: &str, value: Option<String>) {
+        self.revision += 1;
+        self.items.insert(key.to_owned(), (value, self.revision));
+    }
+}
+
 /// A running fake store.
 #[derive(Clone)]
 pub(super) struct FakeStore {
@@ -82,10 +96,32 @@
     }
 
     fn change(&self, key: &str, value: Option<String>) {
+        self.content.borrow_mut().change(key, value);
+    }
+
+    /// A copy of the store's data.
+    pub(super) fn copy(&self) -> StoreCopy {
+        let content = self.content.borrow();
+        (content.items.clone(), content.revision)
+    }
+
+    /// Comes back from `copy`; watches are cut until [`FakeStore::serve_watches`].
+    pub(super) fn restore(&self, copy: StoreCopy, cut_prefix: &'static str) {
         let mut content = self.content.borrow_mut();
-        content.revision += 1;
-        let revision = content.revision;
-        content.items.insert(key.to_owned(), (value, revision));
+        (content.items, content.revision) = copy;
+        content.era += 1;
+        content.cut_prefix = Some(cut_prefix);
+    }
+
+    /// Writes `bytes` under `key` once the next full read of it has been answered.
+    pub(super) fn write_after_read(&self, key: &'static str, bytes: impl AsRef<[u8]>) {
+        let text = format!("\"{}\"", BASE64_STANDARD.encode(bytes));
+        self.content.borrow_mut().write_after_read = Some((key, text));
+    }
+
+    /// Answers watches again.
+    pub(super) fn serve_watches(&self) {
+        self.content.borrow_mut().cut_prefix = None;
     }
 
     /// Calls to `path` so far.
@@ -172,6 +208,7 @@
         _ if content.watch_body.is_some() && prefix == "servers/" => {
             (0, 200, content.watch_body.take().unwrap_or_default())
         }
+        _ if query["after"].parse::<u64>().unwrap() > content.revision => (0, 410, String::new()),
         _ => {
             let after = query["after"].parse().unwrap();
             let events = events(&content, &prefix, after);
@@ -180,7 +217,19 @@
             (wait, 200, format!(r#"{{"events":[{}],"atRev":{at}}}"#, events.join(",")))
         }
     };
-    let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+    let era = content.era;
+    let head = format!(
+        "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let is_read = |key: &str| match path {
+        "/kv-key" => query["key"] == key,
+        "/kv-range" => key.starts_with(&prefix),
+        _ => false,
+    };
+    if let Some((key, value)) = content.write_after_read.take_if(|(key, _)| is_read(key)) {
+        content.change(key, Some(value));
+    }
     vec![Action::Wait(Duration::from_millis(wait)), Action::Send(head + &body)]
 }
 
