Catalog: a position in the store is its era and its revision

Cause: revisions were compared as if they only rose. An entry kept the highest one it had seen; the restored store answered 410 to its watches, a full read did not lower it, so that both alternated 85 times a second, and once the store had given out as many revisions anew, the watch was taken and skipped what lay between. The same comparison ignored records of upstreams, their removal, evacuations and the lists of peers. Change: each position holds the era that the store names in its responses, later eras order first; a watch that is answered in another era counts as history that is gone, and a watch that is refused right after a full read waits. A new era makes no replica cold. Ruled out: a rejected configuration (no event 3101). Datagrams between entries change: replace all entries together.

--- a/papayaproxy/src/balance/tests/patterns.rs
+++ b/papayaproxy/src/balance/tests/patterns.rs
@@ -7,6 +7,7 @@
 use crate::balance::warmup::WarmUpRule;
 use crate::base::name::Name;
 use crate::catalog::directory::{Directory, UpstreamRecord, UpstreamState};
+use crate::catalog::tests::at;
 use crate::catalog::{ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Service};
 use crate::limits::CircuitSettings;
 use crate::peers::PeerLoads;
@@ -76,7 +77,7 @@
     let mut index = 0;
     for zone in zones {
         for _ in 0..4 {
-            directory.put(&id(index), entry(index, zone, "llm"), 1);
+            directory.put(&id(index), entry(index, zone, "llm"), at(1));
             index += 1;
         }
     }
@@ -373,8 +374,8 @@
     let (mut balancer, mut directory, config) = balancer(&[]);
     let old = entry(0, "a", "llm");
     let new = UpstreamRecord { started_ms: 2, ..old.clone() };
-    directory.put(&id(1), old, 1);
-    directory.put(&id(2), new, 2);
+    directory.put(&id(1), old, at(1));
+    directory.put(&id(2), new, at(2));
     balancer.install(&config, &directory, START);
     let seat = granted(balancer.offer(request(1, START), START)).unwrap();
     assert_eq!(seat.upstream, id(2));
--- a/papayaproxy/src/balance/tests/records.rs
+++ b/papayaproxy/src/balance/tests/records.rs
@@ -2,6 +2,7 @@
 
 use super::patterns::{START, balancer, granted, id, request};
 use crate::balance::SendOutcome;
+use crate::catalog::tests::at;
 use crate::catalog::{Directory, UpstreamRecord};
 use crate::peers::message::digest;
 
@@ -9,7 +10,7 @@
 fn without(directory: &Directory, index: u16) -> (Directory, UpstreamRecord) {
     let mut rest = Directory::default();
     for (name, record) in directory.ready().filter(|(name, _)| **name != id(index)) {
-        rest.put(name, record.clone(), 1);
+        rest.put(name, record.clone(), at(1));
     }
     let (_, record) = directory.ready().find(|(name, _)| **name == id(index)).unwrap();
     (rest, record.clone())
@@ -39,7 +40,7 @@
     let index = (0..4).find(|index| id(*index) == old.upstream).unwrap();
     let (mut next, mut record) = without(&directory, index);
     record.started_ms += 1;
-    next.put(&old.upstream, record, 2);
+    next.put(&old.upstream, record, at(2));
     balancer.install(&config, &next, START);
     assert!(balancer.loads().is_empty());
     let mut tickets = 2..;
--- a/papayaproxy/src/balance/tests/warmup.rs
+++ b/papayaproxy/src/balance/tests/warmup.rs
@@ -3,7 +3,8 @@
 use super::patterns::{balancer, granted, group_status, id, request};
 use crate::balance::desk::Balancer;
 use crate::balance::{SeatDecision, WarmUpRule};
-use crate::catalog::{Config, Directory, WarmUp};
+use crate::catalog::tests::at;
+use crate::catalog::{Config, Directory, Revision, WarmUp};
 use crate::peers::EntryIds;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -29,7 +30,7 @@
 fn entry(rule: WarmUpRule, warm_up: WarmUp, started: Duration) -> (Balancer, Directory, Config) {
     let (t, all, mut config) = balancer(&["a"]);
     let mut directory = Directory::default();
-    directory.put(&id(0), all.ready().next().unwrap().1.clone(), 1);
+    directory.put(&id(0), all.ready().next().unwrap().1.clone(), at(1));
     config.services[0].warm_up = Some(warm_up);
     (Balancer::new(t.zone, t.budget_rule, t.circuit, rule, started), directory, config)
 }
@@ -48,7 +49,7 @@
 fn put_cold(directory: &mut Directory, cold: Duration, revision: u64) -> bool {
     let mut record = directory.ready().next().unwrap().1.clone();
     record.cold = cold;
-    directory.put(&id(0), record, revision)
+    directory.put(&id(0), record, at(revision))
 }
 
 /// Sends to the upstream as soon as the entry may, until `end`; returns the times at which it was cold.
@@ -211,6 +212,19 @@
     assert!(is_cold(&entry, 3999));
 }
 
+/// A store that comes back from a copy lists each record under a later revision. Replicas that have been
+/// warm for long must not all be cold at once.
+#[test]
+fn install_store_restored_warm_stays_warm() {
+    let (mut entry, mut directory, config) = settled(RULE, 0, 1);
+    put_cold(&mut directory, SECOND, 2);
+    entry.install(&config, &directory, NOW);
+    let record = directory.ready().next().unwrap().1.clone();
+    directory.put(&id(0), record, Revision { era: 1, number: 2 });
+    entry.install(&config, &directory, NOW + SECOND * 2);
+    assert_eq!(entry.cold_upstreams(NOW + SECOND * 2), 0);
+}
+
 /// Replicas are cold after their group has formed again, and after their zone is in use again.
 #[test]
 fn observe_group_formed_again_cold() {
--- a/papayaproxy/src/balance/warmup.rs
+++ b/papayaproxy/src/balance/warmup.rs
@@ -11,7 +11,7 @@
 use super::events;
 use super::upstream::Upstream;
 use crate::base::name::Name;
-use crate::catalog::WarmUp;
+use crate::catalog::{Revision, WarmUp};
 use crate::peers::EntryIds;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -128,7 +128,7 @@
     /// When something other than its record last showed that it is cold.
     inferred_at: Option<Duration>,
     /// Store revision of the record that was read last.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// Earliest time of the next request by the mean interval.
     next_send: Duration,
     /// Requests sent within the last [`SEND_SPAN`], the oldest first. Requests from before the
@@ -208,11 +208,15 @@
     }
 
     /// Applies its record as of `revision`, which states that it is cold for `cold`.
-    pub(super) fn observe_record(&mut self, cold: Duration, revision: u64, now: Duration) {
+    pub(super) fn observe_record(&mut self, cold: Duration, revision: Revision, now: Duration) {
         if self.warm_up.revision.is_some_and(|known| known >= revision) {
             return;
         }
-        self.warm_up.revision = Some(revision);
+        let known = self.warm_up.revision.replace(revision);
+        // A store that has come back from a copy gives each record a later revision.
+        if known.is_some_and(|known| known.era < revision.era) {
+            return;
+        }
         let until = now.saturating_add(cold);
         // A record that was written before the upstream became cold may be read after that.
         let inferred_at = self.warm_up.inferred_at;
--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -7,6 +7,7 @@
 use super::events;
 use super::follow::{Catalog, StoreHealth, StoreRole};
 use super::freshness::{answered_by, boot_time};
+use super::revision::Revision;
 use crate::platform::{FailureSign, StoreError, StoreUpdate};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -75,14 +76,21 @@
     pub(super) wait: Duration,
 }
 
-fn log_history_gone(what: &str, after: Option<u64>, era: u64) {
+/// Records that the store, which is in `era`, does not answer a watch that starts at `after`. Waits if
+/// that was the position of a full read that has just been made.
+async fn leave_history(what: &str, after: Option<Revision>, era: u64, was_read: bool) {
+    let after = after.map(|a| a.number);
     tracing::info!(event = events::HISTORY_GONE, what, after, era, "history of the store is gone");
+    if was_read {
+        tokio::time::sleep(RETRY_FIRST).await;
+    }
 }
 
 fn log_read(what: &str, read: &StoreUpdate) {
-    let StoreUpdate { revision, era, ref items } = *read;
-    let items = items.len();
-    tracing::info!(event = events::STORE_READ, what, revision, era, items, "store read in full");
+    let Revision { era, number } = read.revision;
+    let items = read.items.len();
+    let event = events::STORE_READ;
+    tracing::info!(event, what, revision = number, era, items, "store read in full");
 }
 
 /// Follows the configuration until the runtime ends.
@@ -90,6 +98,7 @@
     let mut pause = RETRY_FIRST;
     let mut reread = true;
     let mut failed = false;
+    let mut was_read = false;
     loop {
         catalog.wait_for_turn().await;
         let wait = match catalog.role() {
@@ -111,7 +120,7 @@
         let confirmed_at = answered_by(sent, wait, boot_time()).saturating_sub(lag);
         let now = catalog.clock.now();
         if let Err(StoreError::HistoryGone { era }) = answer {
-            log_history_gone(what, revision, era);
+            leave_history(what, revision, era, was_read || revision.is_none()).await;
             reread = true;
             continue;
         }
@@ -128,7 +137,7 @@
                 catalog.apply_evacuations(&watched, revision.is_none());
                 catalog.apply_watched_config(&watched.config);
                 catalog.confirm_version(catalog.version(), confirmed_at);
-                (reread, failed) = (empty, false);
+                (reread, failed, was_read) = (empty, false, revision.is_none());
                 if empty {
                     tokio::time::sleep(RETRY_FIRST).await;
                 }
@@ -149,6 +158,7 @@
     let mut pause = RETRY_FIRST;
     let mut reread = true;
     let mut failed = false;
+    let mut was_read = false;
     loop {
         catalog.wait_for_turn().await;
         // Lapsed records have to expire in time even if no change ends the watch.
@@ -160,7 +170,7 @@
             false => UPSTREAM_WAIT_SHARED,
         };
         // A list from peers is as good a start as an own one.
-        let revision = Some(catalog.list_revision()).filter(|r| *r > 0 && !reread);
+        let revision = Some(catalog.list_revision()).filter(|r| !r.is_none() && !reread);
         let wait = revision.map_or(Duration::ZERO, |_| wait);
         let sent = boot_time();
         let call = Call { what: "upstreams", sent: catalog.clock.now(), wait };
@@ -171,7 +181,7 @@
         let now = catalog.clock.now();
         let confirmed_at = answered_by(sent, wait, boot_time());
         if let Err(StoreError::HistoryGone { era }) = answer {
-            log_history_gone(call.what, revision, era);
+            leave_history(call.what, revision, era, was_read || revision.is_none()).await;
             reread = true;
             continue;
         }
@@ -187,7 +197,7 @@
                         catalog.apply_listing(watched, confirmed_at);
                     }
                 }
-                reread = false;
+                (reread, was_read) = (false, revision.is_none());
                 tokio::time::sleep(catalog.pause).await;
             }
             Err(error) => {
--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -2,6 +2,7 @@
 
 use super::constants::{LAPSE_GRACE, REMOVED_MAX};
 use super::events;
+use super::revision::Revision;
 use crate::base::name::Name;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -39,8 +40,8 @@
 pub(crate) struct Row {
     /// The record as last written.
     pub(crate) record: UpstreamRecord,
-    /// Revision of the last change.
-    pub(crate) revision: u64,
+    /// The last change.
+    pub(crate) revision: Revision,
     /// When the record was found missing during or after a store outage.
     lapsed_at: Option<Duration>,
     /// When a lapsed record is removed; `None` until the store has recovered.
@@ -48,14 +49,14 @@
 }
 
 /// An upstream's id, its record, and the revision of the last change.
-pub(crate) type ListedUpstream = (Name, UpstreamRecord, u64);
+pub(crate) type ListedUpstream = (Name, UpstreamRecord, Revision);
 
 /// All upstreams by id.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Directory {
     rows: IndexMap<Name, Row>,
     /// Revisions of removals reported by the store, by id; the latest removal is last.
-    removed: IndexMap<Name, u64>,
+    removed: IndexMap<Name, Revision>,
 }
 
 impl Directory {
@@ -65,9 +66,9 @@
         records.filter(|(_, record)| record.state == UpstreamState::Ready)
     }
 
-    /// Store revision of the last change of a record; 0 if there is none.
-    pub(crate) fn revision(&self, id: &str) -> u64 {
-        self.rows.get(id).map_or(0, |row| row.revision)
+    /// Store revision of the last change of a record; none if there is no record.
+    pub(crate) fn revision(&self, id: &str) -> Revision {
+        self.rows.get(id).map(|row| row.revision).unwrap_or_default()
     }
 
     /// All records, to be sent to a peer.
@@ -95,7 +96,9 @@
             hasher.update(text.as_bytes());
             if !record.cold.is_zero() {
                 // A replica that becomes cold once more may write the same record.
-                hasher.update(format!("{} {revision};", record.cold.as_millis()).as_bytes());
+                let Revision { era, number } = revision;
+                let text = format!("{} {era} {number};", record.cold.as_millis());
+                hasher.update(text.as_bytes());
             }
         }
         hasher.digest()
@@ -107,7 +110,7 @@
     }
 
     /// Applies a record written at `revision`. Returns whether the directory has changed.
-    pub(crate) fn put(&mut self, id: &Name, record: UpstreamRecord, revision: u64) -> bool {
+    pub(crate) fn put(&mut self, id: &Name, record: UpstreamRecord, revision: Revision) -> bool {
         let known = self.rows.get(id);
         if known.is_some_and(|r| r.revision > revision) {
             return false;
@@ -128,7 +131,7 @@
     pub(crate) fn remove(
         &mut self,
         id: &str,
-        revision: u64,
+        revision: Revision,
         may_return: bool,
         now: Duration,
     ) -> bool {
@@ -140,7 +143,7 @@
                 tracing::info!(
                     event = events::UPSTREAM_LAPSED,
                     upstream = id,
-                    revision,
+                    revision = revision.number,
                     "upstream record is missing"
                 );
                 row.lapsed_at = Some(now);
@@ -151,7 +154,7 @@
             event = events::UPSTREAM_LEAVING,
             upstream = id,
             reason = "entry removed",
-            revision,
+            revision = revision.number,
             "upstream is leaving"
         );
         self.remember_removal(id, revision);
@@ -163,7 +166,7 @@
     pub(crate) fn replace_from_peer(
         &mut self,
         mut listed: Vec<ListedUpstream>,
-        revision: u64,
+        revision: Revision,
         now: Duration,
     ) -> bool {
         listed.retain(|(id, _, written)| {
@@ -172,7 +175,7 @@
         self.replace(listed, revision, false, now)
     }
 
-    fn remember_removal(&mut self, id: &str, revision: u64) {
+    fn remember_removal(&mut self, id: &str, revision: Revision) {
         self.removed.shift_remove(id);
         self.removed.insert(id.into(), revision);
         if self.removed.len() > REMOVED_MAX {
@@ -185,7 +188,7 @@
     pub(crate) fn replace(
         &mut self,
         listed: Vec<ListedUpstream>,
-        revision: u64,
+        revision: Revision,
         may_return: bool,
         now: Duration,
     ) -> bool {
@@ -213,13 +216,14 @@
         }
         let is_over = |row: &Row| row.grace_end.is_some_and(|end| now >= end);
         let lapsed = self.rows.iter().filter(|(_, row)| is_over(row));
-        let lapsed: Vec<(Name, u64)> = lapsed.map(|(id, r)| (id.clone(), r.revision)).collect();
+        let lapsed: Vec<(Name, Revision)> =
+            lapsed.map(|(id, r)| (id.clone(), r.revision)).collect();
         for (id, revision) in &lapsed {
             tracing::info!(
                 event = events::UPSTREAM_LEAVING,
                 upstream = %id,
                 reason = "entry did not come back",
-                revision,
+                revision = revision.number,
                 returned_ms = now.saturating_sub(recovered_at).as_millis() as u64,
                 "upstream is leaving"
             );
@@ -243,7 +247,7 @@
     }
 }
 
-fn log_put(id: &Name, known: Option<&Row>, record: &UpstreamRecord, revision: u64) {
+fn log_put(id: &Name, known: Option<&Row>, record: &UpstreamRecord, revision: Revision) {
     let previous = known.map(|r| r.record.state);
     match record.state {
         UpstreamState::Ready if previous != Some(UpstreamState::Ready) => tracing::info!(
@@ -252,14 +256,14 @@
             service = %record.service,
             zone = %record.zone,
             address = %record.address,
-            revision,
+            revision = revision.number,
             "upstream added"
         ),
         UpstreamState::Draining if previous != Some(UpstreamState::Draining) => tracing::info!(
             event = events::UPSTREAM_LEAVING,
             upstream = %id,
             reason = "draining",
-            revision,
+            revision = revision.number,
             "upstream is leaving"
         ),
         _ => {}
--- a/papayaproxy/src/catalog/evacuations.rs
+++ b/papayaproxy/src/catalog/evacuations.rs
@@ -4,6 +4,7 @@
 use super::constants::{EVACUATIONS_TOLD_MAX, IGNORED_MAX};
 use super::events;
 use super::follow::Catalog;
+use super::revision::Revision;
 use crate::base::name::{NAME_BYTES_MAX, Name};
 use crate::platform::{EvacuationChange, OperatorUpdate, StoreError};
 use indexmap::IndexMap;
@@ -16,7 +17,7 @@
 pub(crate) struct EvacuatedZones {
     pub(crate) zones: Vec<Name>,
     /// Store revision as of which they are complete.
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
 }
 
 /// The evacuated zones that are known.
@@ -24,9 +25,9 @@
 pub(crate) struct Evacuations {
     zones: BTreeSet<Name>,
     /// Store revision as of which the set is complete; `None` before the first.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// Revisions of the invalid keys that have been logged, by key.
-    ignored: IndexMap<String, u64>,
+    ignored: IndexMap<String, Revision>,
 }
 
 impl Evacuations {
@@ -43,7 +44,7 @@
 
     /// Applies a full read of the store at `revision`. Returns whether the set has changed, or is
     /// known for the first time.
-    pub(crate) fn apply_read(&mut self, read: &[EvacuationChange], revision: u64) -> bool {
+    pub(crate) fn apply_read(&mut self, read: &[EvacuationChange], revision: Revision) -> bool {
         // The store may answer a read from before a set that a peer has sent.
         if self.revision.is_some_and(|known| revision < known) {
             return false;
@@ -58,7 +59,7 @@
     /// Applies the changes that a watch brought, which the store had sent up to `revision`. The watch
     /// must have begun at a revision that is not later than that of the set. Returns whether the set
     /// has changed.
-    pub(crate) fn apply_watch(&mut self, changes: &[EvacuationChange], revision: u64) -> bool {
+    pub(crate) fn apply_watch(&mut self, changes: &[EvacuationChange], revision: Revision) -> bool {
         let Some(known) = self.revision else { return false };
         let mut zones = self.zones.clone();
         // The set may have come from a peer since the watch began, and then includes the first ones.
@@ -85,14 +86,15 @@
         Some(self.install(told.zones.into_iter().collect(), told.revision, "peer"))
     }
 
-    fn install(&mut self, zones: BTreeSet<Name>, revision: u64, source: &str) -> bool {
+    fn install(&mut self, zones: BTreeSet<Name>, revision: Revision, source: &str) -> bool {
+        let number = revision.number;
         for zone in zones.difference(&self.zones) {
             let event = events::EVACUATION_READ;
-            tracing::warn!(event, %zone, revision, source, "the operator evacuates a zone");
+            tracing::warn!(event, %zone, revision = number, source, "the operator evacuates a zone");
         }
         for zone in self.zones.difference(&zones) {
             let event = events::EVACUATION_GONE;
-            tracing::warn!(event, %zone, revision, source, "the operator ended an evacuation");
+            tracing::warn!(event, %zone, revision = number, source, "the operator ended an evacuation");
         }
         let is_first = self.revision.replace(revision).is_none();
         let changed = self.zones != zones;
@@ -109,6 +111,7 @@
         let shown = &zone[..end];
         if self.ignored.insert(shown.to_owned(), *revision) != Some(*revision) {
             let event = events::EVACUATION_IGNORED;
+            let revision = revision.number;
             tracing::warn!(event, zone = shown, revision, reason, "evacuation ignored");
         }
         if self.ignored.len() > IGNORED_MAX {
@@ -143,8 +146,8 @@
         self.evacuations.as_ref()?.borrow().told()
     }
 
-    /// Store revision as of which the evacuated zones are complete; 0 if they are not known.
-    pub(crate) fn evacuations_revision(&self) -> u64 {
+    /// Store revision as of which the evacuated zones are complete; none if they are not known.
+    pub(crate) fn evacuations_revision(&self) -> Revision {
         let evacuations = self.evacuations.as_ref().map(|e| e.borrow().revision);
         evacuations.flatten().unwrap_or_default()
     }
@@ -177,7 +180,7 @@
 
     /// Store revision after which the next watch of what the operator writes starts; `None` if it
     /// has to be read in full.
-    pub(super) fn operator_revision(&self) -> Option<u64> {
+    pub(super) fn operator_revision(&self) -> Option<Revision> {
         let config = self.active().map(|a| a.revision)?;
         // Each may have come from a peer with a later revision than the other one has.
         match &self.evacuations {
@@ -197,7 +200,7 @@
     /// Waits up to `wait` for changes of the same after `revision`.
     pub(super) async fn watch_operator(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> Result<OperatorUpdate, StoreError> {
         match &self.evacuations {
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -11,6 +11,7 @@
 use super::evacuations::Evacuations;
 use super::events;
 use super::freshness::{Freshness, boot_time};
+use super::revision::Revision;
 use crate::base::clock::Clock;
 use crate::base::name::Name;
 use crate::base::supervise::restart_on_panic;
@@ -31,7 +32,7 @@
     /// The bytes as the operator wrote them, to be sent to peers.
     pub(crate) raw: Bytes,
     /// The latest store revision at which the configuration was the newest.
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
 }
 
 /// Part that a process takes in reading the store.
@@ -86,12 +87,12 @@
     pub(super) upstream_health: Cell<StoreHealth>,
     /// When the directory was last known to be complete, in [`boot_time`].
     listed_at: Cell<Option<Duration>>,
-    /// Store revision as of which the directory is complete; 0 before the first listing.
-    list_revision: Cell<u64>,
+    /// Store revision as of which the directory is complete; none before the first listing.
+    list_revision: Cell<Revision>,
     /// Digest of the directory; `None` after a change until it is needed.
     list_digest: Cell<Option<u64>>,
     /// Revisions of the odd records that have been logged, by id.
-    ignored: RefCell<IndexMap<Name, u64>>,
+    ignored: RefCell<IndexMap<Name, Revision>>,
     /// Whether this process follows the store for others, or relies on those that do.
     role: Cell<StoreRole>,
     /// Longest pause between two watches of the upstreams.
@@ -172,8 +173,8 @@
         self.listed_at.get().map(|at| boot_time().saturating_sub(at))
     }
 
-    /// Store revision as of which the directory is complete; 0 before the first listing.
-    pub(crate) fn list_revision(&self) -> u64 {
+    /// Store revision as of which the directory is complete; none before the first listing.
+    pub(crate) fn list_revision(&self) -> Revision {
         self.list_revision.get()
     }
 
@@ -248,7 +249,7 @@
 
     /// Parses a configuration and puts it in force, unless it is invalid or older than the one in
     /// force.
-    pub(crate) fn apply_config(&self, raw: Bytes, revision: u64, source: &str) {
+    pub(crate) fn apply_config(&self, raw: Bytes, revision: Revision, source: &str) {
         let current = self.version();
         let config = match config::parse(&raw) {
             Ok(config) => config,
@@ -299,7 +300,7 @@
 
     /// Records that the directory with the digest `digest` was complete at the time `at`, in
     /// [`boot_time`], and as of `revision`. Returns `false` if this directory is another one.
-    pub(crate) fn confirm_peer_list(&self, digest: u64, revision: u64, at: Duration) -> bool {
+    pub(crate) fn confirm_peer_list(&self, digest: u64, revision: Revision, at: Duration) -> bool {
         if digest != self.list_digest() {
             return false;
         }
@@ -310,7 +311,12 @@
 
     /// Replaces the directory with a peer's list, which was complete at the time `at`, in
     /// [`boot_time`], and as of `revision`. Ignored if the own directory is a later one.
-    pub(crate) fn apply_peer_list(&self, listed: Vec<ListedUpstream>, revision: u64, at: Duration) {
+    pub(crate) fn apply_peer_list(
+        &self,
+        listed: Vec<ListedUpstream>,
+        revision: Revision,
+        at: Duration,
+    ) {
         if revision < self.list_revision.get() || self.listed_at.get().is_some_and(|own| own >= at)
         {
             return;
@@ -436,6 +442,7 @@
             Err(error) => {
                 let (event, revision) = (events::ENTRY_IGNORED, item.revision);
                 if ignored.insert(id.clone(), revision) != Some(revision) {
+                    let revision = revision.number;
                     tracing::warn!(event, upstream = %id, revision, %error, "upstream record ignored");
                 }
                 if ignored.len() > IGNORED_MAX {
--- a/papayaproxy/src/catalog/mod.rs
+++ b/papayaproxy/src/catalog/mod.rs
@@ -8,9 +8,10 @@
 pub(crate) mod events;
 pub(crate) mod follow;
 pub(crate) mod freshness;
+pub(crate) mod revision;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub(crate) use config::{
     ClientLimits, Config, ConfigParts, EngineFigures, ExpertFigures, Route, RouteKind, Service,
@@ -19,3 +20,4 @@
 pub(crate) use directory::{Directory, UpstreamRecord, UpstreamState};
 pub(crate) use evacuations::EvacuatedZones;
 pub(crate) use follow::{Catalog, StoreRole};
+pub(crate) use revision::Revision;
--- a/papayaproxy/src/catalog/tests/directory.rs
+++ b/papayaproxy/src/catalog/tests/directory.rs
@@ -1,5 +1,6 @@
 //! The directory of upstreams: records that are added, removed, replaced or lapse.
 
+use super::at;
 use crate::base::name::Name;
 use crate::catalog::constants::LAPSE_GRACE;
 use crate::catalog::directory::{Directory, UpstreamRecord, UpstreamState};
@@ -29,8 +30,8 @@
 #[case::store_down(true, 1)]
 fn remove_by_outage(#[case] may_return: bool, #[case] left: usize) {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.remove("i-1", 6, may_return, NOW);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.remove("i-1", at(6), may_return, NOW);
     assert_eq!(ready(&directory).len(), left);
 }
 
@@ -41,10 +42,10 @@
 #[case::written_after(7, 1)]
 fn replace_from_peer_removed_stays_removed(#[case] revision: u64, #[case] left: usize) {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.remove("i-1", 6, false, NOW);
-    let listed = vec![("i-1".into(), record(UpstreamState::Ready), revision)];
-    directory.replace_from_peer(listed, 7, NOW);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.remove("i-1", at(6), false, NOW);
+    let listed = vec![("i-1".into(), record(UpstreamState::Ready), at(revision))];
+    directory.replace_from_peer(listed, at(7), NOW);
     assert_eq!(ready(&directory).len(), left);
 }
 
@@ -53,10 +54,10 @@
 #[test]
 fn replace_from_peer_second_reader_behind() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.replace_from_peer(Vec::new(), 8, NOW);
-    let behind = vec![("i-1".into(), record(UpstreamState::Ready), 5)];
-    directory.replace_from_peer(behind, 8, NOW);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.replace_from_peer(Vec::new(), at(8), NOW);
+    let behind = vec![("i-1".into(), record(UpstreamState::Ready), at(5))];
+    directory.replace_from_peer(behind, at(8), NOW);
     assert!(ready(&directory).is_empty());
 }
 
@@ -64,8 +65,8 @@
 #[test]
 fn replace_from_peer_newer_record_kept() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 9);
-    directory.replace_from_peer(Vec::new(), 8, NOW);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(9));
+    directory.replace_from_peer(Vec::new(), at(8), NOW);
     assert_eq!(ready(&directory).len(), 1);
 }
 
@@ -74,18 +75,18 @@
 #[test]
 fn replace_from_peer_lacking_added_by_store() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.replace_from_peer(Vec::new(), 6, NOW);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.replace_from_peer(Vec::new(), at(6), NOW);
     assert!(ready(&directory).is_empty());
-    directory.replace(vec![("i-1".into(), record(UpstreamState::Ready), 5)], 9, false, NOW);
+    directory.replace(vec![("i-1".into(), record(UpstreamState::Ready), at(5))], at(9), false, NOW);
     assert_eq!(ready(&directory).len(), 1);
 }
 
 #[test]
 fn expire_missing_removed() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.remove("i-1", 6, true, NOW);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.remove("i-1", at(6), true, NOW);
     assert!(!directory.expire(Some(NOW), NOW + LAPSE_GRACE / 2));
     assert!(directory.expire(Some(NOW), NOW + LAPSE_GRACE));
     assert!(ready(&directory).is_empty());
@@ -96,8 +97,8 @@
 #[test]
 fn expire_removed_after_recovery_bounded() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.remove("i-1", 6, true, NOW + LAPSE_GRACE / 2);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.remove("i-1", at(6), true, NOW + LAPSE_GRACE / 2);
     assert!(directory.expire(Some(NOW), NOW + LAPSE_GRACE));
     assert!(ready(&directory).is_empty());
 }
@@ -105,9 +106,9 @@
 #[test]
 fn expire_returned_kept() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.remove("i-1", 6, true, NOW);
-    assert!(directory.put(&"i-1".into(), record(UpstreamState::Ready), 9));
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.remove("i-1", at(6), true, NOW);
+    assert!(directory.put(&"i-1".into(), record(UpstreamState::Ready), at(9)));
     assert!(!directory.expire(Some(NOW), NOW + LAPSE_GRACE * 2));
     assert_eq!(ready(&directory).len(), 1);
 }
@@ -116,11 +117,11 @@
 #[test]
 fn put_draining_not_ready() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    assert!(directory.put(&"i-1".into(), record(UpstreamState::Draining), 6));
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    assert!(directory.put(&"i-1".into(), record(UpstreamState::Draining), at(6)));
     assert!(ready(&directory).is_empty());
     assert!(
-        !directory.put(&"i-1".into(), record(UpstreamState::Ready), 5),
+        !directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5)),
         "older than the last record"
     );
     assert!(ready(&directory).is_empty());
@@ -129,10 +130,10 @@
 #[test]
 fn replace_missing_removed() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.put(&"i-2".into(), record(UpstreamState::Ready), 6);
-    let listed = vec![("i-2".into(), record(UpstreamState::Ready), 6)];
-    assert!(directory.replace(listed, 9, false, NOW));
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.put(&"i-2".into(), record(UpstreamState::Ready), at(6));
+    let listed = vec![("i-2".into(), record(UpstreamState::Ready), at(6))];
+    assert!(directory.replace(listed, at(9), false, NOW));
     assert_eq!(ready(&directory), vec![Name::from("i-2")]);
 }
 
@@ -141,8 +142,8 @@
 #[test]
 fn replace_newer_kept() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 12);
-    assert!(!directory.replace(Vec::new(), 9, false, NOW));
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(12));
+    assert!(!directory.replace(Vec::new(), at(9), false, NOW));
     assert_eq!(ready(&directory).len(), 1);
 }
 
@@ -150,8 +151,8 @@
 #[test]
 fn expire_outages_repeated_bounded() {
     let mut directory = Directory::default();
-    directory.put(&"i-1".into(), record(UpstreamState::Ready), 5);
-    directory.remove("i-1", 6, true, NOW);
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(5));
+    directory.remove("i-1", at(6), true, NOW);
     assert!(!directory.expire(Some(NOW), NOW));
     let (step, away) = (LAPSE_GRACE / 4, Duration::from_secs(1));
     let mut now = NOW;
--- a/papayaproxy/src/catalog/tests/evacuations.rs
+++ b/papayaproxy/src/catalog/tests/evacuations.rs
@@ -1,5 +1,6 @@
 //! Evacuations as the store and peers give them.
 
+use super::at;
 use super::store::{DRAIN, FakeStore, wait_for_version};
 use crate::base::clock::Clock;
 use crate::base::name::Incarnation;
@@ -41,11 +42,11 @@
 }
 
 fn change(zone: &str, is_evacuated: bool, revision: u64) -> EvacuationChange {
-    EvacuationChange { zone: zone.into(), is_evacuated, revision }
+    EvacuationChange { zone: zone.into(), is_evacuated, revision: at(revision) }
 }
 
 fn told(zones: &[&str], revision: u64) -> EvacuatedZones {
-    EvacuatedZones { zones: zones.iter().map(|z| (*z).into()).collect(), revision }
+    EvacuatedZones { zones: zones.iter().map(|z| (*z).into()).collect(), revision: at(revision) }
 }
 
 /// A configuration of 1 MB fills a page, so that evacuations are on later ones. Other keys are neither
@@ -105,7 +106,7 @@
         assert!(catalog.apply_peer_evacuations(Some(told(&["b", "c"], 3))));
         wait_for_zones(&catalog, &["b", "c"]).await;
         store.put("op/evacuate/d", "{}");
-        catalog.apply_config(CONFIG.replace('7', "8").into(), 4, "peer");
+        catalog.apply_config(CONFIG.replace('7', "8").into(), at(4), "peer");
         store.delete("op/evacuate/b");
         store.content.borrow_mut().cut_prefix = None;
         wait_for_zones(&catalog, &["c", "d"]).await;
@@ -116,13 +117,13 @@
 #[test]
 fn apply_earlier_revision_ignored() {
     let mut own = Evacuations::default();
-    assert!(own.apply_read(&[change("a", true, 2)], 4), "the first set");
+    assert!(own.apply_read(&[change("a", true, 2)], at(4)), "the first set");
     assert_eq!(own.apply_peer(told(&["a", "b"], 9)), Some(true));
     assert_eq!(own.apply_peer(told(&["a"], 8)), Some(false));
-    assert!(!own.apply_read(&[change("a", true, 2)], 8));
+    assert!(!own.apply_read(&[change("a", true, 2)], at(8)));
     // A watch that began before the peer's set repeats changes that the set includes.
-    assert!(!own.apply_watch(&[change("b", true, 5), change("b", false, 6)], 8));
-    assert!(own.apply_watch(&[change("a", false, 10)], 11));
+    assert!(!own.apply_watch(&[change("b", true, 5), change("b", false, 6)], at(8)));
+    assert!(own.apply_watch(&[change("a", false, 10)], at(11)));
     assert_eq!(own.told(), Some(told(&["b"], 11)));
 }
 
@@ -132,7 +133,7 @@
     #[values("", "a b", "a\n", "zürich", &"é".repeat(40), &"x".repeat(65))] name: &str,
 ) {
     let mut own = Evacuations::default();
-    assert!(own.apply_read(&[change(name, true, 2), change("b", true, 3)], 4));
+    assert!(own.apply_read(&[change(name, true, 2), change("b", true, 3)], at(4)));
     assert_eq!(own.apply_peer(told(&["b", name], 9)), None);
     assert_eq!(own.told(), Some(told(&["b"], 4)));
 }
--- a/papayaproxy/src/catalog/tests/mod.rs
+++ b/papayaproxy/src/catalog/tests/mod.rs
@@ -10,3 +10,10 @@
 mod outages;
 mod restored;
 mod store;
+
+use super::Revision;
+
+/// A position in the store's first era.
+pub(crate) fn at(number: u64) -> Revision {
+    Revision { era: 0, number }
+}
--- a/papayaproxy/src/gateway/tests/seats.rs
+++ b/papayaproxy/src/gateway/tests/seats.rs
@@ -6,6 +6,7 @@
 use crate::base::clock::Clock;
 use crate::base::name::Name;
 use crate::catalog::directory::UpstreamRecord;
+use crate::catalog::tests::at;
 use crate::catalog::{ClientLimits, Config, ConfigParts, Directory, Service, UpstreamState};
 use crate::gateway::seats::{SeatGuard, Seats};
 use crate::limits::CircuitSettings;
@@ -100,7 +101,7 @@
             cold: Duration::ZERO,
             started_ms,
         };
-        directory.put(&format!("i-{index}").into(), record, 1);
+        directory.put(&format!("i-{index}").into(), record, at(1));
     }
     directory
 }
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -3,7 +3,7 @@
 
 use crate::base::name::{Incarnation, Name};
 use crate::catalog::directory::ListedUpstream;
-use crate::catalog::{Catalog, EvacuatedZones};
+use crate::catalog::{Catalog, EvacuatedZones, Revision};
 use crate::quarantine::PartNews;
 use crate::ranks::message::{
     AgentHello, GroupContacts, GroupPulse, GroupStatus, MembersQuery, RankMessage,
@@ -41,8 +41,8 @@
         version: u64,
         /// Digest of the upstream list.
         list_digest: u64,
-        /// Store revision as of which the evacuated zones are complete; 0 if they are not known.
-        evacuations: u64,
+        /// Store revision as of which the evacuated zones are complete; none if they are not known.
+        evacuations: Revision,
     },
     /// Asks an agent for a [`Message::Group`].
     Members(MembersQuery),
@@ -144,7 +144,7 @@
     /// Time since the upstream list was last known to be complete; `None` before the first time.
     pub(crate) list_age_ms: Option<u64>,
     /// Store revision as of which the list is complete.
-    pub(crate) list_revision: u64,
+    pub(crate) list_revision: Revision,
     /// Digest of the list.
     pub(crate) list_digest: u64,
     /// The zones that the operator evacuates, which are as late as the configuration; `None` if the
@@ -185,14 +185,14 @@
         /// The bytes of the configuration.
         raw: Vec<u8>,
         /// A store revision at which the configuration was the newest.
-        revision: u64,
+        revision: Revision,
     },
     /// The upstreams.
     List {
         /// The upstreams' records.
         listed: Vec<ListedUpstream>,
         /// Store revision as of which the list is complete.
-        revision: u64,
+        revision: Revision,
         /// Time since the list was last known to be complete.
         age_ms: u64,
     },
--- a/papayaproxy/src/platform/store.rs
+++ b/papayaproxy/src/platform/store.rs
@@ -2,6 +2,7 @@
 
 use super::caller::{CallError, HttpClient};
 use super::names::{CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, STORE_ERA, UPSTREAM_PREFIX};
+use crate::catalog::Revision;
 use base64::prelude::BASE64_STANDARD;
 use base64::{DecodeError, Engine as _};
 use bytes::Bytes;
@@ -69,8 +70,8 @@
     pub(crate) key: String,
     /// The stored bytes, or why they cannot be read; `None` if the key was deleted.
     pub(crate) value: Option<Result<Bytes, DecodeError>>,
-    /// Revision of the last change of this key.
-    pub(crate) revision: u64,
+    /// The last change of this key.
+    pub(crate) revision: Revision,
 }
 
 /// Result of a read or a watch.
@@ -79,9 +80,7 @@
     /// Written and deleted items, in the order of the changes.
     pub(crate) items: Vec<Item>,
     /// Revision of the store after which the next watch starts.
-    pub(crate) revision: u64,
-    /// The store's era: how often it has come back from a copy of its data.
-    pub(crate) era: u64,
+    pub(crate) revision: Revision,
 }
 
 /// The operator began or ended an evacuation.
@@ -91,8 +90,8 @@
     pub(crate) zone: String,
     /// Whether the key exists. Its value has no meaning.
     pub(crate) is_evacuated: bool,
-    /// Revision of the last change of the key.
-    pub(crate) revision: u64,
+    /// The last change of the key.
+    pub(crate) revision: Revision,
 }
 
 /// Result of a read or a watch of what the operator writes.
@@ -131,9 +130,15 @@
 
 impl WirePage {
     /// The changes under `prefix` that a watch after `revision` brought.
-    fn into_update(self, prefix: &str, revision: u64, era: u64) -> StoreUpdate {
-        let items = self.items.into_iter().filter_map(|i| decode(i, prefix)).collect();
-        StoreUpdate { items, revision: self.at_rev.max(revision), era }
+    fn into_update(self, prefix: &str, revision: Revision) -> StoreUpdate {
+        let revision = self.end(revision);
+        let items = self.items.into_iter().filter_map(|i| decode(i, prefix, revision.era));
+        StoreUpdate { items: items.collect(), revision }
+    }
+
+    /// The store's revision after a watch from `revision`.
+    fn end(&self, revision: Revision) -> Revision {
+        Revision { number: self.at_rev.max(revision.number), ..revision }
     }
 }
 
@@ -146,10 +151,8 @@
 /// All pages of a listing.
 struct Listing {
     items: Vec<WireItem>,
-    /// Revision of the first page.
-    revision: u64,
-    /// Era of the first page.
-    era: u64,
+    /// The store's revision when it sent the first page.
+    revision: Revision,
     /// Whether an empty page named further ones, which then cannot be asked for.
     is_truncated: bool,
 }
@@ -173,17 +176,18 @@
             let reason = "an empty page is followed by others".to_owned();
             return Err(StoreError::Malformed { reason });
         }
-        Ok(split(listing.items, listing.revision, listing.era))
+        Ok(split(listing.items, listing.revision))
     }
 
     /// Waits up to `wait` for changes of the configuration and the evacuations after `revision`.
     pub(crate) async fn watch_operator(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> Result<OperatorUpdate, StoreError> {
-        let (era, page) = self.watch(OPERATOR_PREFIX, revision, wait).await?;
-        Ok(split(page.items, page.at_rev.max(revision), era))
+        let page = self.watch(OPERATOR_PREFIX, revision, wait).await?;
+        let end = page.end(revision);
+        Ok(split(page.items, end))
     }
 
     /// Reads the configuration. The update has no items if the operator has not written one yet.
@@ -191,24 +195,26 @@
         let path = format!("/kv-key?key={CONFIG_KEY}");
         let (era, body) = self.call(&path, CALL_TIMEOUT).await?;
         let Some(body) = body else {
-            return Ok(StoreUpdate { era, ..StoreUpdate::default() });
+            let revision = Revision { era, number: 0 };
+            return Ok(StoreUpdate { items: Vec::new(), revision });
         };
         let item: WireItem = parse(&body)?;
-        let revision = item.at_rev.max(item.revision);
-        Ok(StoreUpdate { items: decode(item, CONFIG_KEY).into_iter().collect(), revision, era })
+        let revision = Revision { era, number: item.at_rev.max(item.revision) };
+        let items = decode(item, CONFIG_KEY, era).into_iter().collect();
+        Ok(StoreUpdate { items, revision })
     }
 
     /// Lists the upstream records.
     pub(crate) async fn read_upstreams(&self) -> Result<StoreUpdate, StoreError> {
-        let Listing { items, revision, era, .. } = self.list(UPSTREAM_PREFIX).await?;
-        let items = items.into_iter().filter_map(|i| decode(i, UPSTREAM_PREFIX)).collect();
-        Ok(StoreUpdate { items, revision, era })
+        let Listing { items, revision, .. } = self.list(UPSTREAM_PREFIX).await?;
+        let items = items.into_iter().filter_map(|i| decode(i, UPSTREAM_PREFIX, revision.era));
+        Ok(StoreUpdate { items: items.collect(), revision })
     }
 
     /// Reads all pages of the keys that begin with `prefix`.
     async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
         let mut items = Vec::new();
-        let (mut revision, mut era) = (0, 0);
+        let mut revision = Revision::default();
         let mut after = String::new();
         for index in 0..PAGES_MAX {
             let mut path = format!("/kv-range?pathPrefix={prefix}");
@@ -216,18 +222,21 @@
                 path.push_str("&after=");
                 path.extend(form_urlencoded::byte_serialize(after.as_bytes()));
             }
-            let (page_era, body) = self.call(&path, CALL_TIMEOUT).await?;
+            let (era, body) = self.call(&path, CALL_TIMEOUT).await?;
             let page: WirePage = parse(&body.unwrap_or_default())?;
             // Later pages may be newer than the first. The watch starts at the revision of the
             // first page, so that no change is missed.
             if index == 0 {
-                (revision, era) = (page.at_rev, page_era);
+                revision = Revision { era, number: page.at_rev };
+            }
+            if era != revision.era {
+                return Err(StoreError::HistoryGone { era });
             }
             let last = page.items.last().map(|item| item.key.clone());
             let is_truncated = page.has_more && last.is_none();
             items.extend(page.items);
             match last.filter(|_| page.has_more) {
-                None => return Ok(Listing { items, revision, era, is_truncated }),
+                None => return Ok(Listing { items, revision, is_truncated }),
                 Some(last) if last <= after => {
                     let reason = format!("the page after '{after}' ends with '{last}'");
                     return Err(StoreError::Malformed { reason });
@@ -241,11 +250,11 @@
     /// Waits up to `wait` for changes of the configuration after `revision`.
     pub(crate) async fn watch_config(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let (era, page) = self.watch(CONFIG_KEY, revision, wait).await?;
-        let mut update = page.into_update(CONFIG_KEY, revision, era);
+        let page = self.watch(CONFIG_KEY, revision, wait).await?;
+        let mut update = page.into_update(CONFIG_KEY, revision);
         // The prefix also covers keys that are longer than the configuration's.
         update.items.retain(|item| item.key.is_empty());
         Ok(update)
@@ -254,23 +263,27 @@
     /// Waits up to `wait` for changes of the upstream records after `revision`.
     pub(crate) async fn watch_upstreams(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let (era, page) = self.watch(UPSTREAM_PREFIX, revision, wait).await?;
-        Ok(page.into_update(UPSTREAM_PREFIX, revision, era))
+        let page = self.watch(UPSTREAM_PREFIX, revision, wait).await?;
+        Ok(page.into_update(UPSTREAM_PREFIX, revision))
     }
 
     async fn watch(
         &self,
         prefix: &str,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
-    ) -> Result<(u64, WirePage), StoreError> {
-        let wait_ms = wait.as_millis();
-        let path = format!("/kv-watch?pathPrefix={prefix}&after={revision}&waitMs={wait_ms}");
+    ) -> Result<WirePage, StoreError> {
+        let (after, wait_ms) = (revision.number, wait.as_millis());
+        let path = format!("/kv-watch?pathPrefix={prefix}&after={after}&waitMs={wait_ms}");
         let (era, body) = self.call(&path, wait + CALL_TIMEOUT).await?;
-        Ok((era, parse(&body.unwrap_or_default())?))
+        // The same number stands for another change in another era.
+        if era != revision.era {
+            return Err(StoreError::HistoryGone { era });
+        }
+        parse(&body.unwrap_or_default())
     }
 
     /// Makes one call. Returns the store's era and the body, or no body for status 404.
@@ -302,30 +315,30 @@
 }
 
 /// Sorts items under the operator's prefix; those with unknown keys are dropped.
-fn split(items: Vec<WireItem>, revision: u64, era: u64) -> OperatorUpdate {
+fn split(items: Vec<WireItem>, revision: Revision) -> OperatorUpdate {
     let mut update = OperatorUpdate::default();
-    (update.config.revision, update.config.era) = (revision, era);
+    update.config.revision = revision;
     for item in items {
         if let Some(zone) = item.key.strip_prefix(EVACUATION_PREFIX) {
             let (zone, is_evacuated) = (zone.to_owned(), !item.deleted);
             update.evacuations.push(EvacuationChange {
                 zone,
                 is_evacuated,
-                revision: item.revision,
+                revision: Revision { era: revision.era, number: item.revision },
             });
         } else if item.key == CONFIG_KEY {
-            update.config.items.extend(decode(item, CONFIG_KEY));
+            update.config.items.extend(decode(item, CONFIG_KEY, revision.era));
         }
     }
     update
 }
 
-/// Decodes an item; `None` if its key does not begin with `prefix`.
-fn decode(item: WireItem, prefix: &str) -> Option<Item> {
+/// Decodes an item of a response in `era`; `None` if its key does not begin with `prefix`.
+fn decode(item: WireItem, prefix: &str, era: u64) -> Option<Item> {
     let key = item.key.strip_prefix(prefix)?.to_owned();
     let value = item.value.filter(|_| !item.deleted).map(|text| {
         let bytes = BASE64_STANDARD.decode(text)?;
         Ok(bytes.into())
     });
-    Some(Item { key, value, revision: item.revision })
+    Some(Item { key, value, revision: Revision { era, number: item.revision } })
 }
