Catalog: a restored store confirms only what it holds

A key that had been taken away could run, and the end of an evacuation could be undone, between the return of a store from a copy and the operator's next write. Cause: any answer of the store confirmed the configuration in force as the newest, also one that held an older version, which shows that later changes are missing.

--- a/papayaproxy/src/catalog/calls.rs
+++ b/papayaproxy/src/catalog/calls.rs
@@ -134,11 +134,14 @@
                     log_read(what, &watched.config);
                 }
                 let empty = watched.config.items.is_empty() && reread;
-                catalog.apply_evacuations(&watched, revision.is_none());
                 catalog.apply_watched_config(&watched.config);
-                catalog.confirm_version(catalog.version(), confirmed_at);
-                (reread, failed, was_read) = (empty, false, revision.is_none());
-                if empty {
+                let is_stored = catalog.is_stored_in(watched.config.revision.era);
+                if is_stored {
+                    catalog.apply_evacuations(&watched, revision.is_none());
+                    catalog.confirm_version(catalog.version(), confirmed_at);
+                }
+                (reread, failed, was_read) = (empty || !is_stored, false, revision.is_none());
+                if reread {
                     tokio::time::sleep(RETRY_FIRST).await;
                 }
             }
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -341,12 +341,18 @@
                 ),
             }
         }
+        // In a later era, the store may lack what is in force until the operator has written it again.
         let mut active = self.active.borrow_mut();
-        if let Some(active) = active.as_mut() {
+        if let Some(active) = active.as_mut().filter(|a| a.revision.era == watched.revision.era) {
             active.revision = active.revision.max(watched.revision);
         }
     }
 
+    /// Whether the store has held the configuration in force in `era`, so that its answers confirm it.
+    pub(super) fn is_stored_in(&self, era: u64) -> bool {
+        self.active.borrow().as_ref().is_some_and(|a| a.revision.era == era)
+    }
+
     /// Whether a record may be missing only because of a store outage.
     fn may_lack_records(&self, now: Duration) -> bool {
         // Watches of the configuration are shorter and so detect the store's recovery first.
--- a/papayaproxy/src/catalog/tests/evacuations.rs
+++ b/papayaproxy/src/catalog/tests/evacuations.rs
@@ -49,6 +49,24 @@
     EvacuatedZones { zones: zones.iter().map(|z| (*z).into()).collect(), revision: at(revision) }
 }
 
+/// Hooks of an entry without load.
+pub(super) fn idle_hooks() -> Hooks {
+    Hooks {
+        demand: Box::new(Vec::new),
+        observe_demand: Box::new(|_| {}),
+        observe_entries: Box::new(|_| {}),
+        promise_news: Box::new(Vec::new),
+        observe_promises: Box::new(|_, _| {}),
+        loads: Box::new(Vec::new),
+        observe_loads: Box::new(|_, _, _| {}),
+        observe_group: Box::new(|_| {}),
+        limit_news: Box::new(Vec::new),
+        observe_limits: Box::new(|_| {}),
+        part_news: Box::new(|_| Default::default()),
+        observe_parts: Box::new(|_| {}),
+    }
+}
+
 /// A configuration of 1 MB fills a page, so that evacuations are on later ones. Other keys are neither
 /// a configuration nor an evacuation, and values of evacuations have no meaning.
 #[test]
@@ -154,21 +172,7 @@
             let (seeds, incarnation) = ((101..=116).map(address).collect(), Incarnation(1));
             let (address, zone) = (address(number), "a".into());
             let settings = PeerSettings { address, seeds, zone, incarnation };
-            let hooks = Hooks {
-                demand: Box::new(Vec::new),
-                observe_demand: Box::new(|_| {}),
-                observe_entries: Box::new(|_| {}),
-                promise_news: Box::new(Vec::new),
-                observe_promises: Box::new(|_, _| {}),
-                loads: Box::new(Vec::new),
-                observe_loads: Box::new(|_, _, _| {}),
-                observe_group: Box::new(|_| {}),
-                limit_news: Box::new(Vec::new),
-                observe_limits: Box::new(|_| {}),
-                part_news: Box::new(|_| Default::default()),
-                observe_parts: Box::new(|_| {}),
-            };
-            let peers = Peers::bind(settings, catalog.clone(), Clock::start(), hooks).await;
+            let peers = Peers::bind(settings, catalog.clone(), Clock::start(), idle_hooks()).await;
             fleet.push((store, catalog, peers.unwrap()));
         }
         let count = |role| fleet.iter().filter(|(_, c, _)| c.role() == role).count();
--- a/papayaproxy/src/catalog/tests/restored.rs
+++ b/papayaproxy/src/catalog/tests/restored.rs
@@ -3,9 +3,13 @@
 
 use super::evacuations::{follow_zones, wait_for_zones};
 use super::odd_entries::entry;
-use super::store::{FakeStore, wait_for_ready, wait_for_version};
+use super::store::{CHANGE_LIMIT, FakeStore, wait_for_ready, wait_for_version};
 use crate::gateway::tests::stand_ins::on_one_thread;
 use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time for which a restored store lacks what is in force; longer than the lag of a watch.
+const UNCONFIRMED: Duration = Duration::from_secs(2);
 
 fn config(version: u64) -> String {
     format!(r#"{{"version": {version}, "routes": [], "services": []}}"#)
@@ -43,6 +47,7 @@
         wait_for_version(&catalog, 8).await;
         let before = store.calls("/kv-key");
         store.restore(copy, "op/config");
+        store.put("op/config", config(8));
         store.serve_watches();
         tokio::time::sleep(Duration::from_secs(1)).await;
         assert_eq!(store.calls("/kv-key") - before, 1);
@@ -84,3 +89,29 @@
         wait_for_zones(&catalog, &["c"]).await;
     });
 }
+
+/// A store that lacks the configuration in force does not prove that no later one has taken a key away:
+/// its answers confirmed the configuration until the operator had written it again (CONFIG).
+#[test]
+fn follow_store_restored_older_config_not_confirmed() {
+    on_one_thread(async {
+        let store = FakeStore::bind().await;
+        store.put("op/config", config(7));
+        let copy = store.copy();
+        store.put("op/config", config(8));
+        let catalog = store.follow();
+        wait_for_version(&catalog, 8).await;
+        store.restore(copy, "op/config");
+        store.serve_watches();
+        tokio::time::sleep(UNCONFIRMED).await;
+        let age = catalog.config_age().unwrap();
+        assert!(age >= UNCONFIRMED && catalog.version() == 8, "{age:?}");
+        store.put("op/config", config(8));
+        let confirmed = async {
+            while catalog.config_age().unwrap() >= UNCONFIRMED {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(CHANGE_LIMIT, confirmed).await.unwrap();
+    });
+}
--- a/papayaproxy/src/catalog/tests/store.rs
+++ b/papayaproxy/src/catalog/tests/store.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 /// Time within which the catalog must show a change; far more than it needs.
-const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+pub(super) const CHANGE_LIMIT: Duration = Duration::from_secs(10);
 /// Time for which the removal of an upstream may stay unknown.
 pub(super) const DRAIN: Duration = Duration::from_millis(500);
 
