Entries: a peer's newer configuration is fetched though the own store answers

An entry that starts just after the store has come back from a copy reads an older configuration, with keys that have been taken away, and kept it until the operator had written again: peers were asked only while calls to the store failed.

--- a/papayaproxy/src/catalog/tests/restored.rs
+++ b/papayaproxy/src/catalog/tests/restored.rs
@@ -1,10 +1,14 @@
 //! A store that comes back from a copy of its data: revisions go back and are given out again, and what
 //! the operator and the replicas wrote since is written again.
 
-use super::evacuations::{follow_zones, wait_for_zones};
+use super::evacuations::{follow_zones, idle_hooks, wait_for_zones};
 use super::odd_entries::entry;
 use super::store::{CHANGE_LIMIT, FakeStore, wait_for_ready, wait_for_version};
+use crate::base::clock::Clock;
+use crate::base::name::Incarnation;
 use crate::gateway::tests::stand_ins::on_one_thread;
+use crate::peers::{PeerSettings, Peers};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -115,3 +119,26 @@
         timeout(CHANGE_LIMIT, confirmed).await.unwrap();
     });
 }
+
+/// An entry that starts while the store lacks the newest configuration must take it from a peer, though
+/// its own calls to the store succeed.
+#[test]
+fn follow_store_restored_started_entry_takes_peers_config() {
+    on_one_thread(async {
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let address = |number| SocketAddr::from(([127, high, low, number], 7843));
+        let mut fleet = Vec::new();
+        for (number, version) in [(121, 8), (122, 7)] {
+            let store = FakeStore::bind().await;
+            store.put("op/config", config(version));
+            let catalog = store.follow();
+            wait_for_version(&catalog, version).await;
+            let (seeds, incarnation) = (vec![address(121), address(122)], Incarnation(1));
+            let settings =
+                PeerSettings { address: address(number), seeds, zone: "a".into(), incarnation };
+            let peers = Peers::bind(settings, catalog.clone(), Clock::start(), idle_hooks()).await;
+            fleet.push((store, catalog, peers.unwrap()));
+        }
+        wait_for_version(&fleet[1].1, 8).await;
+    });
+}
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -397,9 +397,10 @@
         self.query(&own).await;
     }
 
-    /// Queries peers, and fetches a newer configuration that one reports, while the own configuration
-    /// is not confirmed or the store fails.
+    /// Queries peers while the own configuration is not confirmed or the store fails. Fetches a newer
+    /// configuration that a peer reports, if the store does not bring it by the next check.
     async fn run_queries(self: Rc<Self>) {
+        let mut missed = None;
         for check in 0u64.. {
             tokio::time::sleep(QUERY_INTERVAL).await;
             self.update_role();
@@ -407,8 +408,13 @@
                 self.query_readers().await;
             }
             let is_stale = self.catalog.config_age().is_none_or(|age| age > QUERY_AGE);
-            let newer = self.table.borrow().newer_peer(self.catalog.version());
-            if let Some(peer) = newer.filter(|_| is_stale || self.catalog.is_store_failing()) {
+            let own = self.catalog.version();
+            let newer = self.table.borrow().newer_peer(own);
+            // A store that has come back from a copy may lack what peers have.
+            let is_missed = newer.is_some() && missed == Some(own);
+            missed = newer.map(|_| own);
+            let must_fetch = is_missed || is_stale || self.catalog.is_store_failing();
+            if let Some(peer) = newer.filter(|_| must_fetch) {
                 self.fetch_config(peer).await;
             }
             if is_stale || self.catalog.is_store_failing() {
