Catalog: an upstream that leaves is not ready again by a restored record

A replica that had said that it leaves got requests again once the store had come back from a copy in which it was ready (DRAIN). Cause: a record of a later era replaced the known one whatever its state. Change: within one run of a replica, a record of a later era does not take back that it leaves. Evidence: put_store_restored_draining_stays_draining, case same_run, failed before (1 ready upstream, expected 0), passes now. Open: a replica whose record had been removed before is used again until its record lapses.

--- a/papayaproxy/src/catalog/directory.rs
+++ b/papayaproxy/src/catalog/directory.rs
@@ -48,6 +48,17 @@
     grace_end: Option<Duration>,
 }
 
+impl Row {
+    /// Whether `record`, read in a later era, states that an upstream takes requests that has said
+    /// before that it leaves. The store has come back from a copy then; the upstream writes again.
+    fn has_left_before(&self, record: &UpstreamRecord, revision: Revision) -> bool {
+        self.revision.era < revision.era
+            && self.record.state == UpstreamState::Draining
+            && record.state == UpstreamState::Ready
+            && self.record.started_ms == record.started_ms
+    }
+}
+
 /// An upstream's id, its record, and the revision of the last change.
 pub(crate) type ListedUpstream = (Name, UpstreamRecord, Revision);
 
@@ -112,7 +123,7 @@
     /// Applies a record written at `revision`. Returns whether the directory has changed.
     pub(crate) fn put(&mut self, id: &Name, record: UpstreamRecord, revision: Revision) -> bool {
         let known = self.rows.get(id);
-        if known.is_some_and(|r| r.revision > revision) {
+        if known.is_some_and(|r| r.revision > revision || r.has_left_before(&record, revision)) {
             return false;
         }
         let is_cold_anew = |r: &Row| !record.cold.is_zero() && r.revision < revision;
--- a/papayaproxy/src/catalog/tests/directory.rs
+++ b/papayaproxy/src/catalog/tests/directory.rs
@@ -2,11 +2,14 @@
 
 use super::at;
 use crate::base::name::Name;
+use crate::catalog::Revision;
 use crate::catalog::constants::LAPSE_GRACE;
 use crate::catalog::directory::{Directory, UpstreamRecord, UpstreamState};
 use rstest::rstest;
 use std::time::Duration;
 
+/// Position of a full read after the store has come back from a copy.
+const REREAD: Revision = Revision { era: 1, number: 5 };
 const NOW: Duration = Duration::from_secs(50);
 
 fn record(state: UpstreamState) -> UpstreamRecord {
@@ -166,3 +169,22 @@
     assert!(directory.expire(Some(now), now + step));
     assert!(ready(&directory).is_empty());
 }
+
+/// A store that comes back from a copy lists a replica as ready that has said since that it leaves. It
+/// stays out of use (DRAIN); a replica that starts anew under its id is another one.
+#[rstest]
+#[case::same_run(1, 0)]
+#[case::started_anew(2, 1)]
+fn put_store_restored_draining_stays_draining(#[case] started_ms: u64, #[case] left: usize) {
+    let mut directory = Directory::default();
+    directory.put(&"i-1".into(), record(UpstreamState::Ready), at(4));
+    directory.put(&"i-1".into(), record(UpstreamState::Draining), at(9));
+    let copied = UpstreamRecord { started_ms, ..record(UpstreamState::Ready) };
+    directory.replace(
+        vec![("i-1".into(), copied, Revision { era: 1, number: 4 })],
+        REREAD,
+        true,
+        NOW,
+    );
+    assert_eq!(ready(&directory).len(), left);
+}
