Gateway: a failed attempt names its content

Cause: nothing in the log shows whether two requests that end with their upstreams are the same, so that the hypotheses of the deadly request could not be told apart. Event 3002 gets the field content, a key of service, method, target, workspace and body. No change of logic.

--- a/papayaproxy/src/gateway/edge.rs
+++ b/papayaproxy/src/gateway/edge.rs
@@ -22,7 +22,7 @@
 use crate::catalog::config::KeyOwner;
 use crate::catalog::{ClientLimits, Config, Route, Workspace};
 use crate::platform::request;
-use crate::quarantine::shared_keys;
+use crate::quarantine::{request_key, shared_keys};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::service::service_fn;
@@ -213,6 +213,9 @@
     let Some(service) = service else {
         return Err(reject(codes::NO_SEAT, Some(RETRY_AFTER_UNREADY)));
     };
+    let target = parts.uri.path_and_query().map_or("", |t| t.as_str());
+    let owner = workspace.as_ref().map_or("", |w| w.name.as_str());
+    let content = request_key(&service, parts.method.as_str(), target, owner, &body.bytes);
     let transit = route.timeout.unwrap_or(time_limit);
     let retries = RetryAccount::open(shared.clone(), service.clone(), transit, arrived);
     let is_returning = shared.is_returning(&route, client_timeout, RETURNING_TIME_RATIO);
@@ -241,6 +244,7 @@
         shared: shared.clone(),
         client: client.clone(),
         shared_parts: shared_keys(&service, &envelope.prompt_parts),
+        content,
         in_flight: Rc::new(shared.track_request(&envelope.id, &route)),
         latency_target,
         envelope,
--- a/papayaproxy/src/gateway/events.rs
+++ b/papayaproxy/src/gateway/events.rs
@@ -5,7 +5,7 @@
 events! {
     REQUEST_TAKEN = 3000, "A request was accepted and its route is known. Fields: request, route, version, config_ms, kind, left_ms, back.";
     REQUEST_ANSWERED = 3001, "A request was answered. Fields: request, status, code, upstream, sends, took_ms.";
-    SEND_ENDED = 3002, "An attempt at an upstream failed; began_ms is absent if no head of an answer had arrived. Fields: request, upstream, end, detail, took_ms, began_ms, workspace, parts.";
+    SEND_ENDED = 3002, "An attempt at an upstream failed; began_ms is absent if no head of an answer had arrived, and content is the same for requests of the same service, method, target, workspace and body. Fields: request, upstream, end, detail, took_ms, began_ms, workspace, parts, content.";
     STREAM_ENDED = 3003, "A stream ended; reason states why a stream that is cut was not resumed, stopping whether the entry stops. Fields: request, upstream, events, sends, outcome, reason, stopping, took_ms.";
     STREAM_MOVED = 3004, "A stream continues at another upstream. Fields: request, upstream, after, detail.";
     REPEAT_DENIED = 3005, "The retry budget allows no further attempt. Fields: request, service; requests (of this entry in the window), repeats (of this entry, that may have arrived in the window or may still arrive), outstanding (of these, those that may still arrive), entries (that the slack is divided by; absent while their number is unknown), slack (this entry's part).";
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -22,7 +22,7 @@
 use crate::base::code::Code;
 use crate::base::name::Name;
 use crate::catalog::{Route, Workspace};
-use crate::quarantine::PartKey;
+use crate::quarantine::{PartKey, RequestKey};
 use bytes::Bytes;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
@@ -59,6 +59,8 @@
     pub(crate) latency_target: Duration,
     /// Keys of the parts that the prompt may share with others.
     pub(crate) shared_parts: Vec<PartKey>,
+    /// Stands for all requests of the same content.
+    pub(crate) content: RequestKey,
     /// Whether the client retries a request that was refused before.
     pub(crate) is_returning: bool,
     /// Whether a returning request comes when its client was told; `None` for other requests, and
@@ -208,6 +210,7 @@
             began_ms = began,
             workspace = self.workspace.as_ref().map(|w| w.name.as_str()),
             parts = self.envelope.prompt_parts.join(","),
+            content = format!("{:016x}", self.content),
             "attempt failed"
         );
     }
--- a/papayaproxy/src/quarantine/mod.rs
+++ b/papayaproxy/src/quarantine/mod.rs
@@ -7,9 +7,11 @@
 pub(crate) mod events;
 pub(crate) mod news;
 pub(crate) mod parts;
+pub(crate) mod requests;
 
 #[cfg(test)]
 mod tests;
 
 pub(crate) use news::PartNews;
 pub(crate) use parts::{Crash, PartKey, Quarantine, key_list, shared_keys};
+pub(crate) use requests::{RequestKey, request_key};
