Gateway: a request that ends with its upstreams is no longer sent

Cause: an attempt that ends with its upstream was taken for the upstream's fault, and nothing was remembered of its request but the shared parts of a prompt: a query of death that is retried, comes again under new ids, and ends whatever is up. Change: each attempt whose connection ends before a complete answer counts against its content (service, method, target, workspace, body), whatever was sent and whatever the port does; three at two upstreams or more, one sent after the end of another, block the content for ten minutes at all entries (P3019, 503, events 3504 and 3505). A complete answer of any status clears it, and vouches for a minute. Ruled out: a proof by the port, since ports may accept again at once; ends at one time, since a power loss also ends sound requests. The hooks of the exchange move to a file of their own.

--- a/papayaproxy/src/catalog/tests/evacuations.rs
+++ b/papayaproxy/src/catalog/tests/evacuations.rs
@@ -64,6 +64,8 @@
         observe_limits: Box::new(|_| {}),
         part_news: Box::new(|_| Default::default()),
         observe_parts: Box::new(|_| {}),
+        request_news: Box::new(|_| Default::default()),
+        observe_requests: Box::new(|_| {}),
     }
 }
 
--- a/papayaproxy/src/gateway/attempts.rs
+++ b/papayaproxy/src/gateway/attempts.rs
@@ -100,6 +100,8 @@
     BudgetSpent,
     /// A part of the prompt crashes upstreams.
     PartBlocked,
+    /// Requests of this content crash upstreams.
+    RequestBlocked,
     /// The next upstream answered a resumed stream with this status.
     Status(u16),
     /// The attempt at the next upstream failed.
@@ -116,6 +118,7 @@
             Self::RefusalsUsed => f.write_str("not run by too many upstreams"),
             Self::BudgetSpent => f.write_str("retry budget used up"),
             Self::PartBlocked => f.write_str("part blocked"),
+            Self::RequestBlocked => f.write_str("request blocked"),
             Self::Status(status) => write!(f, "next upstream answered {status}"),
             Self::Failed(outcome) => write!(f, "attempt ended as {outcome:?}"),
         }
--- a/papayaproxy/src/gateway/codes.rs
+++ b/papayaproxy/src/gateway/codes.rs
@@ -21,5 +21,6 @@
     PART_BLOCKED = 3015, NotRun, 503, "A part of the prompt crashes the upstreams that answer it; requests with it are not sent.";
     EVENT_FOREIGN = 3016, Unknown, 502, "A stream contains what is no event of it: text without an event id, or an id that came before; it is resumed at another upstream if the route allows it.";
     COMMENTS_ENDLESS = 3017, Unknown, 502, "A stream brings comments without an event; it is resumed at another upstream if the route allows it.";
+    REQUEST_BLOCKED = 3019, NotRun, 503, "Requests of this content crash the upstreams that run them; they are not sent.";
     READER_SLOW = 3018, Unknown, 502, "The client read its answer so slowly that its connection was closed to free memory; the request has run. Only logged, since the client reads no code.";
 }
--- a/papayaproxy/src/gateway/crash.rs
+++ b/papayaproxy/src/gateway/crash.rs
@@ -1,5 +1,6 @@
 //! What a request shows of the parts of its prompt: whether its answer goes on, or its upstream crashes.
 
+use super::attempts::StopReason;
 use super::constants::CRASH_CHECK_PAUSES;
 use super::exchange::Exchange;
 use super::process::Shared;
@@ -12,9 +13,42 @@
 use std::time::Duration;
 
 impl Exchange {
-    /// Whether the prompt has a part that crashes upstreams.
-    pub(super) fn is_blocked(&self) -> bool {
-        self.shared.quarantine.borrow().blocked_part(&self.shared_parts).is_some()
+    /// Checks that neither a part of the prompt nor the request as a whole crashes upstreams.
+    ///
+    /// # Errors
+    /// It does, and is not to be sent.
+    pub(super) fn check_blocked(&self) -> Result<(), StopReason> {
+        if self.shared.quarantine.borrow().blocked_part(&self.shared_parts).is_some() {
+            return Err(StopReason::PartBlocked);
+        }
+        let now = self.shared.clock.now();
+        match self.shared.fatal.borrow().is_blocked(self.content, now) {
+            true => Err(StopReason::RequestBlocked),
+            false => Ok(()),
+        }
+    }
+
+    /// Records a complete answer to the request.
+    pub(super) fn record_answer(&self) {
+        let now = self.shared.clock.now();
+        self.shared.fatal.borrow_mut().record_answer(self.content, now);
+    }
+
+    /// Records that the connection to `seat`'s upstream ended before the answer to what was sent at
+    /// `sent_at` was complete.
+    pub(super) fn record_broken(&self, seat: &SeatGuard, sent_at: Duration) {
+        let now = self.shared.clock.now();
+        let broken = Crash {
+            upstream: digest(&seat.seat().upstream),
+            entry: self.shared.incarnation,
+            parts: vec![self.content],
+            sent_at,
+            ended_at: now,
+        };
+        if self.shared.fatal.borrow_mut().record_broken(broken, now) {
+            let shared = self.shared.clone();
+            tokio::task::spawn_local(async move { shared.announce_parts().await });
+        }
     }
 
     /// Records that an answer to the request has gone on, so that its prompt crashes nothing.
--- a/papayaproxy/src/gateway/exchange.rs
+++ b/papayaproxy/src/gateway/exchange.rs
@@ -105,14 +105,10 @@
             if self.deadline.saturating_sub(now) < ATTEMPT_TIME_MIN {
                 return Err(StopReason::DeadlinePassed);
             }
-            if self.is_blocked() {
-                return Err(StopReason::PartBlocked);
-            }
+            self.check_blocked()?;
             let seat = self.acquire_seat(self.history.runs.get() > 0).await?;
-            // A part may have been blocked while the request waited.
-            if self.is_blocked() {
-                return Err(StopReason::PartBlocked);
-            }
+            // It may have been blocked while it waited.
+            self.check_blocked()?;
             let failure = match self.attempt(seat, point).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
@@ -321,6 +317,7 @@
                 let outcome = match error {
                     BufferError::Interrupted { .. } => {
                         self.check_crash(&seat, sent_at);
+                        self.record_broken(&seat, sent_at);
                         SendOutcome::Lost
                     }
                     BufferError::Oversized { .. } => SendOutcome::Lost,
@@ -335,6 +332,7 @@
             }
         };
         self.shared.pool.put_back(connection, &parts.headers);
+        self.record_answer();
         let failed = verdict == Verdict::Failed;
         if !failed {
             self.record_survival();
@@ -374,6 +372,9 @@
             StopReason::PartBlocked => {
                 (codes::PART_BLOCKED, Some(crate::balance::constants::RETRY_AFTER_MAX))
             }
+            StopReason::RequestBlocked => {
+                (codes::REQUEST_BLOCKED, Some(crate::balance::constants::RETRY_AFTER_MAX))
+            }
             StopReason::DeadlinePassed => (codes::NOT_OFFERED, Some(Duration::ZERO)),
             StopReason::Stopping => (codes::STOPPING, Some(RETRY_AFTER_STOPPING)),
             StopReason::Refused(refusal) => (codes::NO_SEAT, Some(refusal.retry_after)),
--- a/papayaproxy/src/gateway/handover.rs
+++ b/papayaproxy/src/gateway/handover.rs
@@ -122,18 +122,14 @@
         handover: &Handover,
         point: &ResumePoint,
     ) -> Result<Box<StreamReader>, StopReason> {
-        if self.is_blocked() {
-            return Err(StopReason::PartBlocked);
-        }
+        self.check_blocked()?;
         // Before the seat, which would be taken from others for nothing.
         if !handover.is_paid.get() {
             self.take_retry()?;
             handover.is_paid.set(true);
         }
         let seat = self.acquire_seat(true).await?;
-        if self.is_blocked() {
-            return Err(StopReason::PartBlocked);
-        }
+        self.check_blocked()?;
         handover.is_paid.set(false);
         let upstream = seat.seat().upstream.clone();
         let sent = match self.connect(&seat).await {
@@ -171,7 +167,12 @@
                 Some(Ok(Step::End)) => {
                     break (SendOutcome::Lost, "stream ended before its first event".into());
                 }
-                Some(Err(broken)) => break (SendOutcome::Lost, broken.detail),
+                Some(Err(broken)) => {
+                    if broken.has_closed {
+                        self.record_broken(&reader.seat, sent_at);
+                    }
+                    break (SendOutcome::Lost, broken.detail);
+                }
                 None => break (SendOutcome::Silent, "no event in the expected time".into()),
             }
         };
--- a/papayaproxy/src/gateway/process.rs
+++ b/papayaproxy/src/gateway/process.rs
@@ -12,6 +12,7 @@
 use super::events;
 use super::first_ids::FirstIds;
 use super::meters::Meters;
+use super::peer_hooks::peer_hooks;
 use super::pool::Pool;
 use super::progress::Progress;
 use super::seats::Seats;
@@ -23,9 +24,9 @@
 use crate::base::supervise::restart_on_panic;
 use crate::catalog::{Catalog, Route};
 use crate::limits::CircuitSettings;
-use crate::peers::{Hooks, PeerSettings, Peers};
+use crate::peers::{PeerSettings, Peers};
 use crate::platform::Store;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Quarantine, RequestQuarantine};
 use crate::telemetry::{EvacuationStatus, Metrics, OpsEndpoint, Status, StatusSource};
 use indexmap::IndexMap;
 use std::cell::{Cell, OnceCell, RefCell};
@@ -58,6 +59,8 @@
     pub(crate) pool: Pool,
     /// Parts of prompts that crash upstreams.
     pub(crate) quarantine: Rc<RefCell<Quarantine>>,
+    /// Requests that crash upstreams as a whole.
+    pub(crate) fatal: Rc<RefCell<RequestQuarantine>>,
     /// Ids that runs of the services begin with.
     pub(crate) first_ids: Rc<RefCell<FirstIds>>,
     pub(crate) meters: Meters,
@@ -121,6 +124,7 @@
         balancer.coordinate_retries(settings.coordinated);
         let seats = Seats::spawn(balancer, clock);
         let quarantine = Rc::new(RefCell::new(Quarantine::default()));
+        let fatal: Rc<RefCell<RequestQuarantine>> = Rc::default();
         let meters = Meters::new(&metrics);
         let status = Arc::new(Mutex::new(Status::default()));
         let bounds = MemoryBounds::new(settings.memory);
@@ -131,6 +135,7 @@
             seats: seats.clone(),
             pool: Pool::new(clock, bounds.sockets),
             quarantine: quarantine.clone(),
+            fatal: fatal.clone(),
             first_ids: Rc::default(),
             meters,
             closing: CancellationToken::new(),
@@ -151,54 +156,8 @@
             zone: settings.zone.clone(),
             incarnation,
         };
-        let (load_seats, peer_seats, group_seats) = (seats.clone(), seats.clone(), seats);
-        let entry_seats = load_seats.clone();
-        let (own_limits, peer_limits) = (load_seats.clone(), load_seats.clone());
-        let (own_demand, peer_demand) = (load_seats.clone(), load_seats.clone());
-        let (own_promises, peer_promises) = (load_seats.clone(), load_seats.clone());
-        let (own_parts, peer_parts) = (quarantine.clone(), quarantine);
-        let peers = Peers::bind(
-            peer_settings,
-            catalog,
-            clock,
-            Hooks {
-                loads: Box::new(move || load_seats.with_balancer(|balancer| balancer.loads())),
-                observe_loads: Box::new(move |running, size, reported_at| {
-                    peer_seats.with_balancer(|b| {
-                        b.observe_peers(running, size.most, reported_at);
-                        b.share_budgets(size.sharing);
-                    });
-                }),
-                demand: Box::new(move || own_demand.with_balancer(|b| b.demand(clock.now()))),
-                observe_demand: Box::new(move |demand| {
-                    peer_demand.with_balancer(|b| b.observe_demand(demand));
-                }),
-                observe_entries: Box::new(move |ids| {
-                    entry_seats.with_balancer(|b| b.observe_entries(ids));
-                }),
-                observe_group: Box::new(move |status| {
-                    group_seats.with_balancer(|b| b.observe_group(status, clock.now()));
-                }),
-                limit_news: Box::new(move || {
-                    own_limits.with_balancer(|b| b.limit_news(clock.now()))
-                }),
-                observe_limits: Box::new(move |news| {
-                    let (now, draw) = (clock.now(), rand::random());
-                    peer_limits.with_balancer(|b| b.observe_peer_limits(&news, draw, now));
-                }),
-                promise_news: Box::new(move || {
-                    own_promises.with_balancer(|b| b.promise_news(clock.now()))
-                }),
-                observe_promises: Box::new(move |from, news| {
-                    peer_promises.with_balancer(|b| b.observe_promises(from, news, clock.now()));
-                }),
-                part_news: Box::new(move |all| own_parts.borrow().news(all, clock.now())),
-                observe_parts: Box::new(move |news| {
-                    peer_parts.borrow_mut().observe(news, clock.now());
-                }),
-            },
-        );
-        let peers = peers
+        let hooks = peer_hooks(seats, quarantine, fatal, clock);
+        let peers = Peers::bind(peer_settings, catalog, clock, hooks)
             .await
             .map_err(|source| ProcessError::Listen { address: settings.peers, source })?;
         let _ = shared.peers.set(peers.clone());
@@ -425,6 +384,7 @@
         loop {
             self.catalog.expire();
             self.quarantine.borrow_mut().expire(self.clock.now());
+            self.fatal.borrow_mut().expire(self.clock.now());
             self.update_readiness();
             self.pool.close_expired();
             self.clients.review();
--- a/papayaproxy/src/gateway/relay.rs
+++ b/papayaproxy/src/gateway/relay.rs
@@ -158,8 +158,11 @@
             Raced::Moved(next, broken) => {
                 let (outcome, detail) = match broken {
                     Some(Some(Err(broken))) => {
-                        if broken.has_closed && !has_survived {
-                            exchange.check_crash(&reader.seat, sent_at);
+                        if broken.has_closed {
+                            exchange.record_broken(&reader.seat, sent_at);
+                            if !has_survived {
+                                exchange.check_crash(&reader.seat, sent_at);
+                            }
                         }
                         (SendOutcome::Lost, broken.detail)
                     }
@@ -172,6 +175,9 @@
         let batch = match next {
             Some(Ok(Step::Events(batch))) => batch,
             Some(Ok(Step::End)) => {
+                if reader.is_framed {
+                    exchange.record_answer();
+                }
                 if !has_survived && !reader.is_framed {
                     exchange.check_crash(&reader.seat, sent_at);
                 } else if !has_survived && progress.events > before {
@@ -182,8 +188,11 @@
                 return RelayOutcome::Complete;
             }
             Some(Err(broken)) => {
-                if broken.has_closed && !has_survived {
-                    exchange.check_crash(&reader.seat, sent_at);
+                if broken.has_closed {
+                    exchange.record_broken(&reader.seat, sent_at);
+                    if !has_survived {
+                        exchange.check_crash(&reader.seat, sent_at);
+                    }
                 }
                 let (outcome, detail) = (SendOutcome::Lost, broken.detail);
                 let failure = FailedAttempt::begun(reader.seat, began, outcome, detail);
--- a/papayaproxy/src/gateway/send.rs
+++ b/papayaproxy/src/gateway/send.rs
@@ -54,6 +54,7 @@
             }
             Some(Err(SendError::Lost(detail))) => {
                 transit.arrived();
+                self.record_broken(seat, sent_at);
                 return Err(self.fail(seat, SendOutcome::Lost, true, detail));
             }
             Some(Err(SendError::Unacked(detail))) => {
--- a/papayaproxy/src/peers/hooks.rs
+++ b/papayaproxy/src/peers/hooks.rs
@@ -39,4 +39,8 @@
     pub(crate) part_news: Box<dyn Fn(bool) -> PartNews>,
     /// Called for each message on parts of prompts.
     pub(crate) observe_parts: Box<dyn Fn(&PartNews)>,
+    /// Returns recent news of requests that end with their upstreams, or all.
+    pub(crate) request_news: Box<dyn Fn(bool) -> PartNews>,
+    /// Called for each message on such requests.
+    pub(crate) observe_requests: Box<dyn Fn(&PartNews)>,
 }
--- a/papayaproxy/src/peers/message.rs
+++ b/papayaproxy/src/peers/message.rs
@@ -54,6 +54,9 @@
     Entries(u16),
     /// Capacity that the sender has promised to refused requests, sent only while there is some.
     Promises(Vec<PromiseNews>),
+    /// Which requests have ended with their upstreams, and which were answered: by their keys, in place
+    /// of those of parts.
+    Requests(PartNews),
 }
 
 /// State and load of an entry.
--- a/papayaproxy/src/peers/node.rs
+++ b/papayaproxy/src/peers/node.rs
@@ -187,6 +187,10 @@
         if !news.is_empty() {
             self.send(&Message::Parts(news), to).await;
         }
+        let news = (self.hooks.request_news)(all);
+        if !news.is_empty() {
+            self.send(&Message::Requests(news), to).await;
+        }
     }
 
     async fn send_heartbeat(&self, with_peers: bool, to: &[SocketAddr]) {
@@ -297,6 +301,7 @@
             Message::Limits(news) => (self.hooks.observe_limits)(news),
             Message::Promises(news) => (self.hooks.observe_promises)(from, &news),
             Message::Parts(news) => (self.hooks.observe_parts)(&news),
+            Message::Requests(news) => (self.hooks.observe_requests)(&news),
             Message::Changed { .. } => {}
             Message::Freshness(_)
             | Message::Contacts(_)
--- a/papayaproxy/src/quarantine/constants.rs
+++ b/papayaproxy/src/quarantine/constants.rs
@@ -31,3 +31,21 @@
 pub(crate) const NEWS_DELAY_MAX: Duration = Duration::from_millis(100);
 /// Keys of parts and upstreams in one message, so that it fits one datagram.
 pub(crate) const NEWS_KEYS_MAX: usize = 400;
+
+/// Attempts at a request that end with their upstreams, without a complete answer to it anywhere, after
+/// which it is no longer sent.
+pub(crate) const BROKEN_MIN: usize = 3;
+/// Upstreams at which these attempts were, at least: one of them alone may be at fault itself.
+pub(crate) const BROKEN_UPSTREAMS_MIN: usize = 2;
+/// Time from the last such attempt for which the request is not sent.
+pub(crate) const REQUEST_TTL: Duration = Duration::from_secs(600);
+/// Time for which a complete answer vouches for later requests of the same content.
+pub(crate) const ANSWERED_TTL: Duration = Duration::from_secs(60);
+/// Requests whose complete answers are remembered, in each of two generations.
+pub(crate) const ANSWERED_MAX: usize = 1024;
+/// Requests with broken attempts that are kept.
+pub(crate) const SUSPECTS_MAX: usize = 512;
+/// Broken attempts that are kept of one request; the first ones.
+pub(crate) const BROKEN_MAX: usize = 8;
+/// Broken attempts and answered requests in one message, so that it fits one datagram.
+pub(crate) const REQUEST_NEWS_MAX: usize = 96;
--- a/papayaproxy/src/quarantine/mod.rs
+++ b/papayaproxy/src/quarantine/mod.rs
@@ -1,5 +1,5 @@
-//! Parts of prompts that crash the upstreams that answer them: found by what crashed upstreams had in
-//! common, told to the other entries, and no longer sent.
+//! Parts of prompts that crash the upstreams that answer them, and requests that do as a whole: found by
+//! what crashed upstreams had in common, told to the other entries, and no longer sent.
 //!
 //! Contains no I/O, clock or randomness: each method takes `now`.
 
@@ -14,4 +14,4 @@
 
 pub(crate) use news::PartNews;
 pub(crate) use parts::{Crash, PartKey, Quarantine, key_list, shared_keys};
-pub(crate) use requests::{RequestKey, request_key};
+pub(crate) use requests::{RequestKey, RequestQuarantine, request_key};
--- a/papayaproxy/src/quarantine/parts.rs
+++ b/papayaproxy/src/quarantine/parts.rs
@@ -36,7 +36,7 @@
 
 /// `now` on a clock that starts [`CRASH_TTL`] earlier, so that crashes from before the start of the
 /// process keep their order.
-fn extended(now: Duration) -> Duration {
+pub(super) fn extended(now: Duration) -> Duration {
     now + CRASH_TTL
 }
 
@@ -57,13 +57,13 @@
 
 /// A crash, and what only this entry knows of it.
 #[derive(Clone, Debug)]
-struct Record {
-    crash: Crash,
+pub(super) struct Record {
+    pub(super) crash: Crash,
     /// When the answer broke off, on the [`extended`] clock of this entry; off by the delay of the
     /// message if another entry noticed it.
-    ended_at: Duration,
+    pub(super) ended_at: Duration,
     /// Until when it is repeated to the other entries.
-    news_until: Duration,
+    pub(super) news_until: Duration,
 }
 
 /// The last survived answer on a part.
@@ -311,7 +311,7 @@
 
 impl Record {
     /// Whether the request was sent after the crash of `other`.
-    fn is_sent_after(&self, other: &Self) -> bool {
+    pub(super) fn is_sent_after(&self, other: &Self) -> bool {
         let is_after = if self.crash.entry == other.crash.entry {
             self.crash.sent_at >= other.crash.ended_at
         } else {
@@ -322,7 +322,7 @@
     }
 
     /// Whether both are one end of one upstream, noticed by two requests.
-    fn is_same_end(&self, other: &Self) -> bool {
+    pub(super) fn is_same_end(&self, other: &Self) -> bool {
         self.crash.upstream == other.crash.upstream
             && self.ended_at.abs_diff(other.ended_at) < SAME_CRASH
     }
--- a/papayaproxy/src/quarantine/tests/mod.rs
+++ b/papayaproxy/src/quarantine/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod fleet;
 mod parts;
+mod requests;
