Answers: a status above 599 is none of HTTP

Cause: hyper refuses 000, 099 and 1000, which ended as 502 already, but reads 600 to 999, which were forwarded with the replica's signature. Change: such an answer is invalid, at the entry as at the agent of the product's own interface.

--- a/papayaproxy/src/agent/client.rs
+++ b/papayaproxy/src/agent/client.rs
@@ -2,6 +2,7 @@
 
 use super::codes;
 use super::constants::{CONNECT_TIMEOUT, IDLE_TIMEOUT};
+use crate::base::status::is_defined;
 use crate::base::code::Code;
 use crate::wire::{CallHead, Header, ReplyHead};
 use bytes::Bytes;
@@ -49,14 +50,16 @@
     }
 
     /// Sends a request and returns the head of the response. Fails with `UPSTREAM_REFUSED` if no
-    /// connection was opened, and with `UPSTREAM_LOST` if the request may have reached the upstream.
+    /// connection was opened, and with `UPSTREAM_LOST` if the request may have reached the upstream,
+    /// or its response has no status of HTTP.
     pub(crate) async fn send(
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Code> {
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() { codes::UPSTREAM_REFUSED } else { codes::UPSTREAM_LOST }
-        })
+        })?;
+        if is_defined(response.status()) { Ok(response) } else { Err(codes::UPSTREAM_LOST) }
     }
 
     /// Builds the HTTP request of a call.
--- a/papayaproxy/src/agent/mod.rs
+++ b/papayaproxy/src/agent/mod.rs
@@ -13,5 +13,8 @@
 pub(crate) mod process;
 pub(crate) mod settings;
 
+#[cfg(test)]
+mod tests;
+
 pub use process::Agent;
 pub use settings::{AgentSettings, TABLES};
--- a/papayaproxy/src/base/mod.rs
+++ b/papayaproxy/src/base/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod http;
 pub(crate) mod metered;
 pub(crate) mod name;
+pub(crate) mod status;
 pub(crate) mod supervise;
 
 #[cfg(test)]
--- a/papayaproxy/src/gateway/tests/answers.rs
+++ b/papayaproxy/src/gateway/tests/answers.rs
@@ -66,6 +66,30 @@
 }
 
 /// A request that one replica did not run goes to another replica, whatever its method.
+/// Guards against what is no HTTP status, such as 000, that reaches a client as an answer. hyper reads
+/// three digits up to 999, and only 100 to 599 are statuses.
+#[rstest]
+fn call_status_invalid_lost(
+    #[values("000", "099", "600", "999", "1000")] status: &str,
+    #[values(("GET", "/safe/x"), ("POST", "/once/x"), ("POST", "/stream/x"))] (method, path): (
+        &str,
+        &str,
+    ),
+    #[values("", "Last-Event-Id: 3\r\n")] more: &str,
+) {
+    on_one_thread(async {
+        let head = format!(
+            "HTTP/1.1 {status} X\r\nX-Request-Id: r1\r\nX-Server-Stamp: s\r\nContent-Length: 1\r\n\r\nx"
+        );
+        let (first, second) =
+            (scripted_server(vec![send(&head)]).await, scripted_server(vec![send(&head)]).await);
+        let gateway = TestGateway::open(&[&first, &second]).await;
+        let answer = gateway.call(method, path, more).await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert!(!answer.contains("x-server-stamp"), "{answer}");
+    });
+}
+
 #[rstest]
 #[case::get("GET", "/safe/x")]
 #[case::post("POST", "/once/x")]
--- a/papayaproxy/src/platform/replica.rs
+++ b/papayaproxy/src/platform/replica.rs
@@ -2,6 +2,7 @@
 
 use super::names::{NOT_EXECUTED, RATE_LIMIT, REQUEST_ID, SIGNATURE};
 use super::request::id_text;
+use crate::base::status::is_defined;
 use crate::gateway::Verdict;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, StatusCode};
@@ -27,7 +28,8 @@
         return Verdict::NotRun { misdirected: status == StatusCode::MISDIRECTED_REQUEST };
     }
     let contradicts = status.is_success() && headers.contains_key(NOT_EXECUTED);
-    if status.is_informational() || contradicts || headers.contains_key(CONTENT_ENCODING) {
+    let is_none = status.is_informational() || !is_defined(status);
+    if is_none || contradicts || headers.contains_key(CONTENT_ENCODING) {
         return Verdict::Foreign;
     }
     if status.is_success() && (!headers.contains_key(SIGNATURE) || !is_named) {
