Quarantine: few news of broken attempts in a message to all entries

A group of upstreams that stalls ends hundreds of streams at once, and each entry would have sent 96 broken attempts, some 4 KB, to each other one in every heartbeat for two seconds, and at once for each request that was cut twice: traffic that grows with the square of the fleet. Cause: the bound was that of a datagram. Change: 16 attempts to all, the blocked requests and those with most first; 96 to a single entry; at once only when a request is blocked. Found by reading.

--- a/papayaproxy/src/agent/client.rs
+++ b/papayaproxy/src/agent/client.rs
@@ -2,8 +2,8 @@
 
 use super::codes;
 use super::constants::{CONNECT_TIMEOUT, IDLE_TIMEOUT};
-use crate::base::status::is_defined;
 use crate::base::code::Code;
+use crate::base::status::is_defined;
 use crate::wire::{CallHead, Header, ReplyHead};
 use bytes::Bytes;
 use http_body_util::Full;
--- a/papayaproxy/src/quarantine/constants.rs
+++ b/papayaproxy/src/quarantine/constants.rs
@@ -47,5 +47,8 @@
 pub(crate) const SUSPECTS_MAX: usize = 512;
 /// Broken attempts that are kept of one request; the first ones.
 pub(crate) const BROKEN_MAX: usize = 8;
-/// Broken attempts and answered requests in one message, so that it fits one datagram.
-pub(crate) const REQUEST_NEWS_MAX: usize = 96;
+/// Broken attempts and answered requests in one message to all entries: a group of upstreams that stalls
+/// ends many requests at once, at each entry.
+pub(crate) const REQUEST_NEWS_MAX: usize = 16;
+/// The same in a message to a single entry, so that it fits one datagram.
+pub(crate) const REQUEST_ALL_MAX: usize = 96;
--- a/papayaproxy/src/quarantine/requests.rs
+++ b/papayaproxy/src/quarantine/requests.rs
@@ -6,7 +6,7 @@
 
 use super::constants::{
     ANSWERED_MAX, ANSWERED_TTL, BROKEN_MAX, BROKEN_MIN, BROKEN_UPSTREAMS_MIN, NEWS_TIME,
-    REQUEST_NEWS_MAX, REQUEST_TTL, SUSPECTS_MAX,
+    REQUEST_ALL_MAX, REQUEST_NEWS_MAX, REQUEST_TTL, SUSPECTS_MAX,
 };
 use super::events;
 use super::news::PartNews;
@@ -83,15 +83,14 @@
     }
 
     /// Records an attempt of this entry that ended with its upstream; `broken.parts` is the request's key
-    /// alone. Returns whether the other entries should be told at once.
+    /// alone. Returns whether it blocks the request, of which the other entries should know at once.
     pub(crate) fn record_broken(&mut self, broken: Crash, now: Duration) -> bool {
         let (ended_at, now) = (extended(broken.ended_at), extended(now));
         let Some(key) = broken.parts.first().copied() else { return false };
         if self.is_vouched(key, ended_at) {
             return false;
         }
-        self.add(key, Record { crash: broken, ended_at, news_until: now + NEWS_TIME });
-        self.suspects.get(&key).is_some_and(|s| s.broken.len() > 1)
+        self.add(key, Record { crash: broken, ended_at, news_until: now + NEWS_TIME })
     }
 
     /// Applies what a peer tells.
@@ -121,15 +120,17 @@
     pub(crate) fn news(&self, all: bool, now: Duration) -> PartNews {
         let now = extended(now);
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        let most = if all { REQUEST_ALL_MAX } else { REQUEST_NEWS_MAX };
         let mut suspects: Vec<&Suspect> = self.suspects.values().collect();
-        suspects.sort_by_key(|s| (!s.is_blocked, Reverse(s.broken.len())));
+        let ended_at = |s: &Suspect| s.broken.last().map(|b| b.ended_at);
+        suspects.sort_by_key(|s| (!s.is_blocked, Reverse(s.broken.len()), Reverse(ended_at(s))));
         let broken = suspects.iter().flat_map(|s| &s.broken);
         let broken = broken.filter(|b| all || now < b.news_until);
         let crashes: Vec<_> =
-            broken.map(|b| (b.crash.clone(), age_ms(b.ended_at))).take(REQUEST_NEWS_MAX).collect();
+            broken.map(|b| (b.crash.clone(), age_ms(b.ended_at))).take(most).collect();
         let cleared = self.cleared.iter().filter(|(_, c)| all || now < c.news_until);
         let cleared = cleared.map(|(key, c)| (*key, age_ms(c.at)));
-        let survived = cleared.take(REQUEST_NEWS_MAX - crashes.len()).collect();
+        let survived = cleared.take(most - crashes.len()).collect();
         PartNews { crashes, survived }
     }
 
@@ -156,7 +157,8 @@
         self.cleared.insert(key, Clearance { at, news_until });
     }
 
-    fn add(&mut self, key: RequestKey, record: Record) {
+    /// Adds a broken attempt, unless it is known. Returns whether it blocks the request.
+    fn add(&mut self, key: RequestKey, record: Record) -> bool {
         if self.suspects.len() >= SUSPECTS_MAX && !self.suspects.contains_key(&key) {
             let oldest = self.suspects.values().position(|s| !s.is_blocked).unwrap_or_default();
             self.suspects.shift_remove_index(oldest);
@@ -164,16 +166,18 @@
         let suspect = self.suspects.entry(key).or_default();
         let is_known = suspect.broken.iter().any(|b| b.crash == record.crash);
         if is_known || suspect.broken.len() >= BROKEN_MAX {
-            return;
+            return false;
         }
         let index = suspect.broken.partition_point(|b| b.ended_at <= record.ended_at);
         suspect.broken.insert(index, record);
-        if !suspect.is_blocked && suspect.has_crashed_enough() {
+        let is_new = !suspect.is_blocked && suspect.has_crashed_enough();
+        if is_new {
             suspect.is_blocked = true;
             let (event, content) = (events::REQUEST_BLOCKED, key_list(&[key]));
             let attempts = suspect.broken.len();
             tracing::warn!(event, content, attempts, "request blocked");
         }
+        is_new
     }
 }
 
