Quarantine: only what blocks requests is repeated for minutes

An entry repeated up to 96 broken attempts, some 4 KB, to a peer in every fifth heartbeat for ten minutes after any crash, though they blocked nothing. Cause: "all that is known" included them. Change: beyond its two seconds of news an attempt is told only if its request is blocked. Found by reading.

--- a/papayaproxy/src/quarantine/requests.rs
+++ b/papayaproxy/src/quarantine/requests.rs
@@ -115,17 +115,18 @@
         }
     }
 
-    /// What the other entries should know: recent news of this entry, or `all` that it knows. What does not
-    /// fit one datagram is left out, first of all attempts that block nothing.
+    /// What the other entries should know: recent news of this entry, and with `all` what blocks requests.
+    /// What does not fit one datagram is left out, first of all attempts that block nothing.
     pub(crate) fn news(&self, all: bool, now: Duration) -> PartNews {
         let now = extended(now);
         let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         let most = if all { REQUEST_ALL_MAX } else { REQUEST_NEWS_MAX };
-        let mut suspects: Vec<&Suspect> = self.suspects.values().collect();
+        let is_told = |s: &Suspect, b: &Record| (all && s.is_blocked) || now < b.news_until;
+        let has_news = |s: &&Suspect| s.broken.iter().any(|b| is_told(s, b));
+        let mut suspects: Vec<&Suspect> = self.suspects.values().filter(has_news).collect();
         let ended_at = |s: &Suspect| s.broken.last().map(|b| b.ended_at);
         suspects.sort_by_key(|s| (!s.is_blocked, Reverse(s.broken.len()), Reverse(ended_at(s))));
-        let broken = suspects.iter().flat_map(|s| &s.broken);
-        let broken = broken.filter(|b| all || now < b.news_until);
+        let broken = suspects.iter().flat_map(|s| s.broken.iter().filter(|b| is_told(s, b)));
         let crashes: Vec<_> =
             broken.map(|b| (b.crash.clone(), age_ms(b.ended_at))).take(most).collect();
         let cleared = self.cleared.iter().filter(|(_, c)| all || now < c.news_until);
--- a/papayaproxy/src/quarantine/tests/requests.rs
+++ b/papayaproxy/src/quarantine/tests/requests.rs
@@ -98,6 +98,9 @@
     }
     assert!(quarantine.is_blocked(KEY, STARTED + ms(2000)));
     assert_eq!(quarantine.news(true, STARTED + ms(2000)).crashes[0].0.parts, vec![KEY]);
+    // What blocks nothing is told for a while only, or each entry would repeat it for minutes.
+    let later = quarantine.news(true, STARTED + ms(5000)).crashes;
+    assert!(later.len() == 3 && later.iter().all(|(c, _)| c.parts == vec![KEY]));
 }
 
 /// Requests that differ in any of their fields are not the same, wherever one field ends.
