Ranks: an unanswered order is superseded, not waited for

Cause: the lead undid a switch only once no rank had an unanswered order, and a rank whose agent has just started counts as having one for 13 s. The orders that were to end this advanced a count which replicas need not keep, and each of them that was lost began the 13 s anew.

Change: such a rank prepares its present experts under a higher version. Nothing is copied, and no order to arm a lower version fits any more. The lead waits for that state. The hold and release of a pass that is never reached are gone.

--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -5,10 +5,10 @@
 use super::demand::Popularity;
 use super::events;
 use super::lead::{Lead, Phase, Reports, is_fresh};
-use super::maps::{MapStore, first_map};
+use super::maps::{MapStore, first_map, map_keeping};
 use super::message::{
-    AgentHello, AgentReport, Command, CountSample, GroupContacts, LeadCommand, MapChanges,
-    MembersQuery, RankMessage, RankStatus,
+    AgentHello, AgentReport, Command, CountSample, ExpertLists, GroupContacts, LeadCommand,
+    MapChanges, MembersQuery, RankMessage, RankStatus,
 };
 use super::pass::PassClock;
 use super::planner::SkewMeter;
@@ -359,7 +359,17 @@
         Box::pin(self.send_report(false)).await;
     }
 
-    /// Replaces changes by the whole map; `None` if this rank lacks the map that they refer to.
+    /// A map that leaves this rank's experts as they are; `None` while they are not known.
+    fn map_in_place(&self) -> Option<Arc<ExpertLists>> {
+        let status = self.local.status()?;
+        let (epoch, version, own) = &self.experts;
+        let is_current = (*epoch, *version) == (status.epoch, status.version) && !own.is_empty();
+        let figures = self.figures.filter(|_| is_current)?;
+        map_keeping(status.rank, own, status.size, &figures).map(Arc::new)
+    }
+
+    /// Replaces changes, or the request to keep the experts, by the whole map; `None` if this rank lacks
+    /// what that takes.
     fn resolve_map(&mut self, mut lead_command: LeadCommand) -> Option<LeadCommand> {
         let epoch = lead_command.epoch;
         match &lead_command.command {
@@ -373,6 +383,11 @@
                 self.maps.insert(epoch, version, map.clone());
                 lead_command.command = Command::Prepare { version, map };
             }
+            Command::Supersede { version } => {
+                let (version, map) = (*version, self.map_in_place()?);
+                lead_command.command = Command::Prepare { version, map };
+                return Some(lead_command);
+            }
             _ => return Some(lead_command),
         }
         self.wants_map = false;
--- a/papayaproxy/src/ranks/constants.rs
+++ b/papayaproxy/src/ranks/constants.rs
@@ -85,8 +85,6 @@
 pub(crate) const SWITCH_DELAY_WEIGHT: f64 = 0.3;
 /// Minimum of the same in passes.
 pub(crate) const SWITCH_MIN_STEPS: u64 = 2;
-/// Distance in passes of the hold that only advances a replica's order sequence: never reached.
-pub(crate) const UNREACHABLE_STEPS: u64 = 10_000_000;
 /// Time within which an unanswered order may still take effect, with a margin.
 pub(crate) const UNCERTAIN_ORDER_TTL: Duration = Duration::from_secs(13);
 /// Time without new plans after an unanswered order.
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -3,7 +3,9 @@
 //!
 //! A pass held at the lead's own rank blocks the whole group, since all ranks run each pass
 //! together. The lead releases it only when all ranks report the same map as armed, or when no rank
-//! is armed and no unanswered order can arm one any more.
+//! is armed and no unanswered order can arm one any more. A rank with an unanswered order prepares its
+//! present experts under a higher version first: replicas may count no orders, and carry out late ones
+//! as long as they fit.
 
 use super::constants::{
     ARM_TIMEOUT, HOLD_TIMEOUT, MAP_BYTES_UNCONFIRMED, PREPARE_TIMEOUT, REPORT_MAX_AGE,
@@ -103,6 +105,8 @@
     repeats: u32,
     /// Highest version proposed.
     last_version: u64,
+    /// Version that supersedes what unanswered orders may still arm, in this phase.
+    superseding: Option<u64>,
     /// Usual time from the order to hold until all ranks are armed.
     arm_time: Duration,
     hold_at: Duration,
@@ -129,6 +133,7 @@
             commands: 0,
             repeats: 0,
             last_version: 0,
+            superseding: None,
             arm_time: SWITCH_DELAY.div_f64(SWITCH_DELAY_FACTOR),
             hold_at: Duration::ZERO,
             sizes: MapSizes::default(),
@@ -182,14 +187,19 @@
         if self.phase != Phase::Idle {
             return None;
         }
-        let next = seen.max(self.last_version).saturating_add(1);
-        let version = next.max(self.term << VERSION_PLAN_BITS);
-        self.last_version = version;
+        let version = self.next_version(seen);
         self.sizes = sizes;
         self.enter(Phase::Preparing { version, map }, now, "a plan pays");
         Some(version)
     }
 
+    /// A version above all that this lead has given out and above `seen`.
+    fn next_version(&mut self, seen: u64) -> u64 {
+        let next = seen.max(self.last_version).saturating_add(1);
+        self.last_version = next.max(self.term << VERSION_PLAN_BITS);
+        self.last_version
+    }
+
     /// Gives up a map that is being prepared.
     pub(crate) fn abandon(&mut self, reason: &str, now: Duration) {
         if matches!(self.phase, Phase::Preparing { .. }) {
@@ -420,22 +430,33 @@
                 |(rank, a): (u16, ArmedMap)| (rank, Command::Disarm { version: a.version });
             return armed.into_iter().map(disarm).collect();
         }
-        // The lead's own hold is released last, so that no late order can arm a rank before.
+        let version = self.superseding_version(reports);
         let others = |(rank, _): &(u16, &&AgentReport)| *rank != self.rank;
-        let mut commands: Vec<(u16, Command)> = Vec::new();
-        for (rank, report) in (0..).zip(reports).filter(others) {
-            match report.status.held {
-                Some(step) => commands.push((rank, Command::Go { step })),
-                None if report.order_uncertain => commands.push((rank, Command::AdvanceSequence)),
-                None => {}
-            }
-        }
+        let may_arm =
+            |(_, r): &(u16, &&AgentReport)| r.order_uncertain && r.status.prepared < Some(version);
+        let doubtful = (0..).zip(reports).filter(others).filter(may_arm);
+        let mut commands: Vec<(u16, Command)> =
+            doubtful.map(|(rank, _)| (rank, Command::Supersede { version })).collect();
+        let held =
+            (0..).zip(reports).filter(others).filter_map(|(rank, r)| Some((rank, r.status.held?)));
+        commands.extend(held.map(|(rank, step)| (rank, Command::Go { step })));
+        // The lead's own hold is released last, so that no late order can arm a rank before.
         if commands.is_empty() {
             commands.extend(own.held.map(|step| (self.rank, Command::Go { step })));
         }
         commands
     }
 
+    /// The version under which ranks with an unanswered order prepare their present experts.
+    fn superseding_version(&mut self, reports: &[&AgentReport]) -> u64 {
+        if let Some(version) = self.superseding {
+            return version;
+        }
+        let seen = reports.iter().map(|r| r.status.last_version()).max();
+        let version = self.next_version(seen.unwrap_or_default());
+        *self.superseding.insert(version)
+    }
+
     /// Drops commands to ranks that were sent one within [`RESEND_INTERVAL`], and records the rest.
     fn due_commands(
         &mut self,
@@ -488,6 +509,7 @@
             // the last command, and a rank that reports it ignores all earlier commands.
             self.term = next_term(self.term, self.rank);
         }
+        self.superseding = None;
         self.phase = phase;
         self.entered_at = now;
         self.sent_at.clear();
--- a/papayaproxy/src/ranks/leading.rs
+++ b/papayaproxy/src/ranks/leading.rs
@@ -10,7 +10,7 @@
 use super::demand::Popularity;
 use super::events;
 use super::lead::{MapSizes, Phase, is_fresh};
-use super::maps::{changes, is_well_formed};
+use super::maps::{changes, is_well_formed, map_keeping};
 use super::message::{
     AgentReport, Command, ExpertLists, GroupMember, GroupPulse, GroupStatus, LeadCommand,
     RankMessage, members_digest,
@@ -140,8 +140,8 @@
         self.plan_at = now + PLAN_INTERVAL;
         let epoch = self.lead.epoch();
         let base = self.local.status().map_or(0, |s| s.version);
-        let seen = |r: &AgentReport| r.status.version.max(r.status.prepared.unwrap_or_default());
-        let seen = self.reports.values().map(|(r, _)| seen(r)).max().unwrap_or_default();
+        let seen =
+            self.reports.values().map(|(r, _)| r.status.last_version()).max().unwrap_or_default();
         let (map, copy_ms) = (Arc::new(new_plan.map), new_plan.copy_time.as_millis() as u64);
         let map_changes = Arc::new(changes(base, &lists, &map));
         let bytes = encoded_size(map_changes.as_ref());
@@ -222,9 +222,8 @@
             let lead_command = LeadCommand { term, epoch, command };
             if Some(rank) == own_rank {
                 self.execute(lead_command).await;
-            } else if let Some(remote) = self.remotes.get_mut(&rank) {
-                remote.execute(&lead_command, now).await;
-                self.refresh_remote(rank).await;
+            } else if self.remotes.contains_key(&rank) {
+                self.execute_remotely(rank, lead_command, now).await;
             } else if let Some(address) = self.contacts.agent(rank) {
                 let lead_command = self.compact_command(rank, lead_command);
                 let message = Message::Rank(RankMessage::Command(Box::new(lead_command)));
@@ -233,6 +232,25 @@
         }
     }
 
+    /// Carries out a command on the replica of a rank whose agent does not respond.
+    async fn execute_remotely(&mut self, rank: u16, lead_command: LeadCommand, now: Duration) {
+        let (size, figures) = (self.size(), self.figures);
+        let Some(remote) = self.remotes.get_mut(&rank) else { return };
+        let lead_command = match &lead_command.command {
+            Command::Supersede { version } => {
+                let lists = remote.replica().expert_lists(REMOTE_TIMEOUT).await;
+                let map = lists.ok().zip(figures).and_then(|((_, own), figures)| {
+                    map_keeping(rank, &own, size, &figures).map(Arc::new)
+                });
+                let Some(map) = map else { return };
+                LeadCommand { command: Command::Prepare { version: *version, map }, ..lead_command }
+            }
+            _ => lead_command,
+        };
+        remote.execute(&lead_command, now).await;
+        self.refresh_remote(rank).await;
+    }
+
     /// Replaces a whole map by its changes, unless the rank lacks the map they refer to.
     fn compact_command(&self, rank: u16, mut lead_command: LeadCommand) -> LeadCommand {
         let wants_map = self.reports.get(&rank).is_some_and(|(r, _)| r.wants_map);
--- a/papayaproxy/src/ranks/maps.rs
+++ b/papayaproxy/src/ranks/maps.rs
@@ -78,6 +78,27 @@
     vec![(0..size).map(experts).collect(); figures.sets.into()]
 }
 
+/// A complete map in which `rank` has the experts `own`, by set, and the other ranks share the remaining
+/// ones in turn; `None` if there is no such rank.
+pub(crate) fn map_keeping(
+    rank: u16,
+    own: &[Vec<u16>],
+    size: u16,
+    figures: &ExpertFigures,
+) -> Option<ExpertLists> {
+    let complete = |own: &Vec<u16>| {
+        let mut set = vec![Vec::new(); size.into()];
+        let others = (0..size).filter(|other| *other != rank).cycle();
+        let rest = (0..figures.experts).filter(|expert| !own.contains(expert));
+        for (expert, other) in rest.zip(others) {
+            set[usize::from(other)].push(expert);
+        }
+        set[usize::from(rank)].clone_from(own);
+        set
+    };
+    (rank < size).then(|| own.iter().map(complete).collect())
+}
+
 /// Whether a map has lists for `size` ranks in each set, and only experts that exist.
 pub(crate) fn is_well_formed(map: &ExpertLists, size: u16, figures: &ExpertFigures) -> bool {
     let is_list = |list: &Vec<u16>| {
--- a/papayaproxy/src/ranks/message.rs
+++ b/papayaproxy/src/ranks/message.rs
@@ -60,6 +60,11 @@
     pub(crate) fn lacks(&self, version: u64) -> bool {
         self.prepared != Some(version) && self.copying != Some(version)
     }
+
+    /// The highest version that the rank has had.
+    pub(crate) fn last_version(&self) -> u64 {
+        self.version.max(self.prepared.max(self.copying).unwrap_or_default())
+    }
 }
 
 /// An expert map: for each set of layers, the experts of each rank.
@@ -151,8 +156,12 @@
         /// The map's version.
         version: u64,
     },
-    /// Advance the replica's order sequence, so that no unanswered order can take effect any more.
-    AdvanceSequence,
+    /// Prepare the rank's present experts under a higher version: no unanswered order can arm a lower one
+    /// any more.
+    Supersede {
+        /// The higher version.
+        version: u64,
+    },
     /// Release a held pass.
     Go {
         /// The number of the pass.
--- a/papayaproxy/src/ranks/rank.rs
+++ b/papayaproxy/src/ranks/rank.rs
@@ -1,8 +1,6 @@
 //! Reads the status of one rank's replica and sends it orders that take effect at most once.
 
-use super::constants::{
-    ORDER_ATTEMPTS, ORDER_TIMEOUT, PREPARE_TIMEOUT, UNCERTAIN_ORDER_TTL, UNREACHABLE_STEPS,
-};
+use super::constants::{ORDER_ATTEMPTS, ORDER_TIMEOUT, PREPARE_TIMEOUT, UNCERTAIN_ORDER_TTL};
 use super::events;
 use super::message::{ArmedMap, Command, ExpertLists, LeadCommand, RankStatus};
 use crate::platform::rank::{RankError, ReplicaClient};
@@ -67,48 +65,26 @@
     Refused(u16),
 }
 
-/// What a rank has to do for a command.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Action {
-    /// Nothing: the state is already in place, or the command does not fit it.
-    Nothing,
-    /// Send one order.
-    Order(Order),
-    /// Hold and release a pass that is never reached, which only advances the order sequence.
-    AdvanceSequence,
-}
-
-/// Returns what a rank with this status has to do for a command.
-pub(crate) fn required_action(
-    command: &Command,
-    status: &RankStatus,
-    order_uncertain: bool,
-) -> Action {
+/// The order that a command requires of a rank with this status; `None` if the state is already in place
+/// or the command does not fit it.
+pub(crate) fn required_order(command: &Command, status: &RankStatus) -> Option<Order> {
     match command {
         Command::Prepare { version, map }
             if status.lacks(*version) && !status.busy && status.armed.is_none() =>
         {
-            Action::Order(Order::Prepare { version: *version, map: map.clone() })
+            Some(Order::Prepare { version: *version, map: map.clone() })
         }
         Command::Arm { version, step }
             if status.armed.is_none() && status.prepared == Some(*version) =>
         {
-            Action::Order(Order::Arm { version: *version, step: *step })
+            Some(Order::Arm { version: *version, step: *step })
         }
         Command::Disarm { version } if is_armed(status, *version) => {
-            Action::Order(Order::Disarm { version: *version })
-        }
-        Command::Hold { step } if status.held.is_none() => {
-            Action::Order(Order::Hold { step: *step })
-        }
-        Command::Go { step } if status.held == Some(*step) => {
-            Action::Order(Order::Go { step: *step })
+            Some(Order::Disarm { version: *version })
         }
-        // A rank that holds a pass cannot take the second hold that would advance the sequence.
-        Command::AdvanceSequence if order_uncertain && status.held.is_none() => {
-            Action::AdvanceSequence
-        }
-        _ => Action::Nothing,
+        Command::Hold { step } if status.held.is_none() => Some(Order::Hold { step: *step }),
+        Command::Go { step } if status.held == Some(*step) => Some(Order::Go { step: *step }),
+        _ => None,
     }
 }
 
@@ -169,16 +145,14 @@
         self.copying = Some((version, now));
     }
 
-    /// Returns what to do for a command; nothing if its term or epoch is outdated.
-    pub(crate) fn accept(&mut self, lead_command: &LeadCommand) -> Action {
+    /// Returns the order to send for a command; `None` if its term or epoch is outdated.
+    pub(crate) fn accept(&mut self, lead_command: &LeadCommand) -> Option<Order> {
         if lead_command.term < self.term {
-            return Action::Nothing;
+            return None;
         }
         self.term = lead_command.term;
-        let status = self.status.as_ref().filter(|s| s.epoch == lead_command.epoch);
-        status.map_or(Action::Nothing, |status| {
-            required_action(&lead_command.command, status, self.has_uncertain_order())
-        })
+        let status = self.status.as_ref().filter(|s| s.epoch == lead_command.epoch)?;
+        required_order(&lead_command.command, status)
     }
 }
 
@@ -239,19 +213,10 @@
     /// Carries out a command from the lead.
     pub(crate) async fn execute(&mut self, lead_command: &LeadCommand, now: Duration) {
         self.refresh(now).await;
-        match self.tracker.accept(lead_command) {
-            Action::Nothing => return,
-            Action::Order(order) => self.send_order(&order, now).await,
-            Action::AdvanceSequence => {
-                let step = self.status().map_or(0, |s| s.step).saturating_add(UNREACHABLE_STEPS);
-                self.send_order(&Order::Hold { step }, now).await;
-                self.refresh(now).await;
-                if self.status().is_some_and(|s| s.held == Some(step)) {
-                    self.send_order(&Order::Go { step }, now).await;
-                }
-            }
+        if let Some(order) = self.tracker.accept(lead_command) {
+            self.send_order(&order, now).await;
+            self.refresh(now).await;
         }
-        self.refresh(now).await;
     }
 
     /// Sends one order. All attempts expect the same sequence, so at most one takes effect.
