Ranks: the lead's own rank is superseded too before a hold is released

Cause: the lead asked all ranks but its own for unanswered orders, since its own hold is released last. In a group without requests the released pass does not begin, and an old order to arm that is carried out late still fits.

Change: every rank with an unanswered order is superseded before any hold is released.

--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -430,21 +430,21 @@
                 |(rank, a): (u16, ArmedMap)| (rank, Command::Disarm { version: a.version });
             return armed.into_iter().map(disarm).collect();
         }
+        // While the group is held, a rank that an order arms late is seen and disarmed. The lead's own rank
+        // is no exception: the group may have no requests, and the pass then does not begin at once.
         let version = self.superseding_version(reports);
-        let others = |(rank, _): &(u16, &&AgentReport)| *rank != self.rank;
         let may_arm =
             |(_, r): &(u16, &&AgentReport)| r.order_uncertain && r.status.prepared < Some(version);
-        let doubtful = (0..).zip(reports).filter(others).filter(may_arm);
-        let mut commands: Vec<(u16, Command)> =
+        let doubtful = (0..).zip(reports).filter(may_arm);
+        let supersede: Vec<(u16, Command)> =
             doubtful.map(|(rank, _)| (rank, Command::Supersede { version })).collect();
-        let held =
-            (0..).zip(reports).filter(others).filter_map(|(rank, r)| Some((rank, r.status.held?)));
-        commands.extend(held.map(|(rank, step)| (rank, Command::Go { step })));
-        // The lead's own hold is released last, so that no late order can arm a rank before.
-        if commands.is_empty() {
-            commands.extend(own.held.map(|step| (self.rank, Command::Go { step })));
+        if !supersede.is_empty() {
+            return supersede;
         }
-        commands
+        // The lead's own hold is released last.
+        let (own, others): (Vec<_>, Vec<_>) =
+            release(reports).into_iter().partition(|(rank, _)| *rank == self.rank);
+        if others.is_empty() { own } else { others }
     }
 
     /// The version under which ranks with an unanswered order prepare their present experts.
--- a/papayaproxy/src/ranks/tests/agreement.rs
+++ b/papayaproxy/src/ranks/tests/agreement.rs
@@ -485,6 +485,14 @@
     World::new(14_093_178_309_942_475_656, ALL_GUARDS, Counted::None).run().unwrap();
 }
 
+/// An order carried out late armed the lead's own rank alone, in a group without requests.
+#[rstest]
+#[case::first(19_871)]
+#[case::second(25_553)]
+fn agreement_own_rank_late(#[case] seed: u64) {
+    World::new(seed, ALL_GUARDS, Counted::None).run().unwrap();
+}
+
 #[test]
 fn agreement_calm_switches() {
     let run = |seed| World::new(seed, ALL_GUARDS, Counted::All).run().unwrap();
--- a/papayaproxy/src/ranks/tests/mod.rs
+++ b/papayaproxy/src/ranks/tests/mod.rs
@@ -10,3 +10,4 @@
 mod planner;
 mod rank;
 mod shifts;
+mod undo;
--- /dev/null
+++ b/papayaproxy/src/ranks/tests/undo.rs
@@ -0,0 +1,38 @@
+//! How a lead undoes a switch that is left half done.
+
+use super::maps::status;
+use super::rank::report;
+use crate::ranks::lead::{Lead, Phase, Reports};
+use crate::ranks::message::{Command, RankStatus};
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1);
+const STEP: u64 = 40;
+
+/// The lead of two ranks that finds its own rank holding a pass, with the reports that follow it.
+fn undoing() -> (Lead, Reports) {
+    let mut lead = Lead::new(0, 2, 1);
+    lead.begin(0, NOW);
+    let mut reports: Reports =
+        (0..2).map(|rank| (rank, (report(status(rank, 2), lead.term()), NOW))).collect();
+    reports[&0].0.status.held = Some(STEP);
+    lead.advance(&reports, 0.0, NOW);
+    assert_eq!(*lead.phase(), Phase::Undoing);
+    reports.values_mut().for_each(|(r, _)| r.term = lead.term());
+    (lead, reports)
+}
+
+/// In a group without requests a released pass does not begin, and an order to the lead's own rank still
+/// armed it alone.
+#[test]
+fn undo_own_order_unanswered_superseded() {
+    let (mut lead, mut reports) = undoing();
+    reports[&0].0.order_uncertain = true;
+    let commands = lead.advance(&reports, 0.0, NOW);
+    let [(0, Command::Supersede { version })] = commands[..] else { panic!("{commands:?}") };
+    let RankStatus { version: in_use, .. } = reports[&0].0.status;
+    assert!(version > in_use);
+    reports[&0].0.status.prepared = Some(version);
+    let commands = lead.advance(&reports, 0.0, NOW + Duration::from_secs(1));
+    assert_eq!(commands, [(0, Command::Go { step: STEP })]);
+}
