Ranks: no two leads, or lives of one, give out the same version

Cause: a version was the lead's term and a count. An agent keeps both in memory only, and rank 0 leads at its first tick: it took the term of its first life and gave the version of a map whose preparation was still under way to another one.

Change: the low half of a version is a random number that a lead draws when it begins, the high half counts up from what ranks report.

The randomised runs now restart all agents at once as well.

--- a/papayaproxy/src/peers/tests/mutated.rs
+++ b/papayaproxy/src/peers/tests/mutated.rs
@@ -136,7 +136,7 @@
                 own.status.rank = rank;
                 reports.insert(rank, (own, NOW));
             }
-            let mut lead = Lead::new(1, 3, report.status.epoch);
+            let mut lead = Lead::new(1, 3, report.status.epoch, 1);
             lead.begin(0, NOW);
             for _ in 0..4 {
                 lead.advance(&reports, 60.0, NOW);
--- a/papayaproxy/src/ranks/agent.rs
+++ b/papayaproxy/src/ranks/agent.rs
@@ -84,7 +84,7 @@
             clock: Clock::start(),
             service: settings.service.clone(),
             local: RankClient::new(settings.replica, READ_TIMEOUT),
-            lead: Lead::new(0, 0, 0),
+            lead: Lead::new(0, 0, 0, rand::random()),
             reports: Reports::new(),
             contacts: Contacts::new(settings.seeds.clone()),
             figures: None,
@@ -207,7 +207,7 @@
             self.lead.stop("the group has broken or formed anew", now);
         }
         if status.epoch != self.lead.epoch() {
-            self.lead = Lead::new(status.rank, status.size, status.epoch);
+            self.lead = Lead::new(status.rank, status.size, status.epoch, rand::random());
             self.reports.clear();
             self.lowest_since = None;
             self.wants_map = false;
--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -20,9 +20,9 @@
 
 /// Low bits of a term that hold the lead's rank.
 const TERM_RANK_BITS: u32 = 16;
-/// Low bits of a version that count the plans of one term, so that two leads never propose two maps
-/// under one version.
-const VERSION_PLAN_BITS: u32 = 20;
+/// Low bits of a version that hold the lead's identity, so that two leads never propose two maps under one
+/// version.
+const VERSION_LEAD_BITS: u32 = 32;
 
 /// Progress of the agreement on a map.
 #[derive(Clone, Debug, PartialEq)]
@@ -96,6 +96,8 @@
     rank: u16,
     size: u16,
     epoch: u64,
+    /// Random, since an agent that starts again does not know what it proposed before.
+    identity: u32,
     term: u64,
     phase: Phase,
     entered_at: Duration,
@@ -121,11 +123,12 @@
 
 impl Lead {
     /// A rank that does not lead.
-    pub(crate) fn new(rank: u16, size: u16, epoch: u64) -> Self {
+    pub(crate) fn new(rank: u16, size: u16, epoch: u64, identity: u32) -> Self {
         Self {
             rank,
             size,
             epoch,
+            identity,
             term: 0,
             phase: Phase::Following,
             entered_at: Duration::ZERO,
@@ -195,8 +198,8 @@
 
     /// A version above all that this lead has given out and above `seen`.
     fn next_version(&mut self, seen: u64) -> u64 {
-        let next = seen.max(self.last_version).saturating_add(1);
-        self.last_version = next.max(self.term << VERSION_PLAN_BITS);
+        let number = (seen.max(self.last_version) >> VERSION_LEAD_BITS) + 1;
+        self.last_version = (number << VERSION_LEAD_BITS) | u64::from(self.identity);
         self.last_version
     }
 
--- a/papayaproxy/src/ranks/tests/agreement.rs
+++ b/papayaproxy/src/ranks/tests/agreement.rs
@@ -158,7 +158,7 @@
     fn new(seed: u64, guards: Guards, counted: Counted) -> Self {
         let agent = |rank: usize| Agent {
             tracker: RankTracker::default(),
-            lead: Lead::new(rank as u16, RANKS as u16, 0),
+            lead: Lead::new(rank as u16, RANKS as u16, 0, rank as u32),
             reports: Reports::new(),
             proposed_at: Duration::ZERO,
             down_ticks: 0,
@@ -232,12 +232,10 @@
         }
         if self.chance(0.01) {
             let rank = self.rng.random_range(0..RANKS);
-            let down_ticks = self.rng.random_range(1..40);
-            self.agents[rank].down_ticks = down_ticks;
-            self.agents[rank].tracker = RankTracker::default();
-            self.agents[rank].reports.clear();
-            let epoch = self.epoch;
-            self.agents[rank].lead = Lead::new(rank as u16, RANKS as u16, epoch);
+            self.restart_agent(rank);
+        }
+        if self.chance(0.003) {
+            (0..RANKS).for_each(|rank| self.restart_agent(rank));
         }
         if self.chance(0.01) {
             let rank = self.rng.random_range(0..RANKS);
@@ -254,6 +252,16 @@
         }
     }
 
+    /// The agent forgets all, above all the terms and versions that it has given out.
+    fn restart_agent(&mut self, rank: usize) {
+        let (down_ticks, identity) = (self.rng.random_range(1..40), self.rng.random());
+        let agent = &mut self.agents[rank];
+        agent.down_ticks = down_ticks;
+        agent.tracker = RankTracker::default();
+        agent.reports.clear();
+        agent.lead = Lead::new(rank as u16, RANKS as u16, self.epoch, identity);
+    }
+
     fn apply_late_orders(&mut self) {
         let (now, step) = (self.now, self.step);
         let (epoch, counted) = (self.epoch, self.counted);
@@ -335,7 +343,7 @@
         let agent = &mut self.agents[rank];
         agent.tracker.update(status.clone(), now);
         if agent.lead.epoch() != status.epoch {
-            agent.lead = Lead::new(rank as u16, RANKS as u16, status.epoch);
+            agent.lead = Lead::new(rank as u16, RANKS as u16, status.epoch, rank as u32);
             agent.reports.clear();
         }
         self.send_report(rank);
--- a/papayaproxy/src/ranks/tests/link.rs
+++ b/papayaproxy/src/ranks/tests/link.rs
@@ -30,7 +30,7 @@
 /// Runs a preparation. Each rank confirms the order, and reports the copied map at a tick; `lost` are the
 /// ranks whose first datagram is lost.
 fn prepare(size: u16, sizes: MapSizes, lost: &[u16]) -> Sent {
-    let mut lead = Lead::new(0, size, 1);
+    let mut lead = Lead::new(0, size, 1, 1);
     let mut now = Duration::from_secs(1);
     lead.begin(0, now);
     let mut reports: Reports =
--- a/papayaproxy/src/ranks/tests/rank.rs
+++ b/papayaproxy/src/ranks/tests/rank.rs
@@ -57,7 +57,7 @@
 /// Copies that take longer than the resend interval made the lead send the map again and again.
 #[test]
 fn advance_copying_rank_not_repeated() {
-    let mut lead = Lead::new(0, 2, 1);
+    let mut lead = Lead::new(0, 2, 1, 1);
     lead.begin(0, NOW);
     let term = lead.term();
     let mut reports: Reports =
--- a/papayaproxy/src/ranks/tests/undo.rs
+++ b/papayaproxy/src/ranks/tests/undo.rs
@@ -1,9 +1,10 @@
-//! How a lead undoes a switch that is left half done.
+//! How a lead undoes a switch that is left half done, and the versions that it gives out.
 
 use super::maps::status;
 use super::rank::report;
-use crate::ranks::lead::{Lead, Phase, Reports};
+use crate::ranks::lead::{Lead, MapSizes, Phase, Reports};
 use crate::ranks::message::{Command, RankStatus};
+use std::sync::Arc;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(1);
@@ -11,7 +12,7 @@
 
 /// The lead of two ranks that finds its own rank holding a pass, with the reports that follow it.
 fn undoing() -> (Lead, Reports) {
-    let mut lead = Lead::new(0, 2, 1);
+    let mut lead = Lead::new(0, 2, 1, 1);
     lead.begin(0, NOW);
     let mut reports: Reports =
         (0..2).map(|rank| (rank, (report(status(rank, 2), lead.term()), NOW))).collect();
@@ -36,3 +37,18 @@
     let commands = lead.advance(&reports, 0.0, NOW + Duration::from_secs(1));
     assert_eq!(commands, [(0, Command::Go { step: STEP })]);
 }
+
+/// A lead that had started again gave another map the version of one whose preparation was still under way.
+#[test]
+fn propose_lead_restarted_other_version() {
+    let propose = |identity| {
+        let mut lead = Lead::new(0, 2, 1, identity);
+        lead.begin(0, NOW);
+        let reports: Reports =
+            (0..2).map(|rank| (rank, (report(status(rank, 2), lead.term()), NOW))).collect();
+        lead.advance(&reports, 0.0, NOW);
+        lead.propose(7, Arc::default(), MapSizes::default(), NOW).unwrap()
+    };
+    let (before, after) = (propose(1), propose(2));
+    assert!(before != after && before.min(after) > 7, "{before} and {after}");
+}
