Ranks: a lead holds no pass twice

What callers could see: one rank of a group runs another expert map than the others (MAP).

Cause: in a group without requests the next switch held the same pass again. An unanswered order to release it, carried out late, fits that hold, and the pass may begin while only some ranks are armed.

Change: a lead holds each pass once.

Evidence: `advance_second_switch_other_pass` asks for another pass at the second switch.

--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -112,6 +112,8 @@
     /// Usual time from the order to hold until all ranks are armed.
     arm_time: Duration,
     hold_at: Duration,
+    /// The last pass that this lead held.
+    held_step: u64,
     /// Sizes of the map that is being prepared.
     sizes: MapSizes,
 }
@@ -139,6 +141,7 @@
             superseding: None,
             arm_time: SWITCH_DELAY.div_f64(SWITCH_DELAY_FACTOR),
             hold_at: Duration::ZERO,
+            held_step: 0,
             sizes: MapSizes::default(),
         }
     }
@@ -310,8 +313,11 @@
                 false => 0,
             };
             let step = reports.iter().map(|r| r.status.step).max().unwrap_or_default();
+            // An unanswered order to release a pass must not fit a later hold: without requests the last
+            // pass that was held has not begun yet.
             let step = step.saturating_add(ahead.max(SWITCH_MIN_STEPS));
-            self.hold_at = now;
+            let step = step.max(self.held_step.saturating_add(1));
+            (self.hold_at, self.held_step) = (now, step);
             self.enter(Phase::Holding { version, step }, now, "all ranks have prepared");
             return vec![(self.rank, Command::Hold { step })];
         }
--- a/papayaproxy/src/ranks/tests/undo.rs
+++ b/papayaproxy/src/ranks/tests/undo.rs
@@ -2,6 +2,7 @@
 
 use super::maps::status;
 use super::rank::report;
+use crate::ranks::constants::HOLD_TIMEOUT;
 use crate::ranks::lead::{Lead, MapSizes, Phase, Reports};
 use crate::ranks::message::{Command, RankStatus};
 use std::sync::Arc;
@@ -52,3 +53,29 @@
     let (before, after) = (propose(1), propose(2));
     assert!(before != after && before.min(after) > 7, "{before} and {after}");
 }
+
+/// An order to release a pass that is carried out late must not release a later hold, while only some ranks
+/// are armed.
+#[test]
+fn advance_second_switch_other_pass() {
+    let mut lead = Lead::new(0, 2, 1, 1);
+    lead.begin(0, NOW);
+    let mut reports: Reports =
+        (0..2).map(|rank| (rank, (report(status(rank, 2), lead.term()), NOW))).collect();
+    let mut held = || {
+        lead.advance(&reports, 0.0, NOW);
+        let version = lead.propose(0, Arc::default(), MapSizes::default(), NOW).unwrap();
+        reports.values_mut().for_each(|(r, _)| r.status.prepared = Some(version));
+        let commands = lead.advance(&reports, 0.0, NOW);
+        let [(0, Command::Hold { step })] = commands[..] else { panic!("{commands:?}") };
+        // The hold is not seen in time, and nothing is left to undo.
+        let late = NOW + HOLD_TIMEOUT * 2;
+        reports.values_mut().for_each(|(_, at)| *at = late);
+        lead.advance(&reports, 0.0, late);
+        reports.values_mut().for_each(|(r, _)| r.term = lead.term());
+        lead.advance(&reports, 0.0, late);
+        step
+    };
+    let (first, second) = (held(), held());
+    assert!(first < second, "{first} and {second}");
+}
