--- a/papayaproxy/src/ranks/lead.rs
+++ b/papayaproxy/src/ranks/lead.rs
@@ -93,7 +93,7 @@
 /// State machine that leads a group from one of its ranks.
 #[derive(Clone, Debug)]
 pub(crate) struct Lead {
-    rank: u16,
+    pub(super) rank: u16,
     size: u16,
     epoch: u64,
     /// Random, since an agent that starts again does not know what it proposed before.
@@ -108,7 +108,7 @@
     /// Highest version proposed.
     last_version: u64,
     /// Version that supersedes what unanswered orders may still arm, in this phase.
-    superseding: Option<u64>,
+    pub(super) superseding: Option<u64>,
     /// Usual time from the order to hold until all ranks are armed.
     arm_time: Duration,
     hold_at: Duration,
@@ -200,7 +200,7 @@
     }
 
     /// A version above all that this lead has given out and above `seen`.
-    fn next_version(&mut self, seen: u64) -> u64 {
+    pub(super) fn next_version(&mut self, seen: u64) -> u64 {
         let number = (seen.max(self.last_version) >> VERSION_LEAD_BITS) + 1;
         self.last_version = (number << VERSION_LEAD_BITS) | u64::from(self.identity);
         self.last_version
@@ -412,60 +412,6 @@
         release(reports)
     }
 
-    /// Releases the group only when all ranks are armed alike, or when none is armed and no
-    /// unanswered order is left.
-    fn undo(&mut self, reports: &[&AgentReport], now: Duration) -> Vec<(u16, Command)> {
-        let armed: Vec<(u16, ArmedMap)> =
-            (0..).zip(reports).filter_map(|(rank, r)| r.status.armed.map(|a| (rank, a))).collect();
-        let held = reports.iter().any(|r| r.status.held.is_some());
-        if armed.is_empty() && !held {
-            self.enter(Phase::Idle, now, "nothing is left to undo");
-            return Vec::new();
-        }
-        let same_map = armed.len() == reports.len() && armed.iter().all(|(_, a)| *a == armed[0].1);
-        if same_map {
-            // An unanswered order changes nothing here: its rank is armed with the same map.
-            return release(reports);
-        }
-        let own = &reports[usize::from(self.rank)].status;
-        if own.held.is_none() && !armed.is_empty() {
-            let steps = armed.iter().filter_map(|(_, a)| a.step);
-            let holds = reports.iter().filter_map(|r| r.status.held);
-            let step = steps.chain(holds).min().unwrap_or(own.step.saturating_add(1));
-            return vec![(self.rank, Command::Hold { step })];
-        }
-        if !armed.is_empty() {
-            let disarm =
-                |(rank, a): (u16, ArmedMap)| (rank, Command::Disarm { version: a.version });
-            return armed.into_iter().map(disarm).collect();
-        }
-        // While the group is held, a rank that an order arms late is seen and disarmed. The lead's own rank
-        // is no exception: the group may have no requests, and the pass then does not begin at once.
-        let version = self.superseding_version(reports);
-        let may_arm =
-            |(_, r): &(u16, &&AgentReport)| r.order_uncertain && r.status.prepared < Some(version);
-        let doubtful = (0..).zip(reports).filter(may_arm);
-        let supersede: Vec<(u16, Command)> =
-            doubtful.map(|(rank, _)| (rank, Command::Supersede { version })).collect();
-        if !supersede.is_empty() {
-            return supersede;
-        }
-        // The lead's own hold is released last.
-        let (own, others): (Vec<_>, Vec<_>) =
-            release(reports).into_iter().partition(|(rank, _)| *rank == self.rank);
-        if others.is_empty() { own } else { others }
-    }
-
-    /// The version under which ranks with an unanswered order prepare their present experts.
-    fn superseding_version(&mut self, reports: &[&AgentReport]) -> u64 {
-        if let Some(version) = self.superseding {
-            return version;
-        }
-        let seen = reports.iter().map(|r| r.status.last_version()).max();
-        let version = self.next_version(seen.unwrap_or_default());
-        *self.superseding.insert(version)
-    }
-
     /// Drops commands to ranks that were sent one within [`RESEND_INTERVAL`], and records the rest.
     fn due_commands(
         &mut self,
@@ -488,7 +434,7 @@
         self.sent_at.get(&rank).is_none_or(|at| now >= *at + RESEND_INTERVAL)
     }
 
-    fn enter(&mut self, phase: Phase, now: Duration, reason: &str) {
+    pub(super) fn enter(&mut self, phase: Phase, now: Duration, reason: &str) {
         let (version, step) = match &phase {
             Phase::Preparing { version, .. } | Phase::Switching { version } => {
                 (Some(*version), None)
@@ -536,7 +482,7 @@
 }
 
 /// Commands that release every held pass.
-fn release(reports: &[&AgentReport]) -> Vec<(u16, Command)> {
+pub(super) fn release(reports: &[&AgentReport]) -> Vec<(u16, Command)> {
     let held = (0..).zip(reports).filter_map(|(rank, r)| r.status.held.map(|step| (rank, step)));
     held.map(|(rank, step)| (rank, Command::Go { step })).collect()
 }
--- a/papayaproxy/src/ranks/mod.rs
+++ b/papayaproxy/src/ranks/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod rank;
 pub(crate) mod report;
 pub(crate) mod settings;
+mod undo;
 
 #[cfg(test)]
 mod tests;
