Catalog: an entry that was cut off alone takes removals at once when it returns

Cause: a reader of the store took its own failed calls for an outage of the store, kept a record that was missing 2.3 s long as one that may come back, and vouched for its list to the entries of its zone.

Change: while its calls fail, an entry hears from peers when the store gave them their lists. The grace for missing records begins when the store first answered anyone since.

--- a/papayaproxy/src/catalog/constants.rs
+++ b/papayaproxy/src/catalog/constants.rs
@@ -46,6 +46,8 @@
 
 /// Time after the store recovers within which live replicas' records come back, with a margin.
 pub(crate) const LAPSE_GRACE: Duration = Duration::from_millis(2300);
+/// Longest time between two lists that peers have from the store while it counts as answering them.
+pub(crate) const PEER_GAP_MAX: Duration = Duration::from_millis(2000);
 /// Evacuated zones up to which peers are told of them, so that they fit one datagram. Entries that
 /// rely on peers read the store themselves beyond that.
 pub(crate) const EVACUATIONS_TOLD_MAX: usize = 64;
--- a/papayaproxy/src/catalog/follow.rs
+++ b/papayaproxy/src/catalog/follow.rs
@@ -10,7 +10,7 @@
 use super::directory::{Directory, ListedUpstream, UpstreamRecord};
 use super::evacuations::Evacuations;
 use super::events;
-use super::freshness::{Freshness, boot_time};
+use super::freshness::{Freshness, PeerAnswers, boot_time};
 use super::revision::Revision;
 use crate::base::clock::Clock;
 use crate::base::name::Name;
@@ -67,8 +67,8 @@
     pub(super) is_away: bool,
     /// Whether the last call failed without an answer.
     pub(super) was_closed: bool,
-    /// When calls last began to succeed again after the store was away; `None` before the first
-    /// outage.
+    /// When the store last came back after it was away, by own calls or by those of peers, whichever
+    /// succeeded first; `None` before the first outage.
     pub(super) recovered_at: Option<Duration>,
 }
 
@@ -85,6 +85,8 @@
     pub(super) config_health: Cell<StoreHealth>,
     /// Calls that read the upstreams.
     pub(super) upstream_health: Cell<StoreHealth>,
+    /// Answers of the store to peers while own calls for the configuration fail.
+    peer_answers: Cell<PeerAnswers>,
     /// When the directory was last known to be complete, in [`boot_time`].
     listed_at: Cell<Option<Duration>>,
     /// Store revision as of which the directory is complete; none before the first listing.
@@ -122,6 +124,7 @@
             freshness: Cell::default(),
             config_health: Cell::default(),
             upstream_health: Cell::default(),
+            peer_answers: Cell::default(),
             listed_at: Cell::default(),
             list_revision: Cell::default(),
             list_digest: Cell::default(),
@@ -301,6 +304,7 @@
     /// Records that the directory with the digest `digest` was complete at the time `at`, in
     /// [`boot_time`], and as of `revision`. Returns `false` if this directory is another one.
     pub(crate) fn confirm_peer_list(&self, digest: u64, revision: Revision, at: Duration) -> bool {
+        self.record_peer_answer(at);
         if digest != self.list_digest() {
             return false;
         }
@@ -321,6 +325,7 @@
         {
             return;
         }
+        self.record_peer_answer(at);
         let now = self.clock.now();
         let changed = self.directory.borrow_mut().replace_from_peer(listed, revision, now);
         self.list_revision.set(revision);
@@ -357,15 +362,40 @@
     fn may_lack_records(&self, now: Duration) -> bool {
         // Watches of the configuration are shorter and so detect the store's recovery first.
         let health = self.config_health.get();
-        let is_recent = |at: Duration| now < at + LAPSE_GRACE;
-        health.is_away || health.recovered_at.is_some_and(is_recent)
+        let back_at = match health.failing_since.filter(|_| health.is_away) {
+            Some(since) => self.answers_peers_since(since, now),
+            None => health.recovered_at,
+        };
+        back_at.map_or(health.is_away, |at| now < at + LAPSE_GRACE)
     }
 
-    /// Takes note that a call was answered after the store was `before`.
+    /// Takes note that a call was answered after the store was `before`. If only this process was cut
+    /// off, the records had the time to come back, or none was missing.
     pub(super) fn observe_recovery(&self, before: StoreHealth) {
-        if let Some(since) = before.failing_since.filter(|_| before.is_away) {
-            self.directory.borrow_mut().resume_grace(since, self.clock.now());
-        }
+        let Some(since) = before.failing_since.filter(|_| before.is_away) else { return };
+        let now = self.clock.now();
+        let back_at = self.answers_peers_since(since, now).unwrap_or(now);
+        let health = self.config_health.get();
+        self.config_health.set(StoreHealth { recovered_at: Some(back_at), ..health });
+        self.directory.borrow_mut().resume_grace(since, back_at);
+    }
+
+    /// Since when the store has answered peers, while own calls have failed since `failing_since`;
+    /// `None` if it is not known to.
+    fn answers_peers_since(&self, failing_since: Duration, now: Duration) -> Option<Duration> {
+        let boot_now = boot_time();
+        let failing_since = boot_now.saturating_sub(now.saturating_sub(failing_since));
+        let since = self.peer_answers.get().since(failing_since, boot_now)?;
+        Some(now.saturating_sub(boot_now.saturating_sub(since)))
+    }
+
+    /// Takes note that the store gave a peer its list at the time `at`, in [`boot_time`].
+    fn record_peer_answer(&self, at: Duration) {
+        let Some(since) = self.config_health.get().failing_since else { return };
+        let failing_for = self.clock.now().saturating_sub(since);
+        let mut answers = self.peer_answers.get();
+        answers.record(at, boot_time().saturating_sub(failing_for));
+        self.peer_answers.set(answers);
     }
 
     pub(super) fn apply_changes(&self, watched: StoreUpdate, at: Duration) {
--- a/papayaproxy/src/catalog/freshness.rs
+++ b/papayaproxy/src/catalog/freshness.rs
@@ -1,5 +1,6 @@
 //! Tracks when the configuration was last confirmed to be the store's newest.
 
+use super::constants::{OVERDUE_MIN, PEER_GAP_MAX};
 use nix::time::{ClockId, clock_gettime};
 use std::time::Duration;
 
@@ -39,3 +40,33 @@
         self.age(now).is_some_and(|age| age < limit)
     }
 }
+
+/// Time for which the store has answered peers while own calls fail, in [`boot_time`].
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PeerAnswers {
+    span: Option<(Duration, Duration)>,
+}
+
+impl PeerAnswers {
+    /// Records that the store answered a peer at the time `at`, while own calls have failed since
+    /// `failing_since`. Answers from before do not tell whether it is away, and may be read late.
+    pub(crate) fn record(&mut self, at: Duration, failing_since: Duration) {
+        if at < failing_since + OVERDUE_MIN {
+            return;
+        }
+        let is_continued = |&(start, last): &(Duration, Duration)| {
+            start >= failing_since && at <= last + PEER_GAP_MAX
+        };
+        let (start, last) = self.span.filter(is_continued).unwrap_or((at, at));
+        self.span = Some((start, last.max(at)));
+    }
+
+    /// Since when the store has answered peers; `None` if it was not known to answer them a moment
+    /// before `now`, or only before `failing_since`.
+    pub(crate) fn since(&self, failing_since: Duration, now: Duration) -> Option<Duration> {
+        let is_current = |&(start, last): &(Duration, Duration)| {
+            start >= failing_since && now <= last + PEER_GAP_MAX
+        };
+        self.span.filter(is_current).map(|(start, _)| start)
+    }
+}
--- a/papayaproxy/src/catalog/tests/outages.rs
+++ b/papayaproxy/src/catalog/tests/outages.rs
@@ -3,8 +3,9 @@
 use super::odd_entries::entry;
 use super::store::{FakeStore, ready, wait_for_ready, wait_for_version};
 use crate::catalog::calls::{Call, record_result};
-use crate::catalog::constants::{CONFIG_WAIT, OVERDUE_MIN};
+use crate::catalog::constants::{CONFIG_WAIT, LAPSE_GRACE, OVERDUE_MIN};
 use crate::catalog::follow::StoreHealth;
+use crate::catalog::freshness::boot_time;
 use crate::gateway::tests::stand_ins::on_one_thread;
 use crate::platform::{CallError, StoreError};
 use hyper::StatusCode;
@@ -96,6 +97,36 @@
     });
 }
 
+/// A reader of the store that was cut off alone took a removal for a record that may come back, and vouched
+/// for it to the entries that rely on it (DRAIN).
+#[rstest]
+#[case::all_along(0, &[])]
+#[case::just_returned(9, &["m"])]
+fn follow_cut_off_peers_answered(#[case] from: usize, #[case] left: &'static [&str]) {
+    on_one_thread(async move {
+        let store = FakeStore::bind().await;
+        store.put("op/config", CONFIG);
+        store.put("servers/m", entry("s", 1));
+        let catalog = store.follow();
+        wait_for_version(&catalog, 7).await;
+        wait_for_ready(&catalog, &["m"]).await;
+        store.content.borrow_mut().cut_prefix = Some("op/config");
+        store.wait_for_calls(CONFIG_WATCH, 3).await;
+        for round in 0..12 {
+            tokio::time::sleep(LAPSE_GRACE / 10).await;
+            if round >= from {
+                let (digest, revision) = (catalog.list_digest(), catalog.list_revision());
+                assert!(catalog.confirm_peer_list(digest, revision, boot_time()));
+            }
+        }
+        store.content.borrow_mut().cut_prefix = None;
+        store.wait_for_calls(CONFIG_WATCH, 2).await;
+        store.delete("servers/m");
+        store.wait_for_calls(LIST_WATCH, 3).await;
+        assert_eq!(ready(&catalog), left);
+    });
+}
+
 /// What a call to the store may end with.
 #[derive(Clone, Copy)]
 enum End {
