--- a/papayaproxy/src/ranks/tests/mod.rs
+++ b/papayaproxy/src/ranks/tests/mod.rs
@@ -10,4 +10,5 @@
 mod planner;
 mod rank;
 mod shifts;
+mod simulation;
 mod undo;
